--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -18,6 +18,7 @@
 	ConfirmedAt   time.Time
 	Paused        bool
 	Stopping      bool
+	Direct        bool
 }
 
 // Build returns the view of an input. Owners are found by rendezvous hashing
@@ -33,6 +34,7 @@
 		ConfirmedAt:   input.ConfirmedAt,
 		Paused:        input.Paused,
 		Stopping:      input.Stopping,
+		Direct:        input.Direct,
 	}
 	v.indexMembers(input.VMs)
 	if previous != nil && previous.Configuration == input.Configuration {
@@ -104,21 +106,30 @@
 }
 
 func (v *View) assignOwner(id, domain string, hashes map[string]*rendezvous.Rendezvous, previous *View) {
-	if len(v.domainVMs[domain]) == 0 {
+	owner := v.chooseOwner(id, domain, hashes, previous)
+	if owner == "" {
 		return
 	}
-	owner := ""
-	if hash, ok := hashes[domain]; ok {
-		owner = hash.Lookup(id)
-	} else {
-		owner = previous.owners[id]
-	}
 	v.owners[id] = owner
 	if owner == v.Self.ID {
 		v.owned = append(v.owned, id)
 	}
 }
 
+// chooseOwner returns the name of the owner, or nothing when there is none.
+func (v *View) chooseOwner(id, domain string, hashes map[string]*rendezvous.Rendezvous, previous *View) string {
+	if v.Direct {
+		return v.Self.ID
+	}
+	if len(v.domainVMs[domain]) == 0 {
+		return ""
+	}
+	if hash, ok := hashes[domain]; ok {
+		return hash.Lookup(id)
+	}
+	return previous.owners[id]
+}
+
 // sameOwners reports whether the owners of a failure domain's targets can be
 // taken over from an earlier view.
 func (v *View) sameOwners(next *View, domain string) bool {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -65,6 +65,9 @@
 	Paused bool
 	// Stopping is true from the start of a planned stop.
 	Stopping bool
+	// Direct is true when this VM owns every target for itself: the baseline
+	// that target ownership is measured against.
+	Direct bool
 
 	vms         map[string]VM
 	domainState map[string]pb.ServingState
