Settings, authentication, transport, peer client, change tokens, handlers

Cause: the parts around the roles did not exist. Seen failing first: the rapid model when a stopped process still runs changes; TestExpiredRefusalHoldsAfterHandOver when an expired token is refused with NOT_RUN without being closed (a successor with a slower clock then runs it; the rapid model did not find this one).

--- /dev/null
+++ b/internal/auth/http.go
@@ -0,0 +1,163 @@
+package auth
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	authorizationHeader = "Authorization"
+	bearerPrefix        = "Bearer "
+	// cachedTokens bounds the verified tokens that a Guard remembers.
+	cachedTokens = 4096
+)
+
+// Signer adds a token to each outgoing request. It is an http.RoundTripper and
+// safe for concurrent use.
+type Signer struct {
+	next     http.RoundTripper
+	key      *Key
+	identity Identity
+
+	mu      sync.Mutex
+	token   string
+	renewAt time.Time
+}
+
+// NewSigner returns a Signer that sends through next. With a nil key requests
+// are passed on as they are.
+func NewSigner(next http.RoundTripper, key *Key, identity Identity) *Signer {
+	return &Signer{next: next, key: key, identity: identity}
+}
+
+// RoundTrip sends the request with a token.
+func (s *Signer) RoundTrip(request *http.Request) (*http.Response, error) {
+	if s.key == nil {
+		return s.next.RoundTrip(request)
+	}
+	token, err := s.current(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	signed := request.Clone(request.Context())
+	signed.Header.Set(authorizationHeader, bearerPrefix+token)
+	return s.next.RoundTrip(signed)
+}
+
+// current returns a token that is valid for at least half its lifetime.
+func (s *Signer) current(now time.Time) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.token != "" && now.Before(s.renewAt) {
+		return s.token, nil
+	}
+	token, err := s.key.Sign(s.identity, now, sessionLifetime)
+	if err != nil {
+		return "", err
+	}
+	s.token = token
+	s.renewAt = now.Add(sessionLifetime / 2)
+	return token, nil
+}
+
+// Bearer adds a ready token to each outgoing request. It is an
+// http.RoundTripper.
+type Bearer struct {
+	Next  http.RoundTripper
+	Token string
+}
+
+// RoundTrip sends the request with the token.
+func (b Bearer) RoundTrip(request *http.Request) (*http.Response, error) {
+	signed := request.Clone(request.Context())
+	signed.Header.Set(authorizationHeader, bearerPrefix+b.Token)
+	return b.Next.RoundTrip(signed)
+}
+
+// Guard refuses requests without a valid token. It remembers verified tokens
+// until they expire, so that a busy connection pays for one verification a
+// minute.
+type Guard struct {
+	key    *Key
+	logger zerolog.Logger
+
+	mu       sync.RWMutex
+	verified map[string]verifiedToken
+}
+
+type verifiedToken struct {
+	identity Identity
+	expires  time.Time
+}
+
+// NewGuard returns a Guard; with a nil key it lets every request pass.
+func NewGuard(key *Key, logger zerolog.Logger) *Guard {
+	return &Guard{key: key, logger: logger, verified: map[string]verifiedToken{}}
+}
+
+// Require wraps a handler so that it serves only identities that may do what
+// needs the role.
+func (g *Guard) Require(needed Role, next http.Handler) http.Handler {
+	if g.key == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		identity, err := g.identify(r, time.Now())
+		if err == nil && identity.Allows(needed) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		g.logger.Warn().Err(err).
+			Str("path", r.URL.Path).
+			Str("remote", r.RemoteAddr).
+			Str("subject", identity.Subject).
+			Str("role", string(identity.Role)).
+			Str("needed", string(needed)).
+			Msg("request refused by authentication")
+		deny(w, err)
+	})
+}
+
+// deny answers in the error format of the connect protocol.
+func deny(w http.ResponseWriter, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	if err != nil {
+		w.WriteHeader(http.StatusUnauthorized)
+		_, _ = w.Write([]byte(`{"code":"unauthenticated","message":"authentication failed"}`))
+		return
+	}
+	w.WriteHeader(http.StatusForbidden)
+	_, _ = w.Write([]byte(`{"code":"permission_denied","message":"the role does not allow this call"}`))
+}
+
+func (g *Guard) identify(r *http.Request, now time.Time) (Identity, error) {
+	token, ok := strings.CutPrefix(r.Header.Get(authorizationHeader), bearerPrefix)
+	if !ok {
+		return Identity{}, ErrDenied
+	}
+	g.mu.RLock()
+	known, ok := g.verified[token]
+	g.mu.RUnlock()
+	if ok && now.Before(known.expires) {
+		return known.identity, nil
+	}
+	identity, expires, err := g.key.Verify(token, now)
+	if err != nil {
+		return Identity{}, err
+	}
+	g.remember(token, verifiedToken{identity: identity, expires: expires})
+	return identity, nil
+}
+
+func (g *Guard) remember(token string, verified verifiedToken) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.verified) >= cachedTokens {
+		clear(g.verified)
+	}
+	g.verified[token] = verified
+}
--- /dev/null
+++ b/internal/change/token.go
@@ -0,0 +1,86 @@
+package change
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrMalformedToken is the cause of errors of texts that are no token.
+var ErrMalformedToken = errors.New("malformed token")
+
+const (
+	tokenParts       = 4
+	tokenRandomBytes = 12
+	tokenSeparator   = "~"
+)
+
+// Issuer names one process that issues tokens: a VM and its incarnation. Only
+// this process, or the one it handed its records to, may run a change under
+// them.
+type Issuer struct {
+	VM          string
+	Incarnation uint64
+}
+
+// Token is an idempotency token. It carries everything that is needed to find
+// the process that may run the change.
+type Token struct {
+	Issuer Issuer
+	// Expires is when the token can no longer be used.
+	Expires time.Time
+	// Random makes the token unique.
+	Random string
+}
+
+// newToken returns a token with a random part from the system's source.
+func newToken(issuer Issuer, expires time.Time) (Token, error) {
+	random := make([]byte, tokenRandomBytes)
+	if _, err := rand.Read(random); err != nil {
+		return Token{}, errors.Wrap(err, "random part of token")
+	}
+	return Token{Issuer: issuer, Expires: expires, Random: hex.EncodeToString(random)}, nil
+}
+
+// String returns the token's text form.
+func (t Token) String() string {
+	return strings.Join([]string{
+		t.Issuer.VM,
+		strconv.FormatUint(t.Issuer.Incarnation, 36),
+		strconv.FormatInt(t.Expires.UnixMilli(), 36),
+		t.Random,
+	}, tokenSeparator)
+}
+
+// ParseToken reads the text form. The error's cause is ErrMalformedToken.
+func ParseToken(text string) (Token, error) {
+	parts := strings.Split(text, tokenSeparator)
+	if len(parts) != tokenParts || parts[0] == "" {
+		return Token{}, errors.Wrapf(ErrMalformedToken, "%q", text)
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 36, 64)
+	if err != nil {
+		return Token{}, errors.Wrapf(ErrMalformedToken, "incarnation %q", parts[1])
+	}
+	expires, err := strconv.ParseInt(parts[2], 36, 64)
+	if err != nil {
+		return Token{}, errors.Wrapf(ErrMalformedToken, "expiry %q", parts[2])
+	}
+	random, err := hex.DecodeString(parts[3])
+	if err != nil || len(random) != tokenRandomBytes {
+		return Token{}, errors.Wrapf(ErrMalformedToken, "random part %q", parts[3])
+	}
+	token := Token{
+		Issuer:  Issuer{VM: parts[0], Incarnation: incarnation},
+		Expires: time.UnixMilli(expires),
+		Random:  parts[3],
+	}
+	if token.String() != text {
+		return Token{}, errors.Wrap(ErrMalformedToken, "not in canonical form")
+	}
+	return token, nil
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,115 @@
+// Package server turns the calls that arrive over the network into calls of the
+// roles behind them: coordinator, target owner, control and changes.
+package server
+
+import (
+	"context"
+	"net/http"
+
+	"buf.build/go/protovalidate"
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawayreel/carawayreel/internal/auth"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1/carawayreelv1connect"
+)
+
+// Searcher answers searches.
+type Searcher interface {
+	Search(ctx context.Context, r *pb.SearchRequest) (*pb.SearchResponse, error)
+}
+
+// Changes runs changes at most once.
+type Changes interface {
+	IssueToken() (*pb.IssueTokenResponse, error)
+	Submit(ctx context.Context, r *pb.SubmitChangeRequest) *pb.SubmitChangeResponse
+	SubmitHere(ctx context.Context, r *pb.SubmitChangeRequest) *pb.SubmitChangeResponse
+	Outcome(ctx context.Context, r *pb.GetOutcomeRequest) *pb.GetOutcomeResponse
+	OutcomeHere(r *pb.GetOutcomeRequest) *pb.GetOutcomeResponse
+	Accept(issuers []*pb.ChangeIssuer, records []*pb.ChangeRecord) bool
+}
+
+// Owner dispatches to the targets that this VM owns.
+type Owner interface {
+	Dispatch(ctx context.Context, r *pb.SubRequest) *pb.SubReply
+	DispatchChange(ctx context.Context, r *pb.ChangeDispatch) *pb.ChangeReply
+	Targets() []*pb.TargetStatusReport
+	AcceptHandOver(targets []*pb.TargetHandOver)
+}
+
+// Control keeps control state.
+type Control interface {
+	Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) *pb.HeartbeatResponse
+	FetchConfiguration(ctx context.Context, r *pb.FetchConfigurationRequest) *pb.FetchConfigurationResponse
+	OfferConfiguration(ctx context.Context, r *pb.OfferConfigurationRequest) *pb.OfferConfigurationResponse
+	Ready() (bool, string)
+}
+
+// Roles are the parts that serve the calls.
+type Roles struct {
+	Searcher Searcher
+	Changes  Changes
+	Owner    Owner
+	Control  Control
+	Admin    carawayreelv1connect.AdminServiceHandler
+}
+
+// CallerHandler serves callers and operators, metrics and the balancer's health
+// checks. Messages above maxBytes are refused.
+func CallerHandler(roles Roles, guard *auth.Guard, maxBytes uint32, logger zerolog.Logger) http.Handler {
+	options := handlerOptions(maxBytes, logger)
+	mux := http.NewServeMux()
+	path, caller := carawayreelv1connect.NewCallerServiceHandler(&callerService{roles}, options...)
+	mux.Handle(path, guard.Require(auth.RoleCaller, caller))
+	path, admin := carawayreelv1connect.NewAdminServiceHandler(roles.Admin, options...)
+	mux.Handle(path, guard.Require(auth.RoleOperator, admin))
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		writeReadiness(w, roles.Control)
+	})
+	return mux
+}
+
+func writeReadiness(w http.ResponseWriter, control Control) {
+	ready, reason := control.Ready()
+	if ready {
+		_, _ = w.Write([]byte("ready\n"))
+		return
+	}
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+// PeerHandler serves the other VMs. Messages above maxBytes are refused.
+func PeerHandler(roles Roles, guard *auth.Guard, maxBytes uint32, logger zerolog.Logger) http.Handler {
+	mux := http.NewServeMux()
+	path, handler := carawayreelv1connect.NewPeerServiceHandler(&peerService{roles}, handlerOptions(maxBytes, logger)...)
+	mux.Handle(path, guard.Require(auth.RolePeer, handler))
+	return mux
+}
+
+func handlerOptions(maxBytes uint32, logger zerolog.Logger) []connect.HandlerOption {
+	return []connect.HandlerOption{
+		connect.WithReadMaxBytes(int(maxBytes)),
+		connect.WithRecover(func(_ context.Context, spec connect.Spec, _ http.Header, cause any) error {
+			logger.Error().Str("procedure", spec.Procedure).Interface("panic", cause).Msg("call panicked")
+			return connect.NewError(connect.CodeInternal, errors.New("internal error"))
+		}),
+	}
+}
+
+// valid checks a message against the rules of the schema.
+func valid(message proto.Message) error {
+	if err := protovalidate.Validate(message); err != nil {
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,81 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayreel/carawayreel/internal/settings"
+)
+
+const minimal = `
+[vm]
+id = vm-a-1
+failure_domain = a
+[listen]
+caller_address = 127.0.0.1:7100
+peer_address = 127.0.0.1:7200
+[platform]
+address = 127.0.0.1:7000
+`
+
+func write(t testing.TB, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "vm.ini")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestLoadFillsDefaults(t *testing.T) {
+	s, err := settings.Load(write(t, minimal))
+	require.NoError(t, err)
+	require.Equal(t, "vm-a-1", s.Vm.Id)
+	require.EqualValues(t, 300, s.Peers.HeartbeatIntervalMs)
+	require.True(t, s.Experiment.Hedging)
+	require.Equal(t, "in-flight", s.Experiment.ReplicaChoice)
+}
+
+func TestLoadNamesThePlaceOfAFault(t *testing.T) {
+	cases := []struct{ name, text, section, key, value, problem string }{
+		{"unknown section", minimal + "[other]\nx = 1\n", "other", "", "", "unknown section"},
+		{"unknown key", minimal + "[limits]\nspeed = 1\n", "limits", "speed", "1", "unknown key"},
+		{"wrong type", minimal + "[limits]\nguard_ms = soon\n", "limits", "guard_ms", "soon", "wrong type"},
+		{"out of range", minimal + "[peers]\nmonitored_vms = 99\n", "peers", "monitored_vms", "99", "out of range"},
+		{"missing", "[vm]\nid = x\nfailure_domain = a\n", "listen", "caller_address", "", "missing"},
+		{"bad address", "[vm]\nid = x\nfailure_domain = a\n[listen]\ncaller_address = here\n", "listen", "caller_address", "here", "out of range"},
+		{"unsafe clock gap", minimal + "[limits]\nclock_gap_ms = 30000\n", "limits", "clock_gap_ms", "30000", "too long"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			path := write(t, c.text)
+			_, err := settings.Load(path)
+			var fault *settings.Error
+			require.ErrorAs(t, err, &fault)
+			require.Equal(t, path, fault.File)
+			require.Equal(t, c.section, fault.Section)
+			require.Equal(t, c.key, fault.Key)
+			require.Equal(t, c.value, fault.Value)
+			require.Equal(t, c.problem, fault.Problem)
+			require.NotEmpty(t, fault.Accepted)
+		})
+	}
+}
+
+func TestDefaultsNameOnlyTheMissingAddresses(t *testing.T) {
+	_, err := settings.Load(write(t, settings.Defaults()))
+	var fault *settings.Error
+	require.ErrorAs(t, err, &fault)
+	require.Equal(t, "missing", fault.Problem)
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add(minimal)
+	f.Add(settings.Defaults())
+	f.Add("[vm\nid")
+	f.Add("[limits]\nguard_ms = -1")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, _ = settings.Load(write(t, text))
+	})
+}
