Stand-in for platform, targets and relays, and deployment profiles

Tests and the demo need fakes at every interface of the system before the system itself runs. One process serves the key-value service, the list of VMs, all targets of a profile and relays; its administration service (schema standin.v1) switches faults and returns counters of what targets really ran.

--- /dev/null
+++ b/internal/standin/counters.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	standinv1 "github.com/carawayreel/carawayreel/internal/gen/standin/v1"
+)
+
+const (
+	// rememberedSeconds bounds the seconds that a target's counters keep.
+	rememberedSeconds = 300
+	// rememberedRequests bounds the request identities that are remembered.
+	rememberedRequests = 100_000
+)
+
+// countReceived counts an arrival. The caller holds the lock.
+func (t *target) countReceived() {
+	t.counters.Received++
+	t.second().Received++
+	if t.faults.leavingAt.IsZero() {
+		return
+	}
+	t.counters.ReceivedAfterLeaving++
+	t.counters.LastAfterLeavingMs = time.Since(t.faults.leavingAt).Milliseconds()
+}
+
+// second returns the counts of the present second. The caller holds the lock.
+func (t *target) second() *standinv1.SecondCount {
+	now := time.Now().Unix()
+	seconds := t.counters.Seconds
+	if len(seconds) > 0 && seconds[len(seconds)-1].UnixS == now {
+		return seconds[len(seconds)-1]
+	}
+	if len(seconds) >= rememberedSeconds {
+		seconds = seconds[1:]
+	}
+	count := &standinv1.SecondCount{UnixS: now}
+	t.counters.Seconds = append(seconds, count)
+	return count
+}
+
+// snapshotCounters returns a copy of the counters.
+func (t *target) snapshotCounters() *standinv1.TargetCounters {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := proto.Clone(&t.counters).(*standinv1.TargetCounters)
+	c.Down = t.down
+	c.Cold = t.cold
+	c.ConnectionsOpen = uint32(len(t.conns))
+	if t.boot != nil {
+		c.BootId = t.boot.id
+	}
+	return c
+}
+
+// execution is one piece of work that a target started.
+type execution struct {
+	target   string
+	attempt  uint64
+	cold     bool
+	finished bool
+}
+
+// executions remembers what was started for the newest request identities. It
+// is safe for concurrent use.
+type executions struct {
+	mu    sync.Mutex
+	byID  map[string][]*execution
+	order []string
+}
+
+func newExecutions() *executions {
+	return &executions{byID: make(map[string][]*execution)}
+}
+
+func (e *executions) started(w task, target string, cold bool) *execution {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, known := e.byID[w.id]; !known {
+		e.order = append(e.order, w.id)
+	}
+	started := &execution{target: target, attempt: w.attempt, cold: cold}
+	e.byID[w.id] = append(e.byID[w.id], started)
+	if len(e.order) > rememberedRequests {
+		delete(e.byID, e.order[0])
+		e.order = e.order[1:]
+	}
+	return started
+}
+
+func (e *executions) finished(x *execution) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x.finished = true
+}
+
+func (e *executions) find(id string) []*standinv1.Execution {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var found []*standinv1.Execution
+	for _, x := range e.byID[id] {
+		found = append(found, &standinv1.Execution{
+			Target:   x.target,
+			Attempt:  x.attempt,
+			Finished: x.finished,
+			Cold:     x.cold,
+		})
+	}
+	return found
+}
--- /dev/null
+++ b/internal/standin/links.go
@@ -0,0 +1,180 @@
+package standin
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/carawayreel/carawayreel/internal/profile"
+)
+
+// Platform is the name that stands for the platform in a link.
+const Platform = "platform"
+
+// link is an unordered pair of failure domains, or a domain and the platform.
+type link struct {
+	first, second string
+}
+
+func newLink(first, second string) link {
+	if first > second {
+		first, second = second, first
+	}
+	return link{first: first, second: second}
+}
+
+// links knows which pairs of failure domains are cut off from each other. It
+// is safe for concurrent use.
+type links struct {
+	mu sync.Mutex
+	// cut holds a channel for each cut link, closed when the link heals.
+	cut map[link]chan struct{}
+}
+
+func newLinks() *links {
+	return &links{cut: make(map[link]chan struct{})}
+}
+
+func (l *links) set(first, second string, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := newLink(first, second)
+	healed, already := l.cut[key]
+	if cut && !already {
+		l.cut[key] = make(chan struct{})
+	}
+	if !cut && already {
+		close(healed)
+		delete(l.cut, key)
+	}
+}
+
+// blocked returns a channel that is closed when the link heals, or nil while
+// the link is whole.
+func (l *links) blocked(first, second string) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	healed, cut := l.cut[newLink(first, second)]
+	if !cut {
+		return nil
+	}
+	return healed
+}
+
+// sourceDomain returns the failure domain that a connection comes from, or an
+// empty string when its source address stands for none.
+func sourceDomain(conn net.Conn) string {
+	address, ok := conn.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return ""
+	}
+	domain, _ := profile.DomainOfSource(address.IP)
+	return domain
+}
+
+// block returns a channel that is closed when a hindrance may have ended, or
+// nil when there is none.
+type block func() <-chan struct{}
+
+// gatedConn is a connection whose bytes stall while any of its blocks holds.
+type gatedConn struct {
+	net.Conn
+	blocks []block
+	// setup delays the first read.
+	setup   time.Duration
+	onClose func()
+
+	setupOnce sync.Once
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+func newGatedConn(conn net.Conn, setup time.Duration, onClose func(), blocks ...block) *gatedConn {
+	return &gatedConn{
+		Conn:    conn,
+		blocks:  blocks,
+		setup:   setup,
+		onClose: onClose,
+		closed:  make(chan struct{}),
+	}
+}
+
+// Read reads from the connection once nothing blocks it.
+func (c *gatedConn) Read(b []byte) (int, error) {
+	c.setupOnce.Do(c.awaitSetup)
+	n, err := c.Conn.Read(b)
+	c.awaitBlocks()
+	return n, err
+}
+
+// Write writes to the connection once nothing blocks it.
+func (c *gatedConn) Write(b []byte) (int, error) {
+	c.awaitBlocks()
+	return c.Conn.Write(b)
+}
+
+// Close closes the connection and releases stalled reads and writes.
+func (c *gatedConn) Close() error {
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		c.onClose()
+	})
+	return c.Conn.Close()
+}
+
+func (c *gatedConn) awaitSetup() {
+	if c.setup <= 0 {
+		return
+	}
+	timer := time.NewTimer(c.setup)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.closed:
+	}
+}
+
+func (c *gatedConn) awaitBlocks() {
+	for _, blocked := range c.blocks {
+		for ended := blocked(); ended != nil; ended = blocked() {
+			select {
+			case <-ended:
+			case <-c.closed:
+				return
+			}
+		}
+	}
+}
+
+// reset closes a connection so that the other side sees a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// linkListener accepts connections to a place, refuses those over a cut link
+// and stalls the bytes of the others while their link is cut.
+type linkListener struct {
+	net.Listener
+	links *links
+	place string
+}
+
+// Accept returns the next connection whose link is whole.
+func (l *linkListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		domain := sourceDomain(conn)
+		blocked := func() <-chan struct{} { return l.links.blocked(domain, l.place) }
+		if blocked() != nil {
+			reset(conn)
+			continue
+		}
+		return newGatedConn(conn, 0, func() {}, blocked), nil
+	}
+}
