--- a/cmd/carawayreeld/main.go
+++ b/cmd/carawayreeld/main.go
@@ -1,4 +1,88 @@
 // Command carawayreeld is the daemon that runs on each entry VM.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"github.com/carawayreel/carawayreel/internal/daemon"
+	"github.com/carawayreel/carawayreel/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+type arguments struct {
+	Run      runCommand      `cmd:"" help:"Run the daemon until SIGTERM or SIGINT, then stop without cutting requests."`
+	Check    checkCommand    `cmd:"" help:"Check a settings file. Exit code 2 when it is faulty."`
+	Defaults defaultsCommand `cmd:"" help:"Print a commented settings file with every default."`
+}
+
+type runCommand struct {
+	File string `arg:"" help:"Settings file."`
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"Settings file."`
+}
+
+type defaultsCommand struct{}
+
+func main() {
+	var args arguments
+	parsed := kong.Parse(&args, kong.Description("Daemon of the carawayreel query tier."))
+	parsed.FatalIfErrorf(parsed.Run())
+}
+
+// Run runs the daemon.
+func (c *runCommand) Run() error {
+	loaded, err := settings.Load(c.File)
+	if err != nil {
+		exit(exitSettings, err)
+	}
+	level, err := zerolog.ParseLevel(loaded.Log.Level)
+	if err != nil {
+		exit(exitSettings, err)
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
+	logger := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("vm", loaded.Vm.Id).Logger()
+	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer release()
+	d, err := daemon.New(loaded, logger)
+	if err != nil {
+		exit(exitFailure, err)
+	}
+	if err := d.Run(stop); err != nil {
+		exit(exitFailure, err)
+	}
+	return nil
+}
+
+// Run checks a settings file.
+func (c *checkCommand) Run() error {
+	if _, err := settings.Load(c.File); err != nil {
+		exit(exitSettings, err)
+	}
+	fmt.Println("ok")
+	return nil
+}
+
+// Run prints the defaults.
+func (defaultsCommand) Run() error {
+	fmt.Print(settings.Defaults())
+	return nil
+}
+
+func exit(code int, err error) {
+	fmt.Fprintln(os.Stderr, "carawayreeld:", err)
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,194 @@
+// Package daemon assembles the roles of one VM into a supervised process and
+// stops them in order.
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/carawayreel/carawayreel/internal/auth"
+	"github.com/carawayreel/carawayreel/internal/change"
+	"github.com/carawayreel/carawayreel/internal/control"
+	"github.com/carawayreel/carawayreel/internal/coordinator"
+	"github.com/carawayreel/carawayreel/internal/decision"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/owner"
+	"github.com/carawayreel/carawayreel/internal/peer"
+	"github.com/carawayreel/carawayreel/internal/platform"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
+	"github.com/carawayreel/carawayreel/internal/server"
+	"github.com/carawayreel/carawayreel/internal/transport"
+	"github.com/carawayreel/carawayreel/internal/view"
+)
+
+// Daemon is one VM's process.
+type Daemon struct {
+	settings *pb.Settings
+	logger   zerolog.Logger
+	trace    io.WriteCloser
+
+	control     *control.Control
+	owner       *owner.Owner
+	coordinator *coordinator.Coordinator
+	changes     *change.Changes
+	peers       *peer.Client
+	callers     *transport.Server
+	others      *transport.Server
+}
+
+// New builds the roles and binds the addresses of the settings.
+func New(settings *pb.Settings, logger zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: settings, logger: logger}
+	key, err := loadKey(settings.Peers.SharedKeyFile)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.openTrace(); err != nil {
+		return nil, err
+	}
+	decisions := decision.NewLog(logger, settings.Log.DecisionSample)
+	d.buildRoles(key, decisions)
+	return d, d.listen(key, decisions)
+}
+
+func loadKey(path string) (*auth.Key, error) {
+	if path == "" {
+		return nil, nil
+	}
+	return auth.LoadKey(path)
+}
+
+func (d *Daemon) openTrace() error {
+	if d.settings.Log.TraceFile == "" {
+		return nil
+	}
+	file, err := os.OpenFile(d.settings.Log.TraceFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "trace file")
+	}
+	d.trace = newLineWriter(file)
+	return nil
+}
+
+// traceWriter returns the trace as an io.Writer that is nil when there is none.
+func (d *Daemon) traceWriter() io.Writer {
+	if d.trace == nil {
+		return nil
+	}
+	return d.trace
+}
+
+func (d *Daemon) buildRoles(key *auth.Key, decisions *decision.Log) {
+	settings := d.settings
+	self := selfVM(settings)
+	identity := auth.Identity{Subject: self.ID, Role: auth.RolePeer}
+	client := transport.NewClient(transport.ClientOptions{
+		SourceAddress: settings.Listen.SourceAddress, Key: key, Identity: identity,
+	})
+	platformHTTP := transport.NewClient(transport.ClientOptions{
+		SourceAddress: settings.Listen.SourceAddress, HTTP1: true,
+	})
+	platformClient := newPlatform(platformHTTP, settings.Platform)
+	poison := quarantine.New(quarantine.DefaultLimits())
+	d.peers = peer.New(self.ID, client, settings.Limits.MaxRequestBytes)
+	d.control = control.New(control.Options{
+		Settings: settings, Self: self, Store: platformClient, VMList: platformClient,
+		Peers: d.peers, Quarantine: poison, Logger: d.logger, Trace: d.traceWriter(),
+	})
+	d.owner = owner.New(owner.Options{
+		Views: d.control, Limits: settings.Limits, Decisions: decisions, Logger: d.logger,
+		SourceAddress: settings.Listen.SourceAddress, Quarantine: poison, Trace: d.traceWriter(),
+	})
+	d.peers.SetOwner(d.owner)
+	d.coordinator = coordinator.New(coordinator.Options{
+		Views: d.control, Dispatcher: d.peers, Decisions: decisions, Limits: settings.Limits,
+		Experiment: settings.Experiment, Quarantine: poison, Logger: d.logger, Trace: d.traceWriter(),
+	})
+	d.changes = change.New(change.Options{
+		Views: d.control, Dispatcher: d.peers, Forwarder: d.peers,
+		Claims: change.NewStoreClaims(platformClaims{platformClient}),
+		Limits: settings.Limits, Decisions: decisions, Logger: d.logger,
+	})
+}
+
+func newPlatform(client *http.Client, settings *pb.PlatformSettings) *platform.Client {
+	timeout := time.Duration(settings.CallTimeoutMs) * time.Millisecond
+	return platform.NewClient(client, "http://"+settings.Address, timeout)
+}
+
+// selfVM describes this process to the others.
+func selfVM(settings *pb.Settings) view.VM {
+	address := settings.Listen.AdvertisedPeerAddress
+	if address == "" {
+		address = settings.Listen.PeerAddress
+	}
+	return view.VM{
+		ID:            settings.Vm.Id,
+		FailureDomain: settings.Vm.FailureDomain,
+		PeerAddress:   address,
+		Incarnation:   uint64(time.Now().UnixNano()),
+		State:         pb.MemberState_MEMBER_STATE_ALIVE,
+	}
+}
+
+func (d *Daemon) listen(key *auth.Key, decisions *decision.Log) error {
+	guard := auth.NewGuard(key, d.logger)
+	roles := server.Roles{
+		Searcher: d.coordinator, Changes: d.changes, Owner: d.owner, Control: d.control,
+		Admin: server.NewAdmin(server.AdminOptions{
+			Control: d.control, Owner: d.owner, Peers: d.peers, Changes: d.changes,
+			Searcher: d.coordinator, Decisions: decisions,
+		}),
+	}
+	limits := d.settings.Limits
+	var err error
+	d.callers, err = transport.Listen(d.settings.Listen.CallerAddress,
+		server.CallerHandler(roles, guard, limits.MaxRequestBytes, d.logger))
+	if err != nil {
+		return errors.Wrap(err, "caller address")
+	}
+	d.others, err = transport.Listen(d.settings.Listen.PeerAddress,
+		server.PeerHandler(roles, guard, limits.MaxRequestBytes, d.logger))
+	return errors.Wrap(err, "peer address")
+}
+
+// Run serves until stop ends, then performs a planned stop. It returns nil after
+// a planned stop in which every request ended.
+func (d *Daemon) Run(stop context.Context) error {
+	services, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	supervisor := suture.New(d.settings.Vm.Id, suture.Spec{EventHook: d.logEvent})
+	for _, service := range []suture.Service{d.control, d.owner, d.callers, d.others} {
+		supervisor.Add(service)
+	}
+	ended := supervisor.ServeBackground(services)
+	d.logger.Info().
+		Str("vm", d.settings.Vm.Id).
+		Str("failure_domain", d.settings.Vm.FailureDomain).
+		Str("callers", d.callers.Address()).
+		Str("peers", d.others.Address()).
+		Msg("serving")
+	select {
+	case <-stop.Done():
+	case err := <-ended:
+		return errors.Wrap(err, "supervisor ended")
+	}
+	err := d.stop()
+	cancel()
+	<-ended
+	if d.trace != nil {
+		_ = d.trace.Close()
+	}
+	return err
+}
+
+func (d *Daemon) logEvent(event suture.Event) {
+	d.logger.Error().Fields(event.Map()).Msg("supervised service")
+}
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/peer"
+	"github.com/carawayreel/carawayreel/internal/view"
+)
+
+const (
+	// balancerNotice is the time the balancer is given to see that the VM is
+	// not ready before its requests are no longer accepted.
+	balancerNotice = 500 * time.Millisecond
+	// handOverTimeout bounds one message of a hand-over.
+	handOverTimeout = 2 * time.Second
+	// handOverTries bounds the repetitions of the message with the records.
+	handOverTries = 3
+)
+
+// stop performs a planned stop: the VM becomes unready, its targets and change
+// records go to other VMs, and running requests end. No request is cut short
+// before the configured time limit.
+func (d *Daemon) stop() error {
+	limit := time.Duration(d.settings.Limits.StopTimeoutMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	d.logger.Info().Dur("limit", limit).Msg("planned stop begins")
+	d.control.Leave(ctx)
+	d.handOverTargets(ctx)
+	d.handOverChanges(ctx)
+	pause(ctx, balancerNotice)
+	err := d.shutdownServers(ctx)
+	d.logger.Info().Err(err).Msg("planned stop ends")
+	return err
+}
+
+// handOverTargets waits for the work that runs on this VM's targets and gives
+// their states to the VMs that own them from now on.
+func (d *Daemon) handOverTargets(ctx context.Context) {
+	current := d.control.Current()
+	states := d.owner.HandOver(ctx)
+	byOwner := map[string][]*pb.TargetHandOver{}
+	for _, state := range states {
+		if next, ok := current.Owner(state.Target); ok && next.ID != current.Self.ID {
+			byOwner[next.ID] = append(byOwner[next.ID], state)
+		}
+	}
+	var sends sync.WaitGroup
+	for id, targets := range byOwner {
+		next, _ := current.VM(id)
+		sends.Go(func() { d.sendTargets(ctx, next, targets) })
+	}
+	sends.Wait()
+}
+
+func (d *Daemon) sendTargets(ctx context.Context, next view.VM, targets []*pb.TargetHandOver) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	_, err := d.peers.HandOver(ctx, next, &pb.HandOverRequest{Sender: d.control.Member(), Targets: targets})
+	if err != nil {
+		d.logger.Warn().Err(err).Str("to", next.ID).Msg("targets not handed over; the new owner starts them cold")
+	}
+}
+
+// handOverChanges gives the change records to one successor. When the answer
+// of a VM that may have accepted them is lost, no other VM is asked: two VMs
+// must never serve the same tokens.
+func (d *Daemon) handOverChanges(ctx context.Context) {
+	issuers, records := d.changes.Drain(ctx)
+	request := &pb.HandOverRequest{Sender: d.control.Member(), Issuers: issuers, Records: records}
+	for _, candidate := range d.successors() {
+		err := d.sendChanges(ctx, candidate, request)
+		if err == nil {
+			d.changes.HandedTo(candidate)
+			d.control.SetSuccessor(ctx, candidate.ID)
+			d.logger.Info().Str("to", candidate.ID).Int("records", len(records)).Msg("change records handed over")
+			return
+		}
+		d.logger.Warn().Err(err).Str("to", candidate.ID).Msg("change records not handed over")
+		if !errors.Is(err, peer.ErrUnreachable) && !errors.Is(err, errRefused) {
+			return
+		}
+	}
+}
+
+var errRefused = errors.New("VM refused the change records")
+
+// sendChanges repeats the message to the same VM while its answer is lost;
+// accepting twice changes nothing.
+func (d *Daemon) sendChanges(ctx context.Context, to view.VM, request *pb.HandOverRequest) error {
+	var lost error
+	for range handOverTries {
+		response, err := d.tryChanges(ctx, to, request)
+		if err == nil && response.Accepted {
+			return nil
+		}
+		if err == nil {
+			return errRefused
+		}
+		if errors.Is(err, peer.ErrUnreachable) && lost == nil {
+			return err
+		}
+		lost = errors.Wrap(peer.ErrLost, err.Error())
+	}
+	return lost
+}
+
+func (d *Daemon) tryChanges(ctx context.Context, to view.VM, request *pb.HandOverRequest) (*pb.HandOverResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	return d.peers.HandOver(ctx, to, request)
+}
+
+// successors returns the VMs that may take the change records, those of the own
+// failure domain first.
+func (d *Daemon) successors() []view.VM {
+	current := d.control.Current()
+	candidates := append([]view.VM{}, current.DomainVMs(current.Self.FailureDomain)...)
+	for _, domain := range current.Configuration.GetFailureDomains() {
+		if domain.Name != current.Self.FailureDomain {
+			candidates = append(candidates, current.DomainVMs(domain.Name)...)
+		}
+	}
+	var others []view.VM
+	for _, vm := range candidates {
+		if vm.ID != current.Self.ID {
+			others = append(others, vm)
+		}
+	}
+	return others
+}
+
+func (d *Daemon) shutdownServers(ctx context.Context) error {
+	if err := d.callers.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "callers' requests were cut short")
+	}
+	return errors.Wrap(d.others.Shutdown(ctx), "peers' requests were cut short")
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/testkit/deployment.go
@@ -0,0 +1,342 @@
+package testkit
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1/carawayreelv1connect"
+	standinv1 "github.com/carawayreel/carawayreel/internal/gen/standin/v1"
+	"github.com/carawayreel/carawayreel/internal/gen/standin/v1/standinv1connect"
+
+	"connectrpc.com/connect"
+
+	"github.com/carawayreel/carawayreel/internal/profile"
+	"github.com/carawayreel/carawayreel/internal/transport"
+)
+
+const (
+	readyLimit = 20 * time.Second
+	stopLimit  = 30 * time.Second
+	// portsPerProfile is more than the targets of any profile.
+	portsPerProfile = 100
+)
+
+// Setting is one key of a VM's settings file.
+type Setting struct {
+	Section, Key, Value string
+}
+
+// Options describes a deployment.
+type Options struct {
+	// Dir receives settings and logs.
+	Dir string
+	// Profile names the configuration and Seed the records; see package profile.
+	Profile string
+	Seed    uint64
+	// VMsPerDomain is the number of VMs in each failure domain.
+	VMsPerDomain int
+	// Settings are added to every VM's settings file.
+	Settings []Setting
+	// Standin are further arguments of the stand-in.
+	Standin []string
+	// WithoutConfiguration leaves the platform's store empty.
+	WithoutConfiguration bool
+}
+
+// VM is one VM of a deployment.
+type VM struct {
+	ID            string
+	FailureDomain string
+	CallerAddress string
+	PeerAddress   string
+	RelayAddress  string
+	Caller        carawayreelv1connect.CallerServiceClient
+	Admin         carawayreelv1connect.AdminServiceClient
+
+	process  *Process
+	settings string
+}
+
+// Deployment is a stand-in and the VMs that use it, all as processes.
+type Deployment struct {
+	Profile *profile.Profile
+	Standin standinv1connect.AdminServiceClient
+	VMs     []*VM
+
+	options         Options
+	standin         *Process
+	platformAddress string
+	http            *http.Client
+}
+
+// Start starts a deployment, loads its profile's configuration and waits until
+// every VM is ready. The caller must Close it, also after an error.
+func Start(ctx context.Context, options Options) (*Deployment, error) {
+	d := &Deployment{
+		options: options,
+		http:    transport.NewClient(transport.ClientOptions{}),
+	}
+	base, err := freePorts(portsPerProfile)
+	if err != nil {
+		return d, err
+	}
+	d.Profile, err = profile.New(options.Profile, base, options.Seed)
+	if err != nil {
+		return d, err
+	}
+	if err := d.prepare(base); err != nil {
+		return d, err
+	}
+	for _, vm := range d.VMs {
+		if err := d.StartVM(vm); err != nil {
+			return d, err
+		}
+	}
+	if options.WithoutConfiguration {
+		return d, nil
+	}
+	return d, d.load(ctx)
+}
+
+// prepare chooses addresses, writes settings and starts the stand-in.
+func (d *Deployment) prepare(base int) error {
+	const own, perVM = 2, 3
+	domains := profile.Domains()
+	addresses, err := FreeAddresses(own + perVM*len(domains)*d.options.VMsPerDomain)
+	if err != nil {
+		return err
+	}
+	d.platformAddress = addresses[0]
+	arguments := []string{
+		"--profile", d.options.Profile, "--seed", fmt.Sprint(d.options.Seed),
+		"--base-port", fmt.Sprint(base), "--listen", addresses[0], "--admin", addresses[1],
+	}
+	for i := range len(domains) * d.options.VMsPerDomain {
+		domain := domains[i%len(domains)]
+		vm := d.newVM(fmt.Sprintf("vm-%s-%d", domain, i/len(domains)+1), domain, addresses[own+perVM*i:])
+		d.VMs = append(d.VMs, vm)
+		arguments = append(arguments, "--relay", domain+"="+vm.RelayAddress+"="+vm.PeerAddress)
+		if err := d.writeSettings(vm); err != nil {
+			return err
+		}
+	}
+	d.standin, err = start(d.options.Dir, "standin", standinBinary, append(arguments, d.options.Standin...)...)
+	if err != nil {
+		return err
+	}
+	d.Standin = standinv1connect.NewAdminServiceClient(d.http, "http://"+addresses[1])
+	return d.listVMs()
+}
+
+func (d *Deployment) newVM(id, domain string, addresses []string) *VM {
+	return &VM{
+		ID:            id,
+		FailureDomain: domain,
+		CallerAddress: addresses[0],
+		PeerAddress:   addresses[1],
+		RelayAddress:  addresses[2],
+		Caller:        carawayreelv1connect.NewCallerServiceClient(d.http, "http://"+addresses[0]),
+		Admin:         carawayreelv1connect.NewAdminServiceClient(d.http, "http://"+addresses[0]),
+	}
+}
+
+func (d *Deployment) writeSettings(vm *VM) error {
+	settings := append([]Setting{
+		{"vm", "id", vm.ID},
+		{"vm", "failure_domain", vm.FailureDomain},
+		{"listen", "caller_address", vm.CallerAddress},
+		{"listen", "peer_address", vm.PeerAddress},
+		{"listen", "advertised_peer_address", vm.RelayAddress},
+		{"listen", "source_address", profile.SourceAddress(vm.FailureDomain)},
+		{"platform", "address", d.platformAddress},
+	}, d.options.Settings...)
+	sections := map[string][]string{}
+	var order []string
+	for _, s := range settings {
+		if _, ok := sections[s.Section]; !ok {
+			order = append(order, s.Section)
+		}
+		sections[s.Section] = append(sections[s.Section], s.Key+" = "+s.Value)
+	}
+	var text strings.Builder
+	for _, section := range order {
+		fmt.Fprintf(&text, "[%s]\n%s\n", section, strings.Join(sections[section], "\n"))
+	}
+	vm.settings = filepath.Join(d.options.Dir, vm.ID+".ini")
+	return errors.Wrap(os.WriteFile(vm.settings, []byte(text.String()), 0o600), "settings")
+}
+
+// listVMs puts the VMs on the platform's list.
+func (d *Deployment) listVMs() error {
+	request := &standinv1.SetVmsRequest{}
+	for _, vm := range d.VMs {
+		request.Vms = append(request.Vms, &pb.ListedVm{
+			Vm: vm.ID, FailureDomain: vm.FailureDomain, PeerAddress: vm.RelayAddress,
+			State: pb.VmState_VM_STATE_LIVE,
+		})
+	}
+	return Poll(context.Background(), readyLimit, func() bool {
+		_, err := d.Standin.SetVms(context.Background(), connect.NewRequest(request))
+		return err == nil
+	})
+}
+
+// load applies the profile's configuration and waits until every VM is ready
+// with it.
+func (d *Deployment) load(ctx context.Context) error {
+	request := &pb.ApplyConfigurationRequest{Configuration: d.Profile.Configuration()}
+	var last *pb.ApplyConfigurationResponse
+	err := Poll(ctx, readyLimit, func() bool {
+		response, err := d.VMs[0].Admin.ApplyConfiguration(ctx, connect.NewRequest(request))
+		if err != nil {
+			return false
+		}
+		last = response.Msg
+		return last.Status == pb.ApplyStatus_APPLY_STATUS_ACCEPTED || last.Status == pb.ApplyStatus_APPLY_STATUS_CONFLICT
+	})
+	if err != nil {
+		return errors.Wrapf(err, "load configuration: %v", last)
+	}
+	return d.AwaitReady(ctx)
+}
+
+// AwaitReady waits until every running VM is ready.
+func (d *Deployment) AwaitReady(ctx context.Context) error {
+	for _, vm := range d.VMs {
+		if vm.process == nil || vm.process.Ended() {
+			continue
+		}
+		if err := Poll(ctx, readyLimit, func() bool { return d.Ready(vm) }); err != nil {
+			return errors.Wrapf(err, "%s is not ready", vm.ID)
+		}
+	}
+	return nil
+}
+
+// Ready asks a VM for its readiness.
+func (d *Deployment) Ready(vm *VM) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.CallerAddress+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := d.http.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// StartVM starts a VM's process; a VM that ended is started anew.
+func (d *Deployment) StartVM(vm *VM) error {
+	process, err := start(d.options.Dir, vm.ID, daemonBinary, "run", vm.settings)
+	vm.process = process
+	return err
+}
+
+// Log returns the path of a process's log.
+func (d *Deployment) Log(name string) string {
+	return filepath.Join(d.options.Dir, name+".log")
+}
+
+// PID returns the identifier of the VM's process.
+func (vm *VM) PID() int {
+	return vm.process.PID()
+}
+
+// Kill ends the VM at once.
+func (vm *VM) Kill() {
+	vm.process.Kill()
+}
+
+// Pause freezes the VM; Resume wakes it.
+func (vm *VM) Pause() {
+	vm.process.Signal(syscall.SIGSTOP)
+}
+
+// Resume wakes a frozen VM.
+func (vm *VM) Resume() {
+	vm.process.Signal(syscall.SIGCONT)
+}
+
+// Terminate begins a planned stop without waiting for its end.
+func (vm *VM) Terminate() {
+	vm.process.Signal(syscall.SIGTERM)
+}
+
+// Stop performs a planned stop and returns the exit code.
+func (vm *VM) Stop(ctx context.Context) (int, error) {
+	vm.Terminate()
+	return vm.Wait(ctx)
+}
+
+// Wait waits for the end of the VM's process and returns its exit code.
+func (vm *VM) Wait(ctx context.Context) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, stopLimit)
+	defer cancel()
+	return vm.process.Wait(ctx)
+}
+
+// InDomain returns the VMs of a failure domain.
+func (d *Deployment) InDomain(failureDomain string) []*VM {
+	var vms []*VM
+	for _, vm := range d.VMs {
+		if vm.FailureDomain == failureDomain {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// Fault switches a fault of the targets that the selector names.
+func (d *Deployment) Fault(ctx context.Context, selector *standinv1.Selector, fault *standinv1.Fault) error {
+	request := &standinv1.SetFaultRequest{Selector: selector, Fault: fault}
+	_, err := d.Standin.SetFault(ctx, connect.NewRequest(request))
+	return errors.Wrap(err, "set fault")
+}
+
+// StoreFault switches the faults of the platform's store.
+func (d *Deployment) StoreFault(ctx context.Context, request *standinv1.SetStoreFaultRequest) error {
+	_, err := d.Standin.SetStoreFault(ctx, connect.NewRequest(request))
+	return errors.Wrap(err, "set store fault")
+}
+
+// Cut cuts or heals the link between two failure domains, or between one and
+// the platform.
+func (d *Deployment) Cut(ctx context.Context, first, second string, cut bool) error {
+	request := &standinv1.SetLinkRequest{First: first, Second: second, Cut: cut}
+	_, err := d.Standin.SetLink(ctx, connect.NewRequest(request))
+	return errors.Wrap(err, "set link")
+}
+
+// Counters returns the counters of the targets that the selector names.
+func (d *Deployment) Counters(ctx context.Context, selector *standinv1.Selector) (*standinv1.GetCountersResponse, error) {
+	response, err := d.Standin.GetCounters(ctx, connect.NewRequest(&standinv1.GetCountersRequest{Selector: selector}))
+	if err != nil {
+		return nil, errors.Wrap(err, "counters")
+	}
+	return response.Msg, nil
+}
+
+// Close ends every process that is still running.
+func (d *Deployment) Close() {
+	for _, vm := range d.VMs {
+		if vm.process != nil {
+			vm.process.Kill()
+		}
+	}
+	if d.standin != nil {
+		d.standin.Kill()
+	}
+}
