--- /dev/null
+++ b/internal/owner/trace.go
@@ -0,0 +1,116 @@
+package owner
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+// traceWriter records the events and decisions of machines as JSON lines. A nil
+// writer records nothing. It is safe for concurrent use.
+type traceWriter struct {
+	mu     sync.Mutex
+	writer io.Writer
+	failed bool
+}
+
+func (t *traceWriter) begin(target string, limits Limits, guard time.Duration) {
+	if t == nil {
+		return
+	}
+	t.write(&pb.OwnerTraceEntry{
+		Target: target,
+		Start:  &pb.OwnerTraceStart{Limits: limitsMessage(limits), GuardNs: int64(guard)},
+	})
+}
+
+func (t *traceWriter) step(target string, e Event, decisions []Decision) {
+	if t == nil {
+		return
+	}
+	t.write(&pb.OwnerTraceEntry{Target: target, Event: eventMessage(e), Decisions: decisionMessages(decisions)})
+}
+
+// write appends one line. After a failure nothing more is written, so that the
+// trace has no gaps.
+func (t *traceWriter) write(entry *pb.OwnerTraceEntry) {
+	line, err := protojson.Marshal(entry)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil || t.failed {
+		t.failed = true
+		return
+	}
+	_, err = t.writer.Write(append(line, '\n'))
+	t.failed = err != nil
+}
+
+func limitsMessage(l Limits) *pb.OwnerTraceLimits {
+	return &pb.OwnerTraceLimits{
+		Slots: uint32(l.Slots), Cold: uint32(l.Cold), Queue: uint32(l.Queue), InService: l.InService,
+	}
+}
+
+func limitsFrom(m *pb.OwnerTraceLimits) Limits {
+	return Limits{
+		Slots: int(m.GetSlots()), Cold: int(m.GetCold()), Queue: int(m.GetQueue()), InService: m.GetInService(),
+	}
+}
+
+// eventMessage converts an event. The enums of the schema have the values of
+// the Go constants.
+func eventMessage(e Event) *pb.OwnerEvent {
+	m := &pb.OwnerEvent{
+		Kind:       pb.OwnerEventKind(e.Kind),
+		AtNs:       int64(e.At),
+		Job:        uint64(e.Job),
+		DeadlineNs: int64(e.Deadline),
+		Exclusive:  e.Exclusive,
+		Result:     pb.OwnerResult(e.Result),
+		TookNs:     int64(e.Took),
+		BootId:     e.BootID,
+		Limit:      uint32(e.Limit),
+		Running:    uint32(e.Running),
+		Draining:   e.Draining,
+	}
+	if e.Kind == EventConfigure {
+		m.Limits = limitsMessage(e.Limits)
+	}
+	return m
+}
+
+func eventFrom(m *pb.OwnerEvent) Event {
+	return Event{
+		Kind:      EventKind(m.Kind),
+		At:        time.Duration(m.AtNs),
+		Job:       JobID(m.Job),
+		Deadline:  time.Duration(m.DeadlineNs),
+		Exclusive: m.Exclusive,
+		Result:    Result(m.Result),
+		Took:      time.Duration(m.TookNs),
+		BootID:    m.BootId,
+		Limits:    limitsFrom(m.Limits),
+		Limit:     int(m.Limit),
+		Running:   int(m.Running),
+		Draining:  m.Draining,
+	}
+}
+
+func decisionMessages(decisions []Decision) []*pb.OwnerDecision {
+	var messages []*pb.OwnerDecision
+	for _, d := range decisions {
+		m := &pb.OwnerDecision{Kind: pb.OwnerDecisionKind(d.Kind), Job: uint64(d.Job)}
+		switch d.Kind {
+		case DecideRefuse:
+			m.Reason = d.Reason.String()
+		case DecidePhase:
+			m.Phase, m.Limit = d.Phase.String(), uint32(d.Limit)
+		}
+		messages = append(messages, m)
+	}
+	return messages
+}
