Control: configuration store, membership and views (thin)

First working version of control: configuration read from the store by compare-and-swap, watched, heartbeats, views and operators' commands. Nothing was run yet but the compiler; tests follow.

--- /dev/null
+++ b/internal/configstore/serving.go
@@ -0,0 +1,105 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+// servingTries bounds how often a command is tried again after another
+// operator's revision that did not touch the same thing.
+const servingTries = 5
+
+// SetServingState takes a failure domain or a target out, or brings it back,
+// from whatever revision the store holds. When another operator changes the
+// same thing meanwhile, the command ends with a conflict.
+func (s *Store) SetServingState(ctx context.Context, request *pb.SetServingStateRequest, known *pb.Configuration, now time.Time) Result {
+	seen := pb.ServingState_SERVING_STATE_UNSPECIFIED
+	var result Result
+	for try := range servingTries {
+		present, err := s.Load(ctx, known)
+		if err != nil {
+			return notRun(err)
+		}
+		state, found := servingState(present.Configuration, request)
+		if !found {
+			return ended(present, pb.ApplyStatus_APPLY_STATUS_INVALID, "no such failure domain or target: name exactly one that the configuration holds")
+		}
+		if try > 0 && state != seen {
+			return conflict(present, withServingState(present.Configuration, request))
+		}
+		if state == request.State {
+			return ended(present, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, "already so")
+		}
+		seen = state
+		result = s.applyTo(ctx, present, servingCommand(present, request), now)
+		if result.Response.Status != pb.ApplyStatus_APPLY_STATUS_CONFLICT {
+			return result
+		}
+	}
+	return result
+}
+
+func servingCommand(present Stored, request *pb.SetServingStateRequest) *pb.ApplyConfigurationRequest {
+	return &pb.ApplyConfigurationRequest{
+		Configuration:    withServingState(present.Configuration, request),
+		ExpectedRevision: present.Configuration.GetRevision(),
+		Force:            request.Force,
+	}
+}
+
+// servingState returns the present state of what the request names.
+func servingState(c *pb.Configuration, request *pb.SetServingStateRequest) (pb.ServingState, bool) {
+	if (request.FailureDomain == "") == (request.Target == "") {
+		return pb.ServingState_SERVING_STATE_UNSPECIFIED, false
+	}
+	if request.State == pb.ServingState_SERVING_STATE_UNSPECIFIED {
+		return pb.ServingState_SERVING_STATE_UNSPECIFIED, false
+	}
+	for _, domain := range c.GetFailureDomains() {
+		if domain.Name == request.FailureDomain {
+			return domain.State, true
+		}
+	}
+	if target := findTarget(c, request.Target); target != nil {
+		return target.State, true
+	}
+	return pb.ServingState_SERVING_STATE_UNSPECIFIED, false
+}
+
+func findTarget(c *pb.Configuration, id string) *pb.Target {
+	if id == "" {
+		return nil
+	}
+	for _, front := range c.GetFronts() {
+		for _, service := range front.Services {
+			for _, target := range service.Targets {
+				if target.Id == id {
+					return target
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// withServingState returns a copy of the configuration with the wanted state.
+func withServingState(c *pb.Configuration, request *pb.SetServingStateRequest) *pb.Configuration {
+	changed, _ := proto.Clone(c).(*pb.Configuration)
+	changed.Author = request.Author
+	name := request.FailureDomain + request.Target
+	changed.Comment = fmt.Sprintf("%s: %s", name, request.State)
+	for _, domain := range changed.FailureDomains {
+		if domain.Name == request.FailureDomain {
+			domain.State = request.State
+		}
+	}
+	if target := findTarget(changed, request.Target); target != nil {
+		target.State = request.State
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/configuration/delta.go
@@ -0,0 +1,176 @@
+package configuration
+
+import (
+	"buf.build/go/protovalidate"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+// Errors of ApplyDelta.
+var (
+	// ErrBaseMismatch means that the delta builds on fronts that are not known
+	// here; the sender must be asked for a whole configuration.
+	ErrBaseMismatch = errors.New("delta builds on another revision")
+	// ErrMalformed means that the delta's parts contradict one another.
+	ErrMalformed = errors.New("malformed delta")
+)
+
+// Keys maps the name of each front to its key in the platform's store.
+type Keys map[string]string
+
+// Stamp returns the next configuration as the given revision: fronts that did
+// not change keep the revision that last changed them, the others get the new
+// one. Previous may be nil.
+func Stamp(previous, next *pb.Configuration, revision uint64) *pb.Configuration {
+	before := frontsByName(previous)
+	stamped := withoutFronts(next)
+	stamped.Revision = revision
+	for _, front := range next.GetFronts() {
+		stamped.Fronts = append(stamped.Fronts, stampFront(before[front.GetName()], front, revision))
+	}
+	return stamped
+}
+
+func stampFront(previous, front *pb.Front, revision uint64) *pb.Front {
+	fresh, _ := proto.Clone(front).(*pb.Front)
+	if previous != nil {
+		fresh.Revision = previous.Revision
+		if proto.Equal(previous, fresh) {
+			return previous
+		}
+	}
+	fresh.Revision = revision
+	return fresh
+}
+
+// Root returns the root of a configuration, with the given keys of its fronts.
+func Root(c *pb.Configuration, keys Keys) *pb.ConfigurationRoot {
+	root := &pb.ConfigurationRoot{
+		Revision:       c.GetRevision(),
+		FailureDomains: c.GetFailureDomains(),
+		Author:         c.GetAuthor(),
+		Comment:        c.GetComment(),
+		AcceptedUnixMs: c.GetAcceptedUnixMs(),
+		WriteId:        c.GetWriteId(),
+	}
+	for _, front := range c.GetFronts() {
+		reference := &pb.FrontReference{Name: front.Name, Revision: front.Revision, Key: keys[front.Name]}
+		root.Fronts = append(root.Fronts, reference)
+	}
+	return root
+}
+
+// Assemble joins a root with its fronts, which must be in the root's order.
+func Assemble(root *pb.ConfigurationRoot, fronts []*pb.Front) *pb.Configuration {
+	return &pb.Configuration{
+		Revision:       root.GetRevision(),
+		FailureDomains: root.GetFailureDomains(),
+		Fronts:         fronts,
+		Author:         root.GetAuthor(),
+		Comment:        root.GetComment(),
+		AcceptedUnixMs: root.GetAcceptedUnixMs(),
+		WriteId:        root.GetWriteId(),
+	}
+}
+
+// MakeDelta returns what turns any revision from base on into the
+// configuration; base zero gives the whole. A nil configuration gives nil.
+func MakeDelta(c *pb.Configuration, base uint64) *pb.ConfigurationDelta {
+	if c == nil {
+		return nil
+	}
+	delta := &pb.ConfigurationDelta{BaseRevision: base, Revision: c.Revision, Root: Root(c, Keys{})}
+	for _, front := range c.Fronts {
+		if front.Revision > base {
+			delta.Fronts = append(delta.Fronts, front)
+		}
+	}
+	return delta
+}
+
+// ApplyDelta returns the configuration that the delta leads to, and whether it
+// is newer than the current one. A delta that is not newer changes nothing.
+// Current may be nil.
+func ApplyDelta(current *pb.Configuration, delta *pb.ConfigurationDelta) (*pb.Configuration, bool, error) {
+	if err := checkDelta(delta); err != nil {
+		return current, false, err
+	}
+	if delta.Revision <= current.GetRevision() {
+		return current, false, nil
+	}
+	if delta.BaseRevision > current.GetRevision() {
+		return current, false, ErrBaseMismatch
+	}
+	fronts, err := joinFronts(current, delta)
+	if err != nil {
+		return current, false, err
+	}
+	return Assemble(delta.Root, fronts), true, nil
+}
+
+// CheckDelta returns an error unless the delta follows its schema. A nil delta,
+// which carries nothing, passes.
+func CheckDelta(delta *pb.ConfigurationDelta) error {
+	if delta == nil {
+		return nil
+	}
+	if err := checkDelta(delta); err != nil {
+		return err
+	}
+	if err := protovalidate.Validate(delta); err != nil {
+		return errors.Wrap(ErrMalformed, err.Error())
+	}
+	return nil
+}
+
+func checkDelta(delta *pb.ConfigurationDelta) error {
+	if delta.GetRoot() == nil || delta.Revision == 0 || delta.Root.Revision != delta.Revision {
+		return ErrMalformed
+	}
+	if delta.BaseRevision > delta.Revision {
+		return ErrMalformed
+	}
+	for _, front := range delta.Fronts {
+		if front.GetRevision() > delta.Revision || front.GetRevision() == 0 {
+			return ErrMalformed
+		}
+	}
+	return nil
+}
+
+func joinFronts(current *pb.Configuration, delta *pb.ConfigurationDelta) ([]*pb.Front, error) {
+	known := frontsByName(current)
+	for _, front := range delta.Fronts {
+		known[front.Name] = front
+	}
+	fronts := make([]*pb.Front, 0, len(delta.Root.Fronts))
+	for _, reference := range delta.Root.Fronts {
+		front := known[reference.GetName()]
+		if front == nil || front.Revision != reference.GetRevision() {
+			return nil, ErrBaseMismatch
+		}
+		fronts = append(fronts, front)
+	}
+	return fronts, nil
+}
+
+func frontsByName(c *pb.Configuration) map[string]*pb.Front {
+	fronts := make(map[string]*pb.Front, len(c.GetFronts()))
+	for _, front := range c.GetFronts() {
+		fronts[front.GetName()] = front
+	}
+	return fronts
+}
+
+// withoutFronts copies a configuration but for its fronts.
+func withoutFronts(c *pb.Configuration) *pb.Configuration {
+	copied := Assemble(Root(c, Keys{}), nil)
+	copied.FailureDomains = make([]*pb.FailureDomain, 0, len(c.GetFailureDomains()))
+	for _, domain := range c.GetFailureDomains() {
+		clone, _ := proto.Clone(domain).(*pb.FailureDomain)
+		copied.FailureDomains = append(copied.FailureDomains, clone)
+	}
+	return copied
+}
--- /dev/null
+++ b/internal/control/calls.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawayreel/carawayreel/internal/configstore"
+	"github.com/carawayreel/carawayreel/internal/configuration"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+// carryOut does what the machine decided. Calls run in goroutines of their own
+// and end in an event. It returns the answer to a received heartbeat, if that
+// was decided.
+func (c *Control) carryOut(ctx context.Context, decision *pb.ControlDecision) *pb.HeartbeatResponse {
+	switch kind := decision.Kind.(type) {
+	case *pb.ControlDecision_SendHeartbeat:
+		go c.sendHeartbeat(ctx, kind.SendHeartbeat)
+	case *pb.ControlDecision_Respond:
+		return kind.Respond
+	case *pb.ControlDecision_ReadList:
+		go c.readList(ctx)
+	case *pb.ControlDecision_WatchStore:
+		go c.watchStore(ctx, kind.WatchStore, c.machine.configuration)
+	case *pb.ControlDecision_Fetch:
+		go c.fetch(ctx, kind.Fetch)
+	case *pb.ControlDecision_Offer:
+		go c.offer(ctx, kind.Offer, c.machine.configuration)
+	case *pb.ControlDecision_Publish:
+		c.rebuild()
+	}
+	return nil
+}
+
+func (c *Control) offset() int64 { return time.Since(c.base).Microseconds() }
+
+func (c *Control) sendHeartbeat(ctx context.Context, send *pb.SendHeartbeat) {
+	sent := c.offset()
+	timeout := max(c.config.heartbeat, c.config.suspectAfter/2)
+	callContext, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request := send.Request
+	if c.options.Quarantine != nil {
+		request, _ = proto.Clone(request).(*pb.HeartbeatRequest)
+		request.Quarantine = c.options.Quarantine.News(time.Now())
+	}
+	response, err := c.options.Peers.Heartbeat(callContext, send.Address, request)
+	if err != nil {
+		failed := &pb.HeartbeatFailed{Vm: send.Vm, SentOffsetUs: sent}
+		c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatFailed{HeartbeatFailed: failed}})
+		return
+	}
+	if c.options.Quarantine != nil {
+		c.options.Quarantine.Merge(response.GetQuarantine(), time.Now())
+	}
+	stripped, _ := proto.Clone(response).(*pb.HeartbeatResponse)
+	stripped.Quarantine = nil
+	answered := &pb.HeartbeatAnswered{Vm: send.Vm, Response: stripped, SentOffsetUs: sent}
+	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatAnswered{HeartbeatAnswered: answered}})
+}
+
+func (c *Control) readList(ctx context.Context) {
+	vms, err := c.options.VMList.ListVMs(ctx)
+	read := &pb.VmListRead{Vms: vms, Failed: err != nil}
+	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_ListRead{ListRead: read}})
+}
+
+// watchStore makes one bounded watch and reads what changed.
+func (c *Control) watchStore(ctx context.Context, watch *pb.WatchStore, known *pb.Configuration) {
+	read := &pb.StoreRead{SentOffsetUs: c.offset(), Version: watch.AfterVersion}
+	wait := time.Duration(watch.WaitMs) * time.Millisecond
+	result, err := c.options.Store.Watch(ctx, configstore.RootKey, watch.AfterVersion, wait)
+	if err == nil && result.Changed {
+		var stored configstore.Stored
+		stored, err = c.store.Assemble(ctx, result.Entry, known)
+		read.Configuration = stored.Configuration
+		read.Version = stored.Version
+	}
+	if err != nil {
+		read.Failed = true
+		read.Error = err.Error()
+	}
+	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_StoreRead{StoreRead: read}})
+}
+
+func (c *Control) fetch(ctx context.Context, from *pb.FetchFrom) {
+	callContext, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	request := &pb.FetchConfigurationRequest{SinceRevision: from.SinceRevision}
+	response, err := c.options.Peers.FetchConfiguration(callContext, from.Address, request)
+	if err != nil || !c.wellFormed(from.Vm, response.GetDelta()) {
+		failed := &pb.FetchFailed{Vm: from.Vm}
+		c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_FetchFailed{FetchFailed: failed}})
+		return
+	}
+	received := &pb.DeltaReceived{From: from.Vm, Delta: response.Delta, Fetched: true, HopsLeft: maxHops}
+	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_DeltaReceived{DeltaReceived: received}})
+}
+
+// wellFormed checks a delta of another VM against the schema and logs what it
+// refuses.
+func (c *Control) wellFormed(from string, delta *pb.ConfigurationDelta) bool {
+	err := configuration.CheckDelta(delta)
+	if err != nil {
+		c.options.Logger.Warn().Str("from", from).Err(err).Msg("malformed configuration refused")
+	}
+	return err == nil
+}
+
+// offer hands a revision to another VM. A VM that lacks what the delta builds on
+// fetches the rest by itself.
+func (c *Control) offer(ctx context.Context, to *pb.OfferTo, offered *pb.Configuration) {
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	request := &pb.OfferConfigurationRequest{
+		Delta:    configuration.MakeDelta(offered, to.BaseRevision),
+		HopsLeft: to.HopsLeft,
+		From:     c.options.Self.ID,
+	}
+	_, err := c.options.Peers.OfferConfiguration(ctx, to.Address, request)
+	if err != nil {
+		c.options.Logger.Debug().Str("vm", to.Vm).Uint64("revision", offered.Revision).Err(err).Msg("configuration not handed on")
+	}
+}
+
+// FetchConfiguration returns what changed since a revision, or nothing when this
+// VM has no newer one.
+func (c *Control) FetchConfiguration(_ context.Context, r *pb.FetchConfigurationRequest) *pb.FetchConfigurationResponse {
+	present := c.Current().Configuration
+	if present.GetRevision() <= r.GetSinceRevision() {
+		return &pb.FetchConfigurationResponse{}
+	}
+	return &pb.FetchConfigurationResponse{Delta: configuration.MakeDelta(present, r.GetSinceRevision())}
+}
+
+// OfferConfiguration takes a revision that another VM hands on, and returns the
+// revision in force afterwards.
+func (c *Control) OfferConfiguration(ctx context.Context, r *pb.OfferConfigurationRequest) *pb.OfferConfigurationResponse {
+	if c.wellFormed("offer", r.GetDelta()) {
+		received := &pb.DeltaReceived{From: r.GetFrom(), Delta: r.Delta, HopsLeft: min(r.GetHopsLeft(), maxHops)}
+		c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_DeltaReceived{DeltaReceived: received}})
+	}
+	return &pb.OfferConfigurationResponse{Revision: c.Current().Revision()}
+}
--- /dev/null
+++ b/internal/control/publish.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"strings"
+	"time"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/view"
+)
+
+// publishSpacing is the least change of the time of confirmation for which
+// alone a view is published.
+const publishSpacing = 100 * time.Millisecond
+
+// publication is what the newest view was built from.
+type publication struct {
+	configuration *pb.Configuration
+	confirmedAt   time.Time
+	members       uint64
+	paused        bool
+	stopping      bool
+	ownsNothing   bool
+}
+
+// machineStats counts what happened since the start.
+type machineStats struct {
+	heartbeatsSent     uint64
+	heartbeatsReceived uint64
+	storeCalls         uint64
+	storeFailures      uint64
+	deltasRefused      uint64
+	adopted            uint64
+	clockGaps          uint64
+}
+
+// publish decides to publish a view when its input changed.
+func (m *machine) publish() {
+	next := publication{
+		configuration: m.configuration,
+		confirmedAt:   m.confirmedAt,
+		members:       m.table.Version(),
+		paused:        m.pause.active,
+		stopping:      m.stopping,
+		ownsNothing:   m.ownsNothing(),
+	}
+	moved := next.confirmedAt.Sub(m.published.confirmedAt) >= publishSpacing
+	same := next
+	same.confirmedAt = m.published.confirmedAt
+	if same == m.published && !moved {
+		return
+	}
+	m.published = next
+	m.decide(&pb.ControlDecision{Kind: &pb.ControlDecision_Publish{Publish: &pb.PublishView{
+		Revision:          m.revision(),
+		ConfirmedOffsetUs: m.confirmedAt.Sub(m.start).Microseconds(),
+		Paused:            next.paused,
+		Stopping:          next.stopping,
+		MembersDigest:     m.table.Digest(),
+		OwnsNothing:       next.ownsNothing,
+	}}})
+}
+
+// input returns what the published view is built from.
+func (m *machine) input(confirmedAt time.Time, direct bool) view.Input {
+	input := view.Input{
+		Configuration: m.configuration,
+		ConfirmedAt:   confirmedAt,
+		Paused:        m.published.paused,
+		Stopping:      m.published.stopping,
+		Direct:        direct,
+	}
+	self := m.table.Self()
+	for _, member := range m.table.Members() {
+		if member.Vm != self.Vm {
+			input.VMs = append(input.VMs, vmOf(member))
+		}
+	}
+	if m.published.ownsNothing {
+		self.State = pb.MemberState_MEMBER_STATE_DEAD
+	}
+	input.Self = vmOf(self)
+	return input
+}
+
+// ready reports whether this VM can serve callers, and if not, why.
+func (m *machine) ready() (bool, string) {
+	switch {
+	case m.stopping:
+		return false, "the VM is leaving"
+	case m.configuration == nil && m.storeError != "":
+		return false, "no configuration is known: no peer gave one and the platform's store failed: " + m.storeError
+	case m.configuration == nil:
+		return false, "no configuration is known: neither the platform's store nor a peer gave one yet"
+	case m.pause.active:
+		return false, "members and configuration are not confirmed yet after the start or a pause of the process"
+	default:
+		return true, ""
+	}
+}
+
+func vmOf(member *pb.Member) view.VM {
+	return view.VM{
+		ID:            member.Vm,
+		FailureDomain: member.FailureDomain,
+		PeerAddress:   member.PeerAddress,
+		Incarnation:   member.Incarnation,
+		State:         member.State,
+	}
+}
+
+func splitAddresses(list string) []string {
+	var addresses []string
+	for address := range strings.SplitSeq(list, ",") {
+		if trimmed := strings.TrimSpace(address); trimmed != "" {
+			addresses = append(addresses, trimmed)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/membership/detect.go
@@ -0,0 +1,221 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+// Tick advances the timers and returns the VMs that shall get a heartbeat now.
+func (t *Table) Tick(now time.Time) []Contact {
+	t.expire(now)
+	if now.Before(t.nextRound) {
+		return nil
+	}
+	t.nextRound = now.Add(t.settings.HeartbeatInterval)
+	neighbours := t.neighbours()
+	t.suspect(neighbours, now)
+	contacts := t.contacts(neighbours)
+	if vm := t.randomOwn(neighbours); vm != "" {
+		contacts = append(contacts, t.contact(vm))
+	}
+	if vm := t.randomRemote(); vm != "" {
+		contacts = append(contacts, t.contact(vm))
+	}
+	return contacts
+}
+
+// Round returns the contacts of a round out of turn.
+func (t *Table) Round(now time.Time) []Contact {
+	t.nextRound = now
+	return t.Tick(now)
+}
+
+func (t *Table) contact(vm string) Contact {
+	return Contact{VM: vm, Address: t.entries[vm].member.PeerAddress}
+}
+
+func (t *Table) contacts(vms []string) []Contact {
+	contacts := make([]Contact, 0, len(vms)+2)
+	for _, vm := range vms {
+		contacts = append(contacts, t.contact(vm))
+	}
+	return contacts
+}
+
+// suspect marks neighbours that were silent for too long. A VM that has just
+// become a neighbour is given the whole time.
+func (t *Table) suspect(neighbours []string, now time.Time) {
+	current := make(map[string]bool, len(neighbours))
+	for _, vm := range neighbours {
+		current[vm] = true
+		e := t.entries[vm]
+		if !e.monitored {
+			e.monitored = true
+			e.heardAt = now
+		}
+		t.suspectOne(e, now)
+	}
+	for vm, e := range t.entries {
+		if !current[vm] {
+			e.monitored = false
+		}
+	}
+}
+
+func (t *Table) suspectOne(e *entry, now time.Time) {
+	silence := now.Sub(e.heardAt)
+	switch {
+	case e.member.State == pb.MemberState_MEMBER_STATE_ALIVE && silence > t.settings.SuspectAfter:
+		t.stats.Suspicions++
+		t.setState(e, pb.MemberState_MEMBER_STATE_SUSPECT, now)
+	case e.member.State == pb.MemberState_MEMBER_STATE_LEAVING && silence > t.settings.SuspectAfter+t.settings.DeadAfter:
+		t.stats.Deaths++
+		t.setState(e, pb.MemberState_MEMBER_STATE_DEAD, now)
+	}
+}
+
+func (t *Table) setState(e *entry, state pb.MemberState, now time.Time) {
+	t.digest ^= memberDigest(e.member)
+	e.member.State = state
+	t.digest ^= memberDigest(e.member)
+	e.changedAt = now
+	t.changed(e.member.Vm)
+}
+
+// expire turns standing suspicions of the own failure domain into deaths and
+// forgets VMs that have been gone for long.
+func (t *Table) expire(now time.Time) {
+	for vm, e := range t.entries {
+		own := e.member.FailureDomain == t.self.FailureDomain
+		since := now.Sub(e.changedAt)
+		if own && e.member.State == pb.MemberState_MEMBER_STATE_SUSPECT && since > t.settings.DeadAfter {
+			t.stats.Deaths++
+			t.setState(e, pb.MemberState_MEMBER_STATE_DEAD, now)
+			continue
+		}
+		if !e.listed && t.gone(e, now) {
+			t.forget(vm)
+		}
+	}
+}
+
+// gone reports whether a VM that is not listed can be forgotten: it has been
+// dead, or its whole failure domain out of reach, for long enough.
+func (t *Table) gone(e *entry, now time.Time) bool {
+	if e.member.State == pb.MemberState_MEMBER_STATE_DEAD {
+		return now.Sub(e.changedAt) > t.settings.ForgetAfter
+	}
+	d, ok := t.domains[e.member.FailureDomain]
+	return ok && d.unreachable && now.Sub(d.answeredAt) > t.settings.ForgetAfter
+}
+
+func (t *Table) forget(vm string) {
+	t.digest ^= memberDigest(t.entries[vm].member)
+	delete(t.entries, vm)
+	delete(t.news, vm)
+	t.version++
+	t.indexStale = true
+}
+
+// names returns the other VMs in the order of their names.
+func (t *Table) names() []string {
+	names := make([]string, 0, len(t.entries))
+	for vm := range t.entries {
+		names = append(names, vm)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// neighbours returns the next VMs of the own failure domain on the ring.
+func (t *Table) neighbours() []string {
+	if t.indexStale {
+		t.rebuildIndex()
+	}
+	return t.index.ring[:min(t.settings.Monitored, len(t.index.ring))]
+}
+
+// rebuildIndex sorts the VMs. The ring is ordered by the hash of the names and
+// begins after this VM.
+func (t *Table) rebuildIndex() {
+	t.indexStale = false
+	t.index = index{}
+	remote := map[string][]string{}
+	for _, vm := range t.names() {
+		m := t.entries[vm].member
+		dead := m.State == pb.MemberState_MEMBER_STATE_DEAD
+		switch {
+		case m.FailureDomain == t.self.FailureDomain && dead:
+			t.index.dead = append(t.index.dead, vm)
+		case m.FailureDomain == t.self.FailureDomain:
+			t.index.ring = append(t.index.ring, vm)
+		case !dead:
+			remote[m.FailureDomain] = append(remote[m.FailureDomain], vm)
+		}
+	}
+	here := xxhash.Sum64String(t.self.Vm)
+	ring := t.index.ring
+	distance := func(i int) uint64 { return xxhash.Sum64String(ring[i]) - here }
+	sort.SliceStable(ring, func(i, j int) bool { return distance(i) < distance(j) })
+	for name, vms := range remote {
+		t.index.remote = append(t.index.remote, remoteDomain{name: name, vms: vms})
+	}
+	sort.Slice(t.index.remote, func(i, j int) bool { return t.index.remote[i].name < t.index.remote[j].name })
+}
+
+// deadProbe is the number of rounds, on average, between two heartbeats to a VM
+// of the own failure domain that counts as dead.
+const deadProbe = 8
+
+// randomOwn returns a VM of the own failure domain beyond the neighbours, and
+// now and then one that counts as dead, by which a healed cut is found.
+func (t *Table) randomOwn(neighbours []string) string {
+	if dead := t.index.dead; len(dead) > 0 && t.random.IntN(deadProbe) == 0 {
+		return dead[t.random.IntN(len(dead))]
+	}
+	rest := t.index.ring[len(neighbours):]
+	if len(rest) == 0 {
+		return ""
+	}
+	return rest[t.random.IntN(len(rest))]
+}
+
+// randomRemote returns a VM of another failure domain, which take turns.
+func (t *Table) randomRemote() string {
+	if len(t.index.remote) == 0 {
+		return ""
+	}
+	t.remoteTurn++
+	vms := t.index.remote[t.remoteTurn%len(t.index.remote)].vms
+	return vms[t.random.IntN(len(vms))]
+}
+
+// OwnDomain returns the VMs of the own failure domain that were heard of and may
+// own targets, itself included, in the order of their names.
+func (t *Table) OwnDomain() []string {
+	var vms []string
+	for _, m := range t.Members() {
+		owns := m.State == pb.MemberState_MEMBER_STATE_ALIVE || m.State == pb.MemberState_MEMBER_STATE_SUSPECT
+		if m.FailureDomain == t.self.FailureDomain && owns {
+			vms = append(vms, m.Vm)
+		}
+	}
+	return vms
+}
+
+// OtherDomains returns the names of the other failure domains that have VMs
+// that are not dead.
+func (t *Table) OtherDomains() []string {
+	if t.indexStale {
+		t.rebuildIndex()
+	}
+	names := make([]string, 0, len(t.index.remote))
+	for _, remote := range t.index.remote {
+		names = append(names, remote.name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,179 @@
+// Package platform is the client of the platform's key-value service and list
+// of VMs. It turns their errors into the three kinds that callers must tell
+// apart: nothing happened, the outcome of a write is unknown, or the rate was
+// exceeded.
+package platform
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1/carawayreelv1connect"
+)
+
+// Entry is a value of the store with its version; version zero means that the
+// key does not exist.
+type Entry struct {
+	Value   []byte
+	Version uint64
+}
+
+// PutResult is the result of a compare-and-swap.
+type PutResult struct {
+	// Written is false when the version differed; Present is then what the
+	// store holds.
+	Written bool
+	Version uint64
+	Present []byte
+}
+
+// WatchResult is the end of one watch. Entry is set only if Changed is true.
+type WatchResult struct {
+	Changed bool
+	Entry   Entry
+}
+
+// Store is the platform's key-value service. Implementations are safe for
+// concurrent use and return errors of the kinds of this package.
+type Store interface {
+	// Get reads a key.
+	Get(ctx context.Context, key string) (Entry, error)
+	// Put writes the value if the key has the expected version, where zero
+	// means that it must not exist. It never sends the write twice.
+	Put(ctx context.Context, key string, value []byte, expectedVersion uint64) (PutResult, error)
+	// Replace writes the value whatever the key's version. It must be used only
+	// where writing the value again does no harm.
+	Replace(ctx context.Context, key string, value []byte) error
+	// Expire empties the key and lets the store remove it after some time.
+	Expire(ctx context.Context, key string, after time.Duration) error
+	// Watch waits until the key's version is above afterVersion, at most for
+	// the given time.
+	Watch(ctx context.Context, key string, afterVersion uint64, wait time.Duration) (WatchResult, error)
+}
+
+// VMList is the platform's list of VMs, which lags.
+type VMList interface {
+	ListVMs(ctx context.Context) ([]*pb.ListedVm, error)
+}
+
+// Client calls the platform. It implements Store and VMList and is safe for
+// concurrent use.
+type Client struct {
+	store   carawayreelv1connect.KeyValueServiceClient
+	list    carawayreelv1connect.VmListServiceClient
+	timeout time.Duration
+}
+
+// NewClient returns a client of the platform at baseURL, such as
+// http://127.0.0.1:7000. Each call but a watch ends after the timeout; a watch
+// ends that long after its wait.
+func NewClient(httpClient connect.HTTPClient, baseURL string, timeout time.Duration) *Client {
+	once := singleSend{httpClient}
+	return &Client{
+		store:   carawayreelv1connect.NewKeyValueServiceClient(once, baseURL),
+		list:    carawayreelv1connect.NewVmListServiceClient(once, baseURL),
+		timeout: timeout,
+	}
+}
+
+// singleSend keeps the HTTP library from sending a request again by itself: a
+// request without GetBody cannot be repeated once its body was read.
+type singleSend struct {
+	client connect.HTTPClient
+}
+
+// Do sends the request once.
+func (s singleSend) Do(r *http.Request) (*http.Response, error) {
+	r.GetBody = nil
+	r.Header.Del("Idempotency-Key")
+	r.Header.Del("X-Idempotency-Key")
+	return s.client.Do(r)
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.store.Get(ctx, connect.NewRequest(&pb.KeyValueGetRequest{Key: key}))
+	if err != nil {
+		return Entry{}, readError(err)
+	}
+	return Entry{Value: response.Msg.Value, Version: response.Msg.Version}, nil
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expectedVersion uint64) (PutResult, error) {
+	response, err := c.put(ctx, &pb.KeyValuePutRequest{Key: key, Value: value, ExpectedVersion: expectedVersion})
+	if err != nil {
+		return PutResult{}, err
+	}
+	return PutResult{Written: response.Written, Version: response.Version, Present: response.Value}, nil
+}
+
+// Replace implements Store.
+func (c *Client) Replace(ctx context.Context, key string, value []byte) error {
+	_, err := c.put(ctx, &pb.KeyValuePutRequest{Key: key, Value: value, Unconditional: true})
+	return err
+}
+
+// Expire implements Store.
+func (c *Client) Expire(ctx context.Context, key string, after time.Duration) error {
+	lease, err := c.grantLease(ctx, after)
+	if err != nil {
+		return err
+	}
+	_, err = c.put(ctx, &pb.KeyValuePutRequest{Key: key, Unconditional: true, Lease: lease})
+	return err
+}
+
+func (c *Client) grantLease(ctx context.Context, duration time.Duration) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request := &pb.GrantLeaseRequest{DurationMs: uint32(duration.Milliseconds())}
+	response, err := c.store.GrantLease(ctx, connect.NewRequest(request))
+	if err != nil {
+		return 0, readError(err)
+	}
+	return response.Msg.Lease, nil
+}
+
+func (c *Client) put(ctx context.Context, request *pb.KeyValuePutRequest) (*pb.KeyValuePutResponse, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &Error{Kind: ErrUnavailable, Cause: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.store.Put(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, writeError(err)
+	}
+	return response.Msg, nil
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, key string, afterVersion uint64, wait time.Duration) (WatchResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	request := &pb.KeyValueWatchRequest{Key: key, AfterVersion: afterVersion, WaitMs: uint32(wait.Milliseconds())}
+	response, err := c.store.Watch(ctx, connect.NewRequest(request))
+	if err != nil {
+		return WatchResult{}, readError(err)
+	}
+	entry := Entry{Value: response.Msg.Value, Version: response.Msg.Version}
+	return WatchResult{Changed: response.Msg.Changed, Entry: entry}, nil
+}
+
+// ListVMs implements VMList.
+func (c *Client) ListVMs(ctx context.Context) ([]*pb.ListedVm, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.list.ListVms(ctx, connect.NewRequest(&pb.ListVmsRequest{}))
+	if err != nil {
+		return nil, readError(err)
+	}
+	return response.Msg.Vms, nil
+}
