Change records go to successors that every VM ranks alike

Cause: a successor named in the member table is lost as soon as a VM of the same name starts anew. Ruled out: tombstones in the table (5 min, replaced by the new incarnation). Now the issuer's records go to the first VM in a rendezvous order of the issuer, and forwarders ask the first three in that order.

--- a/internal/change/change.go
+++ b/internal/change/change.go
@@ -30,8 +30,8 @@
 
 // Forwarder passes submissions and questions to the VM that issued the token.
 type Forwarder interface {
-	ForwardChange(ctx context.Context, vm view.VM, r *pb.SubmitChangeRequest) (*pb.SubmitChangeResponse, error)
-	ForwardOutcome(ctx context.Context, vm view.VM, r *pb.GetOutcomeRequest) (*pb.GetOutcomeResponse, error)
+	ForwardChange(ctx context.Context, vm view.VM, r *pb.SubmitChangeRequest) (*pb.ForwardChangeResponse, error)
+	ForwardOutcome(ctx context.Context, vm view.VM, r *pb.GetOutcomeRequest) (*pb.ForwardOutcomeResponse, error)
 }
 
 // ErrStopping is returned when no token can be issued any more.
@@ -59,14 +59,13 @@
 	mu      sync.Mutex
 	records *Records
 	// ends holds a channel for each running change, closed at its end.
-	ends      map[string]chan struct{}
-	successor *view.VM
+	ends map[string]chan struct{}
 }
 
 // New returns Changes that issue tokens in the name of this VM's incarnation.
 func New(options Options) *Changes {
 	self := options.Views.Current().Self
-	issuer := Issuer{VM: self.ID, Incarnation: self.Incarnation}
+	issuer := Issuer{VM: self.ID, FailureDomain: self.FailureDomain, Incarnation: self.Incarnation}
 	validity := time.Duration(options.Limits.TokenValidMs) * time.Millisecond
 	return &Changes{
 		options: options,
@@ -122,18 +121,22 @@
 		return c.respond(r.Token, notRun("malformed token; nothing ran"))
 	}
 	if c.serves(token.Issuer) {
-		return c.SubmitHere(ctx, r)
+		return c.submitHere(ctx, token, r)
 	}
 	return c.forward(ctx, token, r)
 }
 
-// SubmitHere runs a change whose token this process serves; under any other
-// token it runs nothing and answers that the outcome is unknown.
-func (c *Changes) SubmitHere(ctx context.Context, r *pb.SubmitChangeRequest) *pb.SubmitChangeResponse {
+// SubmitForwarded runs a change for another VM, if this process serves the
+// token's issuer; else it runs nothing and says so.
+func (c *Changes) SubmitForwarded(ctx context.Context, r *pb.SubmitChangeRequest) *pb.ForwardChangeResponse {
 	token, err := ParseToken(r.Token)
-	if err != nil {
-		return c.respond(r.Token, notRun("malformed token; nothing ran"))
+	if err != nil || !c.serves(token.Issuer) {
+		return &pb.ForwardChangeResponse{}
 	}
+	return &pb.ForwardChangeResponse{Served: true, Response: c.submitHere(ctx, token, r)}
+}
+
+func (c *Changes) submitHere(ctx context.Context, token Token, r *pb.SubmitChangeRequest) *pb.SubmitChangeResponse {
 	verdict, result, end := c.decide(token, Digest(r.Change))
 	switch verdict {
 	case VerdictRun:
@@ -142,8 +145,8 @@
 	case VerdictJoin:
 		return c.await(ctx, token, end)
 	default:
-		if successor := c.handedTo(); successor != nil && result.Reason == reasonStopping {
-			return c.forwardTo(ctx, *successor, r)
+		if result.Reason == reasonStopping {
+			return c.forward(ctx, token, r)
 		}
 		return c.respond(r.Token, result)
 	}
@@ -189,12 +192,6 @@
 	return c.records.Serves(issuer)
 }
 
-func (c *Changes) handedTo() *view.VM {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.successor
-}
-
 func (c *Changes) respond(token string, result Result) *pb.SubmitChangeResponse {
 	return &pb.SubmitChangeResponse{
 		Token:   token,
@@ -215,28 +212,25 @@
 		return outcome(r.Token, notRun("malformed token; nothing ran"))
 	}
 	if c.serves(token.Issuer) {
-		return c.OutcomeHere(r)
+		return c.lookup(token)
 	}
-	vm, ok := c.home(token.Issuer)
-	if !ok {
-		return outcome(r.Token, unknown(reasonGone))
-	}
-	response, err := c.options.Forwarder.ForwardOutcome(ctx, vm, r)
-	if err != nil {
-		return outcome(r.Token, unknown("the VM that issued the token does not answer: "+err.Error()))
-	}
-	return response
+	return c.forwardOutcome(ctx, token)
 }
 
-// OutcomeHere returns what this process knows of a token.
-func (c *Changes) OutcomeHere(r *pb.GetOutcomeRequest) *pb.GetOutcomeResponse {
+// OutcomeForwarded returns what this process knows of a token, if it serves the
+// token's issuer.
+func (c *Changes) OutcomeForwarded(r *pb.GetOutcomeRequest) *pb.ForwardOutcomeResponse {
 	token, err := ParseToken(r.Token)
-	if err != nil {
-		return outcome(r.Token, notRun("malformed token; nothing ran"))
+	if err != nil || !c.serves(token.Issuer) {
+		return &pb.ForwardOutcomeResponse{}
 	}
+	return &pb.ForwardOutcomeResponse{Served: true, Response: c.lookup(token)}
+}
+
+func (c *Changes) lookup(token Token) *pb.GetOutcomeResponse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return outcome(r.Token, c.records.Lookup(token))
+	return outcome(token.String(), c.records.Lookup(token))
 }
 
 func outcome(token string, result Result) *pb.GetOutcomeResponse {
--- a/internal/change/forward.go
+++ b/internal/change/forward.go
@@ -2,60 +2,105 @@
 
 import (
 	"context"
+	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
 const (
-	reasonGone = "the VM that issued the token is gone; whether the change ran is not known here"
+	reasonGone = "no VM that serves the token can be found; whether the change ran is not known here"
 
-	// longestSuccession bounds the chain of hand-overs that is followed.
-	longestSuccession = 64
+	// successorsAsked bounds the VMs that are asked whether they took over an
+	// issuer's records. A few are enough although VMs join and leave, because
+	// every VM ranks them alike.
+	successorsAsked = 3
 )
 
-// home returns the VM that serves an issuer's tokens: the issuer while it runs,
-// else the one at the end of its chain of planned stops.
-func (c *Changes) home(issuer Issuer) (view.VM, bool) {
-	current := c.options.Views.Current()
-	id := issuer.VM
-	for step := range longestSuccession {
-		vm, ok := current.VM(id)
-		if !ok {
-			return view.VM{}, false
+// Successors ranks the VMs that may take over an issuer's records: those of its
+// failure domain, or of all when it has no other VM. All VMs with the same view
+// rank alike, so that the records are found without a directory.
+func Successors(current *view.View, issuer Issuer) []view.VM {
+	ranked := others(current.DomainVMs(issuer.FailureDomain), issuer)
+	if len(ranked) == 0 {
+		for _, domain := range current.Configuration.GetFailureDomains() {
+			ranked = append(ranked, others(current.DomainVMs(domain.Name), issuer)...)
 		}
-		if step == 0 && vm.Incarnation != issuer.Incarnation {
-			return view.VM{}, false
+	}
+	key := issuer.VM + strconv.FormatUint(issuer.Incarnation, 36)
+	sort.Slice(ranked, func(i, j int) bool {
+		return xxhash.Sum64String(key+ranked[i].ID) < xxhash.Sum64String(key+ranked[j].ID)
+	})
+	return ranked
+}
+
+func others(vms []view.VM, issuer Issuer) []view.VM {
+	var found []view.VM
+	for _, vm := range vms {
+		if vm.ID != issuer.VM || vm.Incarnation != issuer.Incarnation {
+			found = append(found, vm)
 		}
-		if vm.Successor == "" {
-			return vm, vm.State != pb.MemberState_MEMBER_STATE_DEAD
+	}
+	return found
+}
+
+// candidates returns the VMs that may serve an issuer's tokens, the likeliest
+// first: the issuer itself, then its successors. This VM is left out.
+func (c *Changes) candidates(issuer Issuer) []view.VM {
+	current := c.options.Views.Current()
+	var found []view.VM
+	if vm, ok := current.VM(issuer.VM); ok && vm.Incarnation == issuer.Incarnation {
+		found = append(found, vm)
+	}
+	successors := Successors(current, issuer)
+	found = append(found, successors[:min(successorsAsked, len(successors))]...)
+	var remote []view.VM
+	for _, vm := range found {
+		if vm.ID != c.self.VM {
+			remote = append(remote, vm)
 		}
-		id = vm.Successor
 	}
-	return view.VM{}, false
+	return remote
 }
 
+// forward submits at the VM that serves the token's issuer. At most one VM does,
+// so that asking several runs nothing twice. Even a call that was certainly not
+// delivered leaves the outcome unknown: an earlier submission under the token
+// may have run.
 func (c *Changes) forward(ctx context.Context, token Token, r *pb.SubmitChangeRequest) *pb.SubmitChangeResponse {
-	vm, ok := c.home(token.Issuer)
-	if !ok || vm.ID == c.self.VM {
-		return c.respond(r.Token, unknown(reasonGone))
+	reason := reasonGone
+	for _, vm := range c.candidates(token.Issuer) {
+		c.options.Decisions.Record(&pb.Decision{
+			Kind:      pb.DecisionKind_DECISION_KIND_FORWARD,
+			RequestId: r.Token,
+			Owner:     vm.ID,
+			Reason:    "may serve the token's issuer",
+		})
+		response, err := c.options.Forwarder.ForwardChange(ctx, vm, r)
+		if err == nil && response.Served {
+			return response.Response
+		}
+		if err != nil {
+			reason = vm.ID + " does not answer; whether the change ran is not known here"
+		}
 	}
-	return c.forwardTo(ctx, vm, r)
+	return c.respond(r.Token, unknown(reason))
 }
 
-// forwardTo submits at another VM. Even a call that was certainly not delivered
-// leaves the outcome unknown: an earlier submission under the token may have
-// run.
-func (c *Changes) forwardTo(ctx context.Context, vm view.VM, r *pb.SubmitChangeRequest) *pb.SubmitChangeResponse {
-	c.options.Decisions.Record(&pb.Decision{
-		Kind:      pb.DecisionKind_DECISION_KIND_FORWARD,
-		RequestId: r.Token,
-		Owner:     vm.ID,
-		Reason:    "issuer of the token",
-	})
-	response, err := c.options.Forwarder.ForwardChange(ctx, vm, r)
-	if err != nil {
-		return c.respond(r.Token, unknown("the VM that issued the token does not answer: "+err.Error()))
+func (c *Changes) forwardOutcome(ctx context.Context, token Token) *pb.GetOutcomeResponse {
+	reason := reasonGone
+	request := &pb.GetOutcomeRequest{Token: token.String()}
+	for _, vm := range c.candidates(token.Issuer) {
+		response, err := c.options.Forwarder.ForwardOutcome(ctx, vm, request)
+		if err == nil && response.Served {
+			return response.Response
+		}
+		if err != nil {
+			reason = vm.ID + " does not answer"
+		}
 	}
-	return response
+	return outcome(request.Token, unknown(reason))
 }
--- a/internal/change/handover.go
+++ b/internal/change/handover.go
@@ -5,16 +5,15 @@
 	"time"
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
-	"github.com/carawayreel/carawayreel/internal/view"
 )
 
 // drainPoll is the interval at which a planned stop looks for running changes.
 const drainPoll = 10 * time.Millisecond
 
 // Drain refuses new changes, waits until those running have ended or the
-// context ends, and returns what a successor needs. Changes that still run then
+// context ends, and returns what successors need. Changes that still run then
 // are handed over as unknown.
-func (c *Changes) Drain(ctx context.Context) ([]*pb.ChangeIssuer, []*pb.ChangeRecord) {
+func (c *Changes) Drain(ctx context.Context) []Estate {
 	c.mu.Lock()
 	c.records.Stop()
 	c.mu.Unlock()
@@ -35,18 +34,14 @@
 	return c.records.Running()
 }
 
-// HandedTo names the VM that has accepted this VM's records. Submissions that
-// still arrive here are forwarded to it.
-func (c *Changes) HandedTo(successor view.VM) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.successor = &successor
-}
-
-// Accept takes over the issuers and records of a VM that has stopped running
-// changes. It reports false when it cannot serve them.
-func (c *Changes) Accept(issuers []*pb.ChangeIssuer, records []*pb.ChangeRecord) bool {
+// Accept takes over an issuer and its records from a VM that has stopped running
+// changes. It reports false when this VM cannot serve them.
+func (c *Changes) Accept(issuer *pb.ChangeIssuer, records []*pb.ChangeRecord) bool {
+	estate := Estate{
+		Issuer:  Issuer{VM: issuer.Vm, FailureDomain: issuer.FailureDomain, Incarnation: issuer.Incarnation},
+		Records: records,
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.records.Adopt(issuers, records)
+	return c.records.Adopt(estate)
 }
--- a/internal/change/records.go
+++ b/internal/change/records.go
@@ -185,19 +185,27 @@
 	r.stopped = true
 }
 
-// Export returns the issuers and the records for a successor. Changes still
+// Estate is an issuer with every record kept under its tokens.
+type Estate struct {
+	Issuer  Issuer
+	Records []*pb.ChangeRecord
+}
+
+// Export returns what successors need, for each issuer apart. Changes still
 // running are exported as unknown, so that nobody runs them again. Export may
 // be called only after Stop.
-func (r *Records) Export(now time.Time) ([]*pb.ChangeIssuer, []*pb.ChangeRecord) {
-	issuers := make([]*pb.ChangeIssuer, 0, len(r.issuers))
-	for issuer := range r.issuers {
-		issuers = append(issuers, &pb.ChangeIssuer{Vm: issuer.VM, Incarnation: issuer.Incarnation})
-	}
-	records := make([]*pb.ChangeRecord, 0, len(r.records))
+func (r *Records) Export(now time.Time) []Estate {
+	records := map[Issuer][]*pb.ChangeRecord{}
 	for element := r.byExpiry.Front(); element != nil; element = element.Next() {
-		records = append(records, element.Value.(*record).export(now, r.retention))
+		kept := element.Value.(*record)
+		issuer := kept.token.Issuer
+		records[issuer] = append(records[issuer], kept.export(now, r.retention))
 	}
-	return issuers, records
+	estates := make([]Estate, 0, len(r.issuers))
+	for issuer := range r.issuers {
+		estates = append(estates, Estate{Issuer: issuer, Records: records[issuer]})
+	}
+	return estates
 }
 
 func (k *record) export(now time.Time, retention time.Duration) *pb.ChangeRecord {
@@ -212,22 +220,22 @@
 	}
 }
 
-// Adopt takes over the issuers and records of a process that has stopped. It
-// reports false, and changes nothing, when a record cannot be read: running
-// under the issuers' tokens would then not be safe.
-func (r *Records) Adopt(issuers []*pb.ChangeIssuer, records []*pb.ChangeRecord) bool {
+// Adopt takes over an issuer and its records from a process that has stopped.
+// It reports false, and changes nothing, when a record cannot be read or is
+// another issuer's: running under the issuer's tokens would then not be safe.
+func (r *Records) Adopt(estate Estate) bool {
 	if r.stopped {
 		return false
 	}
-	tokens := make([]Token, len(records))
-	for i, exported := range records {
+	tokens := make([]Token, len(estate.Records))
+	for i, exported := range estate.Records {
 		token, err := ParseToken(exported.Token)
-		if err != nil {
+		if err != nil || token.Issuer != estate.Issuer {
 			return false
 		}
 		tokens[i] = token
 	}
-	for i, exported := range records {
+	for i, exported := range estate.Records {
 		if _, ok := r.records[exported.Token]; ok {
 			continue
 		}
@@ -235,9 +243,7 @@
 			Outcome: exported.Outcome, Reason: exported.Reason, Target: exported.Target,
 		})
 	}
-	for _, issuer := range issuers {
-		r.issuers[Issuer{VM: issuer.Vm, Incarnation: issuer.Incarnation}] = struct{}{}
-	}
+	r.issuers[estate.Issuer] = struct{}{}
 	return true
 }
 
--- a/internal/change/records_test.go
+++ b/internal/change/records_test.go
@@ -112,9 +112,10 @@
 	}
 	p.stopped = true
 	p.records.Stop()
-	issuers, records := p.records.Export(p.clock)
-	if rapid.Bool().Draw(t, "delivered") {
-		m.processes[to].records.Adopt(issuers, records)
+	for _, estate := range p.records.Export(p.clock) {
+		if rapid.Bool().Draw(t, "delivered") {
+			m.processes[to].records.Adopt(estate)
+		}
 	}
 }
 
@@ -174,7 +175,7 @@
 }
 
 func FuzzParseToken(f *testing.F) {
-	f.Add("vm-a-1~1~1~000000000000000000000001")
+	f.Add("vm-a-1~a~1~1~000000000000000000000001")
 	f.Add("")
 	f.Add("~~~")
 	f.Fuzz(func(t *testing.T, text string) {
@@ -208,7 +209,7 @@
 	require.Equal(t, pb.Outcome_OUTCOME_NOT_RUN, result.Outcome)
 	predecessor.Stop()
 	successor := change.NewRecords(change.Issuer{VM: "vm-a-2", Incarnation: 2}, 10, validity)
-	require.True(t, successor.Adopt(predecessor.Export(epoch.Add(time.Minute))))
+	require.True(t, successor.Adopt(predecessor.Export(epoch.Add(time.Minute))[0]))
 	verdict, _ := successor.Submit(expired, 1, epoch)
 	require.Equal(t, change.VerdictAnswer, verdict)
 }
--- a/internal/change/token.go
+++ b/internal/change/token.go
@@ -14,7 +14,7 @@
 var ErrMalformedToken = errors.New("malformed token")
 
 const (
-	tokenParts       = 4
+	tokenParts       = 5
 	tokenRandomBytes = 12
 	tokenSeparator   = "~"
 )
@@ -23,8 +23,9 @@
 // this process, or the one it handed its records to, may run a change under
 // them.
 type Issuer struct {
-	VM          string
-	Incarnation uint64
+	VM            string
+	FailureDomain string
+	Incarnation   uint64
 }
 
 // Token is an idempotency token. It carries everything that is needed to find
@@ -50,6 +51,7 @@
 func (t Token) String() string {
 	return strings.Join([]string{
 		t.Issuer.VM,
+		t.Issuer.FailureDomain,
 		strconv.FormatUint(t.Issuer.Incarnation, 36),
 		strconv.FormatInt(t.Expires.UnixMilli(), 36),
 		t.Random,
@@ -62,22 +64,22 @@
 	if len(parts) != tokenParts || parts[0] == "" {
 		return Token{}, errors.Wrapf(ErrMalformedToken, "%q", text)
 	}
-	incarnation, err := strconv.ParseUint(parts[1], 36, 64)
+	incarnation, err := strconv.ParseUint(parts[2], 36, 64)
 	if err != nil {
-		return Token{}, errors.Wrapf(ErrMalformedToken, "incarnation %q", parts[1])
+		return Token{}, errors.Wrapf(ErrMalformedToken, "incarnation %q", parts[2])
 	}
-	expires, err := strconv.ParseInt(parts[2], 36, 64)
+	expires, err := strconv.ParseInt(parts[3], 36, 64)
 	if err != nil {
-		return Token{}, errors.Wrapf(ErrMalformedToken, "expiry %q", parts[2])
+		return Token{}, errors.Wrapf(ErrMalformedToken, "expiry %q", parts[3])
 	}
-	random, err := hex.DecodeString(parts[3])
+	random, err := hex.DecodeString(parts[4])
 	if err != nil || len(random) != tokenRandomBytes {
-		return Token{}, errors.Wrapf(ErrMalformedToken, "random part %q", parts[3])
+		return Token{}, errors.Wrapf(ErrMalformedToken, "random part %q", parts[4])
 	}
 	token := Token{
-		Issuer:  Issuer{VM: parts[0], Incarnation: incarnation},
+		Issuer:  Issuer{VM: parts[0], FailureDomain: parts[1], Incarnation: incarnation},
 		Expires: time.UnixMilli(expires),
-		Random:  parts[3],
+		Random:  parts[4],
 	}
 	if token.String() != text {
 		return Token{}, errors.Wrap(ErrMalformedToken, "not in canonical form")
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carawayreel/carawayreel/internal/change"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/peer"
 	"github.com/carawayreel/carawayreel/internal/view"
@@ -30,7 +31,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	d.logger.Info().Dur("limit", limit).Msg("planned stop begins")
-	d.control.Leave(ctx)
+	if err := d.control.Leave(ctx); err != nil {
+		d.logger.Warn().Err(err).Msg("no other VM was told of the stop")
+	}
 	d.handOverTargets(ctx)
 	d.handOverChanges(ctx)
 	pause(ctx, balancerNotice)
@@ -61,24 +64,39 @@
 func (d *Daemon) sendTargets(ctx context.Context, next view.VM, targets []*pb.TargetHandOver) {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	_, err := d.peers.HandOver(ctx, next, &pb.HandOverRequest{Sender: d.control.Member(), Targets: targets})
+	_, err := d.peers.HandOver(ctx, next, &pb.HandOverRequest{Sender: d.member(), Targets: targets})
 	if err != nil {
 		d.logger.Warn().Err(err).Str("to", next.ID).Msg("targets not handed over; the new owner starts them cold")
 	}
 }
 
-// handOverChanges gives the change records to one successor. When the answer
-// of a VM that may have accepted them is lost, no other VM is asked: two VMs
-// must never serve the same tokens.
+// handOverChanges gives the change records of each issuer to one successor.
 func (d *Daemon) handOverChanges(ctx context.Context) {
-	issuers, records := d.changes.Drain(ctx)
-	request := &pb.HandOverRequest{Sender: d.control.Member(), Issuers: issuers, Records: records}
-	for _, candidate := range d.successors() {
+	for _, estate := range d.changes.Drain(ctx) {
+		d.handOverEstate(ctx, estate)
+	}
+}
+
+// handOverEstate asks one VM after the other until one accepts. When the answer
+// of a VM that may have accepted is lost, no other VM is asked: two VMs must
+// never serve the same tokens.
+func (d *Daemon) handOverEstate(ctx context.Context, estate change.Estate) {
+	request := &pb.HandOverRequest{
+		Sender: d.member(),
+		Issuer: &pb.ChangeIssuer{
+			Vm: estate.Issuer.VM, FailureDomain: estate.Issuer.FailureDomain, Incarnation: estate.Issuer.Incarnation,
+		},
+		Records: estate.Records,
+	}
+	current := d.control.Current()
+	for _, candidate := range change.Successors(current, estate.Issuer) {
+		if candidate.ID == current.Self.ID {
+			continue
+		}
 		err := d.sendChanges(ctx, candidate, request)
 		if err == nil {
-			d.changes.HandedTo(candidate)
-			d.control.SetSuccessor(ctx, candidate.ID)
-			d.logger.Info().Str("to", candidate.ID).Int("records", len(records)).Msg("change records handed over")
+			d.logger.Info().Str("issuer", estate.Issuer.VM).Str("to", candidate.ID).
+				Int("records", len(estate.Records)).Msg("change records handed over")
 			return
 		}
 		d.logger.Warn().Err(err).Str("to", candidate.ID).Msg("change records not handed over")
@@ -88,6 +106,15 @@
 	}
 }
 
+// member describes this VM in messages.
+func (d *Daemon) member() *pb.Member {
+	self := d.control.Current().Self
+	return &pb.Member{
+		Vm: self.ID, FailureDomain: self.FailureDomain, PeerAddress: self.PeerAddress,
+		Incarnation: self.Incarnation, State: self.State,
+	}
+}
+
 var errRefused = errors.New("VM refused the change records")
 
 // sendChanges repeats the message to the same VM while its answer is lost;
@@ -116,25 +143,6 @@
 	return d.peers.HandOver(ctx, to, request)
 }
 
-// successors returns the VMs that may take the change records, those of the own
-// failure domain first.
-func (d *Daemon) successors() []view.VM {
-	current := d.control.Current()
-	candidates := append([]view.VM{}, current.DomainVMs(current.Self.FailureDomain)...)
-	for _, domain := range current.Configuration.GetFailureDomains() {
-		if domain.Name != current.Self.FailureDomain {
-			candidates = append(candidates, current.DomainVMs(domain.Name)...)
-		}
-	}
-	var others []view.VM
-	for _, vm := range candidates {
-		if vm.ID != current.Self.ID {
-			others = append(others, vm)
-		}
-	}
-	return others
-}
-
 func (d *Daemon) shutdownServers(ctx context.Context) error {
 	if err := d.callers.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "callers' requests were cut short")
--- a/internal/gen/carawayreel/v1/carawayreelv1connect/peer.connect.go
+++ b/internal/gen/carawayreel/v1/carawayreelv1connect/peer.connect.go
@@ -66,9 +66,9 @@
 	// DispatchChange runs one change on a target that this VM owns.
 	DispatchChange(context.Context, *connect.Request[v1.ChangeDispatch]) (*connect.Response[v1.ChangeReply], error)
 	// ForwardChange runs a change on the VM that issued its token.
-	ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.SubmitChangeResponse], error)
+	ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.ForwardChangeResponse], error)
 	// ForwardOutcome asks the VM that issued a token for its outcome.
-	ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.GetOutcomeResponse], error)
+	ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.ForwardOutcomeResponse], error)
 	// Heartbeat proves liveness and exchanges news.
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
 	// FetchConfiguration returns what changed since a revision.
@@ -104,13 +104,13 @@
 			connect.WithSchema(peerServiceMethods.ByName("DispatchChange")),
 			connect.WithClientOptions(opts...),
 		),
-		forwardChange: connect.NewClient[v1.SubmitChangeRequest, v1.SubmitChangeResponse](
+		forwardChange: connect.NewClient[v1.SubmitChangeRequest, v1.ForwardChangeResponse](
 			httpClient,
 			baseURL+PeerServiceForwardChangeProcedure,
 			connect.WithSchema(peerServiceMethods.ByName("ForwardChange")),
 			connect.WithClientOptions(opts...),
 		),
-		forwardOutcome: connect.NewClient[v1.GetOutcomeRequest, v1.GetOutcomeResponse](
+		forwardOutcome: connect.NewClient[v1.GetOutcomeRequest, v1.ForwardOutcomeResponse](
 			httpClient,
 			baseURL+PeerServiceForwardOutcomeProcedure,
 			connect.WithSchema(peerServiceMethods.ByName("ForwardOutcome")),
@@ -153,8 +153,8 @@
 type peerServiceClient struct {
 	dispatch           *connect.Client[v1.SubRequest, v1.SubReply]
 	dispatchChange     *connect.Client[v1.ChangeDispatch, v1.ChangeReply]
-	forwardChange      *connect.Client[v1.SubmitChangeRequest, v1.SubmitChangeResponse]
-	forwardOutcome     *connect.Client[v1.GetOutcomeRequest, v1.GetOutcomeResponse]
+	forwardChange      *connect.Client[v1.SubmitChangeRequest, v1.ForwardChangeResponse]
+	forwardOutcome     *connect.Client[v1.GetOutcomeRequest, v1.ForwardOutcomeResponse]
 	heartbeat          *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
 	fetchConfiguration *connect.Client[v1.FetchConfigurationRequest, v1.FetchConfigurationResponse]
 	offerConfiguration *connect.Client[v1.OfferConfigurationRequest, v1.OfferConfigurationResponse]
@@ -173,12 +173,12 @@
 }
 
 // ForwardChange calls carawayreel.v1.PeerService.ForwardChange.
-func (c *peerServiceClient) ForwardChange(ctx context.Context, req *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.SubmitChangeResponse], error) {
+func (c *peerServiceClient) ForwardChange(ctx context.Context, req *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.ForwardChangeResponse], error) {
 	return c.forwardChange.CallUnary(ctx, req)
 }
 
 // ForwardOutcome calls carawayreel.v1.PeerService.ForwardOutcome.
-func (c *peerServiceClient) ForwardOutcome(ctx context.Context, req *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.GetOutcomeResponse], error) {
+func (c *peerServiceClient) ForwardOutcome(ctx context.Context, req *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.ForwardOutcomeResponse], error) {
 	return c.forwardOutcome.CallUnary(ctx, req)
 }
 
@@ -214,9 +214,9 @@
 	// DispatchChange runs one change on a target that this VM owns.
 	DispatchChange(context.Context, *connect.Request[v1.ChangeDispatch]) (*connect.Response[v1.ChangeReply], error)
 	// ForwardChange runs a change on the VM that issued its token.
-	ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.SubmitChangeResponse], error)
+	ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.ForwardChangeResponse], error)
 	// ForwardOutcome asks the VM that issued a token for its outcome.
-	ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.GetOutcomeResponse], error)
+	ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.ForwardOutcomeResponse], error)
 	// Heartbeat proves liveness and exchanges news.
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
 	// FetchConfiguration returns what changed since a revision.
@@ -327,11 +327,11 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.DispatchChange is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.SubmitChangeResponse], error) {
+func (UnimplementedPeerServiceHandler) ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.ForwardChangeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.ForwardChange is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.GetOutcomeResponse], error) {
+func (UnimplementedPeerServiceHandler) ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.ForwardOutcomeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.ForwardOutcome is not implemented"))
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -117,12 +117,12 @@
 }
 
 // ForwardChange submits a change on the VM that issued its token.
-func (c *Client) ForwardChange(ctx context.Context, vm view.VM, r *pb.SubmitChangeRequest) (*pb.SubmitChangeResponse, error) {
+func (c *Client) ForwardChange(ctx context.Context, vm view.VM, r *pb.SubmitChangeRequest) (*pb.ForwardChangeResponse, error) {
 	return unwrap(c.at(vm.PeerAddress).ForwardChange(ctx, connect.NewRequest(r)))
 }
 
 // ForwardOutcome asks the VM that issued a token for its outcome.
-func (c *Client) ForwardOutcome(ctx context.Context, vm view.VM, r *pb.GetOutcomeRequest) (*pb.GetOutcomeResponse, error) {
+func (c *Client) ForwardOutcome(ctx context.Context, vm view.VM, r *pb.GetOutcomeRequest) (*pb.ForwardOutcomeResponse, error) {
 	return unwrap(c.at(vm.PeerAddress).ForwardOutcome(ctx, connect.NewRequest(r)))
 }
 
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -20,15 +20,15 @@
 	return connect.NewResponse(s.roles.Owner.DispatchChange(ctx, r.Msg)), nil
 }
 
-func (s *peerService) ForwardChange(ctx context.Context, r *connect.Request[pb.SubmitChangeRequest]) (*connect.Response[pb.SubmitChangeResponse], error) {
+func (s *peerService) ForwardChange(ctx context.Context, r *connect.Request[pb.SubmitChangeRequest]) (*connect.Response[pb.ForwardChangeResponse], error) {
 	if err := valid(r.Msg); err != nil {
 		return nil, err
 	}
-	return connect.NewResponse(s.roles.Changes.SubmitHere(ctx, r.Msg)), nil
+	return connect.NewResponse(s.roles.Changes.SubmitForwarded(ctx, r.Msg)), nil
 }
 
-func (s *peerService) ForwardOutcome(_ context.Context, r *connect.Request[pb.GetOutcomeRequest]) (*connect.Response[pb.GetOutcomeResponse], error) {
-	return connect.NewResponse(s.roles.Changes.OutcomeHere(r.Msg)), nil
+func (s *peerService) ForwardOutcome(_ context.Context, r *connect.Request[pb.GetOutcomeRequest]) (*connect.Response[pb.ForwardOutcomeResponse], error) {
+	return connect.NewResponse(s.roles.Changes.OutcomeForwarded(r.Msg)), nil
 }
 
 func (s *peerService) Heartbeat(ctx context.Context, r *connect.Request[pb.HeartbeatRequest]) (*connect.Response[pb.HeartbeatResponse], error) {
@@ -46,8 +46,8 @@
 func (s *peerService) HandOver(_ context.Context, r *connect.Request[pb.HandOverRequest]) (*connect.Response[pb.HandOverResponse], error) {
 	s.roles.Owner.AcceptHandOver(r.Msg.Targets)
 	accepted := true
-	if len(r.Msg.Issuers) > 0 {
-		accepted = s.roles.Changes.Accept(r.Msg.Issuers, r.Msg.Records)
+	if r.Msg.Issuer != nil {
+		accepted = s.roles.Changes.Accept(r.Msg.Issuer, r.Msg.Records)
 	}
 	return connect.NewResponse(&pb.HandOverResponse{Accepted: accepted}), nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,10 +27,10 @@
 type Changes interface {
 	IssueToken() (*pb.IssueTokenResponse, error)
 	Submit(ctx context.Context, r *pb.SubmitChangeRequest) *pb.SubmitChangeResponse
-	SubmitHere(ctx context.Context, r *pb.SubmitChangeRequest) *pb.SubmitChangeResponse
+	SubmitForwarded(ctx context.Context, r *pb.SubmitChangeRequest) *pb.ForwardChangeResponse
 	Outcome(ctx context.Context, r *pb.GetOutcomeRequest) *pb.GetOutcomeResponse
-	OutcomeHere(r *pb.GetOutcomeRequest) *pb.GetOutcomeResponse
-	Accept(issuers []*pb.ChangeIssuer, records []*pb.ChangeRecord) bool
+	OutcomeForwarded(r *pb.GetOutcomeRequest) *pb.ForwardOutcomeResponse
+	Accept(issuer *pb.ChangeIssuer, records []*pb.ChangeRecord) bool
 }
 
 // Owner dispatches to the targets that this VM owns.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -24,9 +24,6 @@
 	Incarnation uint64
 	// State is the believed state of the VM.
 	State pb.MemberState
-	// Successor is the VM that took over the change records of a VM that
-	// stopped; empty otherwise.
-	Successor string
 }
 
 // CanOwn reports whether the VM may be given targets.
