--- /dev/null
+++ b/internal/coordinator/metrics.go
@@ -0,0 +1,73 @@
+package coordinator
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/coordinator/search"
+)
+
+var (
+	searchesRunning  = metrics.NewGauge("carawayreel_searches_running", nil)
+	searchSeconds    = metrics.NewHistogram("carawayreel_search_duration_seconds")
+	searchCoverage   = metrics.NewHistogram("carawayreel_search_coverage_ratio")
+	repliesDiscarded = metrics.NewCounter("carawayreel_replies_discarded_total")
+	snapshotRestarts = metrics.NewCounter("carawayreel_search_snapshot_restarts_total")
+
+	searchOutcomes = [...]*metrics.Counter{
+		pb.Outcome_OUTCOME_SUCCESS: outcomeCounter(pb.Outcome_OUTCOME_SUCCESS),
+		pb.Outcome_OUTCOME_PARTIAL: outcomeCounter(pb.Outcome_OUTCOME_PARTIAL),
+		pb.Outcome_OUTCOME_NOT_RUN: outcomeCounter(pb.Outcome_OUTCOME_NOT_RUN),
+	}
+
+	firstSubrequests    = subrequestCounter("first")
+	hedgeSubrequests    = subrequestCounter("hedge")
+	retrySubrequests    = subrequestCounter("retry")
+	probeSubrequests    = subrequestCounter("probe")
+	redirectSubrequests = subrequestCounter("redirect")
+)
+
+func outcomeCounter(outcome pb.Outcome) *metrics.Counter {
+	name := strings.ToLower(strings.TrimPrefix(outcome.String(), "OUTCOME_"))
+	return metrics.NewCounter(fmt.Sprintf(`carawayreel_searches_total{outcome=%q}`, name))
+}
+
+func subrequestCounter(kind string) *metrics.Counter {
+	return metrics.NewCounter(fmt.Sprintf(`carawayreel_subrequests_total{kind=%q}`, kind))
+}
+
+// observe adds an answer to the metrics.
+func observe(answer *pb.SearchResponse, elapsed time.Duration) {
+	if answer == nil {
+		return
+	}
+	searchOutcomes[answer.Outcome].Inc()
+	if answer.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
+		return
+	}
+	searchSeconds.Update(elapsed.Seconds())
+	if total := answer.Coverage.GetTotal(); total > 0 {
+		searchCoverage.Update(float64(answer.Coverage.Covered) / float64(total))
+	}
+}
+
+// count adds what one event did to the metrics.
+func count(c search.Counts) {
+	add(firstSubrequests, c.Firsts)
+	add(hedgeSubrequests, c.Hedges)
+	add(retrySubrequests, c.Retries)
+	add(probeSubrequests, c.Probes)
+	add(redirectSubrequests, c.Redirects)
+	add(repliesDiscarded, c.Discarded)
+	add(snapshotRestarts, c.Restarts)
+}
+
+func add(counter *metrics.Counter, n int) {
+	if n > 0 {
+		counter.Add(n)
+	}
+}
