--- /dev/null
+++ b/internal/cli/caller.go
@@ -0,0 +1,163 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/language"
+	"github.com/carawayreel/carawayreel/internal/statement"
+)
+
+type searchCommand struct {
+	Front      string   `arg:"" help:"Front to search."`
+	Conditions []string `arg:"" optional:"" help:"Conditions as the language has them; all must hold."`
+	Coverage   uint32   `help:"Least share of partitions wanted, in percent; with less no rows are returned."`
+	Limit      uint32   `help:"Most rows returned; zero takes the front's."`
+	Explain    bool     `help:"Print the decisions taken for the search."`
+}
+
+// Help has the examples.
+func (*searchCommand) Help() string {
+	return `Examples:
+  carawayreel search zoekportaal "name LIKE PREFIX 'Jans'" "parish = 'Utrecht'"
+  carawayreel search bond-gate "cask = 'c-1042'" --time-limit 140ms --coverage 90
+  carawayreel search zoekportaal "date < 1850-01-01" --limit 20 --explain --json`
+}
+
+// Run searches.
+func (c *searchCommand) Run(s *session) error {
+	request := &pb.SearchRequest{
+		Front:                  c.Front,
+		TimeLimitMs:            uint32(s.flags.TimeLimit.Milliseconds()),
+		MinimumCoveragePercent: c.Coverage,
+		RowLimit:               c.Limit,
+		Explain:                c.Explain,
+	}
+	for _, text := range c.Conditions {
+		parsed, err := language.ParseConditions(text)
+		if err != nil {
+			return &UsageError{Reason: fmt.Sprintf("condition %q: %v", text, err)}
+		}
+		request.Conditions = append(request.Conditions, statement.Conditions(parsed)...)
+	}
+	return s.print(s.runner.Search(s.ctx, request))
+}
+
+// identity has the flags by which a change is idempotent.
+type identity struct {
+	Token string `help:"Token of the change; one is fetched and printed when neither it nor a key is given." xor:"identity"`
+	Key   string `help:"Key of the change, chosen by the caller." xor:"identity"`
+}
+
+type editCommand struct {
+	identity
+
+	Front  string   `arg:"" help:"Front that the record belongs to."`
+	Record string   `arg:"" help:"Identifier of the record."`
+	Fields []string `arg:"" help:"New values, each as FIELD=VALUE."`
+}
+
+// Help has the examples.
+func (*editCommand) Help() string {
+	return `The change runs at most once under its token or key. After "outcome unknown", send
+the same command again with the same token, or ask with "carawayreel outcome".
+
+Examples:
+  carawayreel edit boombeheer trees:118 parish=Utrecht "name=Jan Jansen"
+  carawayreel edit boombeheer trees:118 parish=Utrecht --token "$TOKEN"`
+}
+
+// Run submits the edit.
+func (c *editCommand) Run(s *session) error {
+	edit := &pb.RecordEdit{RecordId: c.Record}
+	for _, assignment := range c.Fields {
+		name, value, ok := strings.Cut(assignment, "=")
+		if !ok || name == "" {
+			return &UsageError{Reason: fmt.Sprintf("%q is not FIELD=VALUE", assignment)}
+		}
+		edit.Fields = append(edit.Fields, &pb.Field{Name: name, Value: value})
+	}
+	return s.submit(c.identity, &pb.Change{Front: c.Front, Kind: &pb.Change_Edit{Edit: edit}})
+}
+
+type transferCommand struct {
+	identity
+
+	Front string `arg:"" help:"Front that the cask belongs to."`
+	Cask  string `arg:"" help:"Identifier of the cask's record."`
+	From  string `required:"" help:"Present holder."`
+	To    string `required:"" help:"New holder."`
+}
+
+// Help has the examples.
+func (*transferCommand) Help() string {
+	return `The change runs at most once under its token or key. After "outcome unknown", send
+the same command again with the same token, or ask with "carawayreel outcome".
+
+Examples:
+  carawayreel transfer broker-desk titles:42 --from "Penderyn" --to "Morgan & Co"
+  carawayreel transfer broker-desk titles:42 --from a --to b --key order-7731`
+}
+
+// Run submits the transfer.
+func (c *transferCommand) Run(s *session) error {
+	transfer := &pb.TitleTransfer{CaskId: c.Cask, FromHolder: c.From, ToHolder: c.To}
+	return s.submit(c.identity, &pb.Change{Front: c.Front, Kind: &pb.Change_Transfer{Transfer: transfer}})
+}
+
+// submit sends a change once. Without an identity it fetches a token first and
+// prints it, so that the outcome can be asked for whatever happens next.
+func (s *session) submit(by identity, change *pb.Change) error {
+	if by.Token == "" && by.Key == "" {
+		response, err := s.client.IssueToken(s.ctx, connect.NewRequest(&pb.IssueTokenRequest{}))
+		if err != nil {
+			return errors.Wrap(err, "the change was not sent, for want of a token")
+		}
+		by.Token = response.Msg.Token
+		_, _ = fmt.Fprintln(s.Stderr, "token:", by.Token)
+	}
+	return s.print(s.runner.Submit(s.ctx, &pb.SubmitChangeRequest{
+		Token:       by.Token,
+		CallerKey:   by.Key,
+		Change:      change,
+		TimeLimitMs: uint32(s.flags.TimeLimit.Milliseconds()),
+	}))
+}
+
+type tokenCommand struct{}
+
+// Help has the examples.
+func (*tokenCommand) Help() string {
+	return `Examples:
+  carawayreel token
+  TOKEN=$(carawayreel token --json | jq -r '.subject[0].text')`
+}
+
+// Run fetches a token.
+func (*tokenCommand) Run(s *session) error {
+	return s.print(s.runner.IssueToken(s.ctx))
+}
+
+type outcomeCommand struct {
+	Token string `arg:"" optional:"" help:"Token of the change."`
+	Key   string `help:"Key of the change."`
+}
+
+// Help has the examples.
+func (*outcomeCommand) Help() string {
+	return `Examples:
+  carawayreel outcome "$TOKEN"
+  carawayreel outcome --key order-7731 --json`
+}
+
+// Run asks for the outcome.
+func (c *outcomeCommand) Run(s *session) error {
+	if (c.Token == "") == (c.Key == "") {
+		return &UsageError{Reason: "give either a token or --key"}
+	}
+	return s.print(s.runner.Outcome(s.ctx, &pb.GetOutcomeRequest{Token: c.Token, CallerKey: c.Key}))
+}
--- a/internal/language/parse.go
+++ b/internal/language/parse.go
@@ -76,6 +76,39 @@
 	return statements[0], nil
 }
 
+// Ended reports whether the last statement of a text ends with a semicolon, or
+// the text is wrong in a way that no further text can mend.
+func Ended(text string) bool {
+	tokens, err := tokenize(text)
+	if err != nil {
+		return err.Expected == nil
+	}
+	parts := split(tokens)
+	return len(parts[len(parts)-1]) == 1
+}
+
+// ParseConditions parses what may follow WHERE in a search: conditions joined
+// by AND. The error is a *SyntaxError with positions in the given text.
+func ParseConditions(text string) ([]*Condition, error) {
+	tokens, lexError := tokenize(text)
+	if lexError != nil {
+		if lexError.Expected == nil {
+			lexError.Expected = []string{"a condition"}
+		}
+		return nil, lexError
+	}
+	prefix, prefixError := tokenize("SEARCH x WHERE")
+	if prefixError != nil {
+		return nil, prefixError
+	}
+	tokens = append(prefix[:len(prefix)-1], tokens...)
+	statement, err := parseTokens(tokens)
+	if err != nil {
+		return nil, diagnose(tokens, err)
+	}
+	return statement.Search.Conditions, nil
+}
+
 // ParseScript parses statements that semicolons separate. The error is a
 // *SyntaxError for the first statement that is wrong; no statement is returned
 // then.
--- /dev/null
+++ b/internal/report/admin.go
@@ -0,0 +1,204 @@
+package report
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+// ApplyOutcome returns the outcome that a configuration command's status means.
+func ApplyOutcome(status pb.ApplyStatus) pb.Outcome {
+	switch status {
+	case pb.ApplyStatus_APPLY_STATUS_ACCEPTED:
+		return pb.Outcome_OUTCOME_SUCCESS
+	case pb.ApplyStatus_APPLY_STATUS_CONFLICT, pb.ApplyStatus_APPLY_STATUS_INVALID,
+		pb.ApplyStatus_APPLY_STATUS_UNSAFE, pb.ApplyStatus_APPLY_STATUS_NOT_RUN:
+		return pb.Outcome_OUTCOME_NOT_RUN
+	default:
+		return pb.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+// Applied returns the report of a configuration command.
+func Applied(title string, response *pb.ApplyConfigurationResponse, elapsed time.Duration, runDate time.Time) *Report {
+	outcome := ApplyOutcome(response.Status)
+	reason := response.Reason
+	if outcome != pb.Outcome_OUTCOME_SUCCESS {
+		reason = strings.TrimSuffix(applyStatusName(response.Status)+": "+reason, ": ")
+	}
+	r := &Report{
+		Title:   title,
+		RunDate: runDate,
+		Closing: Closing{
+			Outcome:  outcome,
+			Reason:   reason,
+			Elapsed:  elapsed,
+			Refusals: refusal(outcome, "THE COMMAND", reason),
+			Notes:    []Line{{"REVISION", strconv.FormatUint(response.Revision, 10)}},
+		},
+	}
+	r.Closing.Notes = append(r.Closing.Notes, confirmationLines(outcome, response)...)
+	if len(response.Difference) > 0 {
+		r.Sections = []Section{Difference(response.Difference)}
+	}
+	return r
+}
+
+func applyStatusName(status pb.ApplyStatus) string {
+	return strings.ReplaceAll(strings.TrimPrefix(status.String(), "APPLY_STATUS_"), "_", " ")
+}
+
+func confirmationLines(outcome pb.Outcome, response *pb.ApplyConfigurationResponse) []Line {
+	lines := compact([]Line{{"WINNER", response.Winner}})
+	if outcome != pb.Outcome_OUTCOME_SUCCESS {
+		return lines
+	}
+	lines = append(lines, Line{"IN FORCE ON", fmt.Sprintf("%d VMS WHEN THIS WAS ANSWERED", response.ConfirmedVms)})
+	return append(lines, listed("NOT CONFIRMED BY", response.UnconfirmedVms)...)
+}
+
+// Difference returns the section that lists how configurations differ.
+func Difference(lines []string) Section {
+	section := Section{
+		Key: "difference", Title: "DIFFERENCE", Unit: "LINES",
+		Columns: []Column{{Head: "line", Width: lineWidth}},
+	}
+	for _, line := range lines {
+		section.Rows = append(section.Rows, Row{Cells: []string{line}})
+	}
+	return section
+}
+
+// State returns the report of a look at configuration or status.
+func State(title string, sections []Section, notes []Line, elapsed time.Duration, runDate time.Time) *Report {
+	return &Report{
+		Title:    title,
+		RunDate:  runDate,
+		Sections: sections,
+		Closing:  Closing{Outcome: pb.Outcome_OUTCOME_SUCCESS, Elapsed: elapsed, Notes: notes},
+	}
+}
+
+// ConfigurationNote states which configuration a report shows and its age.
+func ConfigurationNote(c *pb.Configuration, ageMs uint64) []Line {
+	return []Line{{"CONFIGURATION", fmt.Sprintf("REVISION %d CONFIRMED %d MS AGO", c.GetRevision(), ageMs)}}
+}
+
+// Fronts returns the section that lists fronts.
+func Fronts(c *pb.Configuration) Section {
+	section := Section{
+		Key: "fronts", Title: "FRONTS", Unit: "FRONTS",
+		Columns: []Column{
+			{Head: "front", Width: 24},
+			{Head: "services", Width: 8, Right: true},
+			{Head: "targets", Width: 8, Right: true},
+			{Head: "partitions", Width: 10, Right: true},
+			{Head: "snapshot", Width: 10, Right: true},
+			{Head: "limit ms", Width: 8, Right: true},
+			{Head: "rows", Width: 6, Right: true},
+			{Head: "extra %", Width: 7, Right: true},
+			{Head: "revision", Width: 8, Right: true},
+		},
+	}
+	for _, front := range c.GetFronts() {
+		section.Rows = append(section.Rows, Row{Cells: frontCells(front)})
+	}
+	return section
+}
+
+func frontCells(front *pb.Front) []string {
+	targets, partitions, version := 0, 0, uint64(0)
+	for _, service := range front.Services {
+		targets += len(service.Targets)
+	}
+	if n := len(front.Snapshots); n > 0 {
+		newest := front.Snapshots[n-1]
+		version = newest.Version
+		for _, service := range newest.Services {
+			partitions += len(service.Partitions)
+		}
+	}
+	return []string{
+		front.Name, strconv.Itoa(len(front.Services)), strconv.Itoa(targets), strconv.Itoa(partitions),
+		strconv.FormatUint(version, 10), count(front.Limits.GetDefaultTimeLimitMs()),
+		count(front.Limits.GetDefaultRowLimit()), count(front.Limits.GetExtraLoadPercent()),
+		strconv.FormatUint(front.Revision, 10),
+	}
+}
+
+func count(n uint32) string {
+	return strconv.FormatUint(uint64(n), 10)
+}
+
+// FailureDomains returns the section that lists failure domains.
+func FailureDomains(c *pb.Configuration) Section {
+	section := Section{
+		Key: "failure domains", Title: "FAILURE DOMAINS", Unit: "FAILURE DOMAINS",
+		Columns: []Column{{Head: "failure domain", Width: 24}, {Head: "region", Width: 24}, {Head: "state", Width: 12}},
+	}
+	for _, domain := range c.GetFailureDomains() {
+		section.Rows = append(section.Rows, Row{Cells: []string{domain.Name, domain.Region, servingName(domain.State)}})
+	}
+	return section
+}
+
+func servingName(state pb.ServingState) string {
+	return strings.ReplaceAll(strings.TrimPrefix(state.String(), "SERVING_STATE_"), "_", " ")
+}
+
+// ConfiguredTargets returns the section that lists the targets of a front, or
+// of all fronts when front is empty.
+func ConfiguredTargets(c *pb.Configuration, front string) Section {
+	section := Section{
+		Key: "targets", Title: "TARGETS", Unit: "TARGETS", Groups: []string{"front", "service"},
+		Columns: []Column{
+			{Head: "target", Width: 24}, {Head: "address", Width: 22}, {Head: "failure domain", Width: 16},
+			{Head: "slots", Width: 5, Right: true}, {Head: "conns", Width: 5, Right: true},
+			{Head: "setup us", Width: 8, Right: true}, {Head: "cold", Width: 5, Right: true},
+			{Head: "state", Width: 10},
+		},
+	}
+	for _, f := range c.GetFronts() {
+		if front != "" && f.Name != front {
+			continue
+		}
+		for _, service := range f.Services {
+			for _, target := range service.Targets {
+				section.Rows = append(section.Rows, Row{
+					Groups: []string{f.Name, service.Name},
+					Cells:  targetCells(target),
+				})
+			}
+		}
+	}
+	return section
+}
+
+func targetCells(target *pb.Target) []string {
+	return []string{
+		target.Id, target.Address, target.FailureDomain, count(target.Slots), count(target.Connections),
+		count(target.ConnectionSetupUs), count(target.ColdLimit), servingName(target.State),
+	}
+}
+
+// History returns the section that lists accepted revisions.
+func History(response *pb.ListHistoryResponse) Section {
+	section := Section{
+		Key: "history", Title: "REVISIONS", Unit: "REVISIONS",
+		Columns: []Column{
+			{Head: "revision", Width: 8, Right: true}, {Head: "accepted (utc)", Width: 19}, {Head: "author", Width: 16},
+			{Head: "comment", Width: 32}, {Head: "difference", Width: 49},
+		},
+	}
+	for _, entry := range response.Entries {
+		section.Rows = append(section.Rows, Row{Cells: []string{
+			strconv.FormatUint(entry.Revision, 10),
+			time.UnixMilli(entry.AcceptedUnixMs).UTC().Format(runDateLayout),
+			entry.Author, entry.Comment, strings.Join(entry.Difference, "; "),
+		}})
+	}
+	return section
+}
--- /dev/null
+++ b/internal/report/closing.go
@@ -0,0 +1,140 @@
+package report
+
+import (
+	"fmt"
+	"strings"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+const percent = 100
+
+// printClosing writes the block that ends every report.
+func (p *printer) printClosing() {
+	lines := closingLines(&p.report.Closing)
+	p.keep(min(len(lines)+3, pageLines/2))
+	p.line("")
+	p.line(strings.Repeat("=", lineWidth))
+	for _, line := range lines {
+		p.labelled(line)
+	}
+	p.line(threeParts("", "*** END OF REPORT ***", ""))
+}
+
+// closingLines returns the lines of the closing block; the first six labels are
+// in every report.
+func closingLines(c *Closing) []Line {
+	lines := []Line{
+		{"OUTCOME", outcomeText(c)},
+		{"COVERAGE", coverageText(c.Coverage)},
+		{"SNAPSHOT", snapshotText(c)},
+	}
+	lines = append(lines, missingLines(c.Coverage)...)
+	lines = append(lines, Line{"ELAPSED", elapsedText(c)})
+	lines = append(lines, listed("REFUSALS", c.Refusals)...)
+	return append(lines, c.Notes...)
+}
+
+// OutcomeName returns the words for an outcome.
+func OutcomeName(outcome pb.Outcome) string {
+	switch outcome {
+	case pb.Outcome_OUTCOME_SUCCESS:
+		return "SUCCESS"
+	case pb.Outcome_OUTCOME_PARTIAL:
+		return "PARTIAL"
+	case pb.Outcome_OUTCOME_NOT_RUN:
+		return "REFUSED: NOT RUN"
+	case pb.Outcome_OUTCOME_UNKNOWN:
+		return "OUTCOME UNKNOWN"
+	default:
+		return "NOT STATED"
+	}
+}
+
+// MissingName returns the words for the reason of a missing partition.
+func MissingName(reason pb.MissingReason) string {
+	const prefix = "MISSING_REASON_"
+	name := strings.TrimPrefix(reason.String(), prefix)
+	return strings.ReplaceAll(name, "_", " ")
+}
+
+func outcomeText(c *Closing) string {
+	if c.Reason == "" {
+		return OutcomeName(c.Outcome)
+	}
+	return OutcomeName(c.Outcome) + " - " + c.Reason
+}
+
+func coverageText(c *pb.Coverage) string {
+	switch {
+	case c == nil:
+		return "DOES NOT APPLY"
+	case !c.MapKnown:
+		return "UNKNOWN - THE PARTITION MAP IS NOT KNOWN"
+	case c.Total == 0:
+		return "0 OF 0 PARTITIONS"
+	default:
+		// Integer division rounds down, so that 100 % means every partition.
+		share := uint64(c.Covered) * percent / uint64(c.Total)
+		return fmt.Sprintf("%d OF %d PARTITIONS (%d %%)", c.Covered, c.Total, share)
+	}
+}
+
+func snapshotText(c *Closing) string {
+	switch {
+	case c.Snapshot > 0:
+		return fmt.Sprintf("%d", c.Snapshot)
+	case c.Coverage == nil:
+		return "DOES NOT APPLY"
+	default:
+		return "NONE"
+	}
+}
+
+func elapsedText(c *Closing) string {
+	elapsed := fmt.Sprintf("%d MS", c.Elapsed.Milliseconds())
+	if c.TimeLimit == 0 {
+		return elapsed
+	}
+	return fmt.Sprintf("%s OF %d MS", elapsed, c.TimeLimit.Milliseconds())
+}
+
+// missingLines lists the missing partitions, one line for each service and
+// reason.
+func missingLines(c *pb.Coverage) []Line {
+	const label = "MISSING"
+	if c != nil && !c.MapKnown {
+		return []Line{{label, "UNKNOWN"}}
+	}
+	type group struct {
+		service string
+		reason  pb.MissingReason
+	}
+	var order []group
+	partitions := map[group][]string{}
+	for _, missing := range c.GetMissing() {
+		g := group{missing.Service, missing.Reason}
+		if partitions[g] == nil {
+			order = append(order, g)
+		}
+		partitions[g] = append(partitions[g], missing.Partition)
+	}
+	texts := make([]string, len(order))
+	for i, g := range order {
+		texts[i] = fmt.Sprintf("%s: SERVICE %s PARTITIONS %s",
+			MissingName(g.reason), g.service, strings.Join(partitions[g], " "))
+	}
+	return listed(label, texts)
+}
+
+func listed(label string, texts []string) []Line {
+	if len(texts) == 0 {
+		return []Line{{label, "NONE"}}
+	}
+	lines := make([]Line, len(texts))
+	for i, text := range texts {
+		lines[i] = Line{label, text}
+		label = ""
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/report/status.go
@@ -0,0 +1,158 @@
+package report
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+// VMs returns the section that lists the members that a VM knows.
+func VMs(status *pb.GetStatusResponse) Section {
+	owned := map[string]int{}
+	for _, target := range status.Targets {
+		owned[target.Owner]++
+	}
+	members := slices.Clone(status.Members)
+	slices.SortFunc(members, func(a, b *pb.Member) int {
+		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Vm, b.Vm))
+	})
+	section := Section{
+		Key: "vms", Title: "VMS", Unit: "VMS", Groups: []string{"failure domain"},
+		Columns: []Column{
+			{Head: "vm", Width: 24}, {Head: "state", Width: 10}, {Head: "peer address", Width: 24},
+			{Head: "targets owned", Width: 13, Right: true},
+		},
+	}
+	for _, member := range members {
+		section.Rows = append(section.Rows, Row{
+			Groups: []string{member.FailureDomain},
+			Cells: []string{
+				member.Vm, strings.TrimPrefix(member.State.String(), "MEMBER_STATE_"),
+				member.PeerAddress, strconv.Itoa(owned[member.Vm]),
+			},
+		})
+	}
+	return section
+}
+
+// OwnedTargets returns the section that lists the owners' reports on targets.
+func OwnedTargets(status *pb.GetStatusResponse) Section {
+	targets := slices.Clone(status.Targets)
+	slices.SortStableFunc(targets, func(a, b *pb.TargetStatusReport) int {
+		return cmp.Or(cmp.Compare(a.Front, b.Front), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target))
+	})
+	section := Section{
+		Key: "targets", Title: "TARGETS AND THEIR OWNERS", Unit: "TARGETS", Groups: []string{"front", "service"},
+		Columns: []Column{
+			{Head: "target", Width: 24}, {Head: "owner", Width: 18}, {Head: "phase", Width: 8},
+			{Head: "limit", Width: 6, Right: true}, {Head: "running", Width: 7, Right: true},
+			{Head: "queued", Width: 7, Right: true}, {Head: "conns", Width: 6, Right: true},
+			{Head: "dispatched", Width: 12, Right: true}, {Head: "refused", Width: 10, Right: true},
+		},
+	}
+	for _, target := range targets {
+		section.Rows = append(section.Rows, Row{
+			Groups: []string{target.Front, target.Service},
+			Cells:  ownedCells(target),
+		})
+	}
+	return section
+}
+
+func ownedCells(target *pb.TargetStatusReport) []string {
+	return []string{
+		target.Target, target.Owner, PhaseName(target.Phase), count(target.Limit), count(target.Running),
+		count(target.Queued), count(target.OpenConnections),
+		strconv.FormatUint(target.Dispatched, 10), strconv.FormatUint(target.Refused, 10),
+	}
+}
+
+// PhaseName returns the word for an owner's belief about its target.
+func PhaseName(phase pb.TargetPhase) string {
+	return strings.TrimPrefix(phase.String(), "TARGET_PHASE_")
+}
+
+// StatusNotes states how the VM that answered is.
+func StatusNotes(status *pb.GetStatusResponse) []Line {
+	ready := "YES"
+	if !status.Ready {
+		ready = "NO - " + status.NotReadyReason
+	}
+	return []Line{
+		{"ANSWERED BY", fmt.Sprintf("%s IN FAILURE DOMAIN %s", status.Vm, status.FailureDomain)},
+		{"READY", ready},
+		{"CONFIGURATION", fmt.Sprintf("REVISION %d CONFIRMED %d MS AGO", status.ConfigurationRevision, status.ConfigurationAgeMs)},
+		{"HEDGE BUDGET", fmt.Sprintf("%d SUBREQUESTS LEFT", status.HedgeBudgetLeft)},
+		{"CHANGE RECORDS", strconv.FormatUint(status.ChangeRecords, 10)},
+		{"QUARANTINED", quarantinedText(status.Quarantined)},
+	}
+}
+
+func quarantinedText(digests []string) string {
+	if len(digests) == 0 {
+		return "NONE"
+	}
+	return strings.Join(digests, " ")
+}
+
+// phases in the order in which the status screen lists them.
+var phases = []pb.TargetPhase{
+	pb.TargetPhase_TARGET_PHASE_WARM, pb.TargetPhase_TARGET_PHASE_RAMP, pb.TargetPhase_TARGET_PHASE_COLD,
+	pb.TargetPhase_TARGET_PHASE_GUARD, pb.TargetPhase_TARGET_PHASE_LEAVING, pb.TargetPhase_TARGET_PHASE_DOWN,
+}
+
+// ServiceSummary returns the section that counts the targets of each service by
+// phase; it keeps the status of a deployment on one screen.
+func ServiceSummary(status *pb.GetStatusResponse) Section {
+	section := Section{
+		Key: "services", Title: "SERVICES: TARGETS BY PHASE", Unit: "SERVICES", Groups: []string{"front"},
+		Columns: []Column{{Head: "service", Width: 24}, {Head: "targets", Width: 8, Right: true}},
+	}
+	for _, phase := range phases {
+		section.Columns = append(section.Columns, Column{Head: PhaseName(phase), Width: 7, Right: true})
+	}
+	section.Columns = append(section.Columns,
+		Column{Head: "limit", Width: 6, Right: true}, Column{Head: "running", Width: 7, Right: true},
+		Column{Head: "queued", Width: 7, Right: true}, Column{Head: "refused", Width: 10, Right: true})
+	targets := slices.Clone(status.Targets)
+	slices.SortStableFunc(targets, func(a, b *pb.TargetStatusReport) int {
+		return cmp.Or(cmp.Compare(a.Front, b.Front), cmp.Compare(a.Service, b.Service))
+	})
+	for len(targets) > 0 {
+		first := targets[0]
+		n := slices.IndexFunc(targets, func(t *pb.TargetStatusReport) bool {
+			return t.Front != first.Front || t.Service != first.Service
+		})
+		if n < 0 {
+			n = len(targets)
+		}
+		section.Rows = append(section.Rows, Row{
+			Groups: []string{first.Front},
+			Cells:  append([]string{first.Service}, summaryCells(targets[:n])...),
+		})
+		targets = targets[n:]
+	}
+	return section
+}
+
+func summaryCells(targets []*pb.TargetStatusReport) []string {
+	byPhase := map[pb.TargetPhase]int{}
+	var limit, running, queued uint32
+	var refused uint64
+	for _, target := range targets {
+		byPhase[target.Phase]++
+		limit += target.Limit
+		running += target.Running
+		queued += target.Queued
+		refused += target.Refused
+	}
+	cells := []string{strconv.Itoa(len(targets))}
+	for _, phase := range phases {
+		cells = append(cells, strconv.Itoa(byPhase[phase]))
+	}
+	return append(cells, count(limit), count(running), count(queued), strconv.FormatUint(refused, 10))
+}
--- /dev/null
+++ b/internal/report/width.go
@@ -0,0 +1,73 @@
+package report
+
+import (
+	"strings"
+	"unicode"
+
+	"golang.org/x/text/width"
+)
+
+// replacement stands for characters that would change the layout.
+const replacement = '\uFFFD'
+
+// cellWidth returns the character cells that a character occupies.
+func cellWidth(r rune) int {
+	if unicode.In(r, unicode.Mn, unicode.Me, unicode.Cf) {
+		return 0
+	}
+	switch width.LookupRune(r).Kind() {
+	case width.EastAsianWide, width.EastAsianFullwidth:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// textWidth returns the character cells that a text occupies.
+func textWidth(text string) int {
+	total := 0
+	for _, r := range text {
+		total += cellWidth(r)
+	}
+	return total
+}
+
+// printable replaces control characters, and those that change the direction
+// of writing, so that no value can disturb the layout or the terminal.
+func printable(text string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) || unicode.Is(unicode.Bidi_Control, r) ||
+			r == '\u2028' || r == '\u2029' {
+			return replacement
+		}
+		return r
+	}, strings.ToValidUTF8(text, string(replacement)))
+}
+
+// wrap cuts a text into lines of at most the given width, at least 2. A
+// combining character stays with the character before it.
+func wrap(text string, limit int) []string {
+	var lines []string
+	var line strings.Builder
+	used := 0
+	for _, r := range text {
+		cells := cellWidth(r)
+		if used+cells > limit {
+			lines = append(lines, line.String())
+			line.Reset()
+			used = 0
+		}
+		line.WriteRune(r)
+		used += cells
+	}
+	return append(lines, line.String())
+}
+
+// pad fills a text with spaces to the given width.
+func pad(text string, limit int, right bool) string {
+	space := strings.Repeat(" ", max(limit-textWidth(text), 0))
+	if right {
+		return space + text
+	}
+	return text + space
+}
