--- a/internal/control/distribute.go
+++ b/internal/control/distribute.go
@@ -134,9 +134,13 @@
 	next, newer, err := configuration.ApplyDelta(m.configuration, received.Delta)
 	if err != nil {
 		m.stats.deltasRefused++
-		m.noteRevision(received.From, received.Delta.Revision)
+		m.fetchWhole = received.Fetched
+		if !received.Fetched {
+			m.noteRevision(received.From, received.Delta.Revision)
+		}
 		return
 	}
+	m.fetchWhole = false
 	if newer {
 		m.adopt(next, received.From, received.HopsLeft)
 	}
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -149,8 +149,12 @@
 		return
 	}
 	m.fetching = vm
+	since := m.revision()
+	if m.fetchWhole {
+		since = 0
+	}
 	m.decide(&pb.ControlDecision{Kind: &pb.ControlDecision_Fetch{Fetch: &pb.FetchFrom{
-		Vm: vm, Address: address, SinceRevision: m.revision(),
+		Vm: vm, Address: address, SinceRevision: since,
 	}}})
 }
 
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -95,6 +95,8 @@
 	watch    call
 	list     call
 	fetching string
+	// fetchWhole is true after a fetched delta did not fit.
+	fetchWhole bool
 	// listNamesSelf is true when the newest list names this VM.
 	listNamesSelf bool
 	storeError    string
--- /dev/null
+++ b/internal/control/machine_test.go
@@ -0,0 +1,188 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/view"
+)
+
+func (s *simulation) view(name string) *view.View {
+	m := s.vms[name].machine
+	return view.Build(m.input(m.published.confirmedAt, false), nil)
+}
+
+// owners returns the VMs that claim a target and may dispatch to it.
+func (s *simulation) owners(target string) []string {
+	var owners []string
+	for _, name := range s.names {
+		vm := s.vms[name]
+		if !vm.up || vm.frozen || vm.machine.published.paused {
+			continue
+		}
+		if s.view(name).Owns(target) {
+			owners = append(owners, name)
+		}
+	}
+	return owners
+}
+
+func (s *simulation) requireAll(t *testing.T, revision uint64) {
+	t.Helper()
+	for _, name := range s.names {
+		if s.vms[name].up {
+			require.Equal(t, revision, s.vms[name].machine.revision(), name)
+		}
+	}
+}
+
+func TestADeploymentStartsAndOwnsEachTargetOnce(t *testing.T) {
+	s := deployment(3, 3)
+	s.write(testConfiguration(3, "first"))
+	s.run(3 * time.Second)
+	s.requireAll(t, 1)
+	for _, name := range s.names {
+		ready, reason := s.vms[name].machine.ready()
+		require.True(t, ready, "%s: %s", name, reason)
+		require.Less(t, s.vms[name].machine.age(), 2*time.Second)
+	}
+	for _, target := range []string{"t-0-0", "t-0-1", "t-1-2", "t-2-0"} {
+		require.Len(t, s.owners(target), 1, target)
+	}
+}
+
+func TestAnAcceptedRevisionIsInForceEverywhere(t *testing.T) {
+	s := deployment(3, 3)
+	s.write(testConfiguration(3, "first"))
+	s.run(3 * time.Second)
+	written := s.now
+	s.write(testConfiguration(3, "second"))
+	s.run(4 * time.Second)
+	s.requireAll(t, 2)
+	for _, name := range s.names {
+		require.Less(t, s.vms[name].adoptedAt[2]-written, time.Second, name)
+	}
+}
+
+func TestAVMStartedWhileTheStoreIsDownLearnsFromPeers(t *testing.T) {
+	s := deployment(3, 3)
+	s.write(testConfiguration(3, "first"))
+	s.run(3 * time.Second)
+	s.storeDown = true
+	s.kill("vm-0-000")
+	s.run(4 * time.Second)
+	vm := s.startVM("vm-0-000", "domain-0", 100)
+	vm.machine.config.seeds = []string{"10.0.0.1:vm-1-000"}
+	s.run(4 * time.Second)
+	ready, reason := vm.machine.ready()
+	require.True(t, ready, reason)
+	require.Equal(t, uint64(1), vm.machine.revision())
+	require.Less(t, vm.machine.age(), 2*time.Second, "peers of all domains confirm while the store is down")
+}
+
+func TestAVMWithNobodyToAskIsNotReadyAndSaysWhy(t *testing.T) {
+	s := newSimulation()
+	s.storeDown = true
+	vm := s.startVM("vm-0-000", "domain-0", 1)
+	s.run(10 * time.Second)
+	ready, reason := vm.machine.ready()
+	require.False(t, ready)
+	require.Contains(t, reason, "no peer gave one and the platform's store failed")
+}
+
+func TestAFrozenVMIsPausedUntilAPeerConfirms(t *testing.T) {
+	s := deployment(3, 3)
+	s.write(testConfiguration(3, "first"))
+	s.run(3 * time.Second)
+	vm := s.vms["vm-0-001"]
+	s.freeze("vm-0-001")
+	s.run(10 * time.Second)
+	taken := testConfiguration(3, "second")
+	taken.FailureDomains[0].State = pb.ServingState_SERVING_STATE_TAKEN_OUT
+	s.write(taken)
+	s.run(time.Second)
+	paused := []bool{}
+	vm.onStep = func(*pb.ControlEvent, []*pb.ControlDecision) {
+		paused = append(paused, vm.machine.published.paused)
+		if !vm.machine.published.paused {
+			require.Equal(t, uint64(2), vm.machine.revision(), "it resumes only with the revision in force")
+		}
+		if vm.machine.ownsNothing() || vm.machine.published.paused {
+			return
+		}
+		require.Equal(t, 3, len(s.vms["vm-0-000"].machine.table.OwnDomain()), "owns again only after the others know it")
+	}
+	s.wake("vm-0-001")
+	require.True(t, paused[0], "the first event after the gap is not judged by old beliefs")
+	s.run(5 * time.Second)
+	require.False(t, vm.machine.published.paused)
+	require.False(t, vm.machine.ownsNothing())
+	require.Len(t, s.owners("t-0-0"), 1)
+}
+
+func TestADeadVMsTargetsMoveAfterItsFreezeMustHaveBeenNoticed(t *testing.T) {
+	s := deployment(3, 3)
+	s.write(testConfiguration(3, "first"))
+	s.run(3 * time.Second)
+	owner := s.owners("t-0-0")[0]
+	frozenAt := s.now
+	s.freeze(owner)
+	for len(s.owners("t-0-0")) == 0 {
+		s.run(10 * time.Millisecond)
+		require.Less(t, s.now-frozenAt, 5*time.Second)
+	}
+	config := s.vms[owner].machine.config
+	require.Greater(t, s.now-frozenAt+config.guard, config.clockGap+config.heartbeat)
+	require.Greater(t, s.now-frozenAt, config.clockGap)
+}
+
+func TestALeavingVMGivesUpItsTargetsAtOnce(t *testing.T) {
+	s := deployment(3, 3)
+	s.write(testConfiguration(3, "first"))
+	s.run(3 * time.Second)
+	owner := s.owners("t-0-0")[0]
+	vm := s.vms[owner]
+	s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_Leave{Leave: &pb.LeaveRequested{}}}, nil)
+	require.False(t, vm.machine.leftTold)
+	s.run(5 * time.Millisecond)
+	require.True(t, vm.machine.leftTold)
+	s.run(400 * time.Millisecond)
+	owners := s.owners("t-0-0")
+	require.Len(t, owners, 1)
+	require.NotEqual(t, owner, owners[0])
+	s.run(10 * time.Second)
+	require.Equal(t, pb.MemberState_MEMBER_STATE_LEAVING, vm.machine.table.Self().State)
+}
+
+// cutOff separates one failure domain from the others and from the platform.
+func cutOff(domain string) func(a, b string) bool {
+	return func(a, b string) bool { return a != b && (a == domain || b == domain) }
+}
+
+func TestACutFailureDomainServesOnAndComesBack(t *testing.T) {
+	s := deployment(3, 3)
+	s.write(testConfiguration(3, "first"))
+	s.run(3 * time.Second)
+	before := s.owners("t-1-0")
+	s.cut = cutOff("domain-1")
+	s.write(testConfiguration(3, "second"))
+	s.run(20 * time.Second)
+	require.Equal(t, before, s.owners("t-1-0"), "ownership inside the failure domain does not change")
+	ready, reason := s.vms["vm-1-000"].machine.ready()
+	require.True(t, ready, reason)
+	require.Greater(t, s.vms["vm-1-000"].machine.age(), 15*time.Second, "it knows how old its configuration is")
+	require.Less(t, s.vms["vm-0-000"].machine.age(), 2*time.Second)
+	seen, _ := s.view("vm-0-000").VM("vm-1-000")
+	require.Equal(t, pb.MemberState_MEMBER_STATE_SUSPECT, seen.State)
+	s.cut = func(_, _ string) bool { return false }
+	s.run(2 * time.Second)
+	s.requireAll(t, 2)
+	for _, name := range []string{"vm-0-000", "vm-2-001"} {
+		seen, _ = s.view(name).VM("vm-1-000")
+		require.Equal(t, pb.MemberState_MEMBER_STATE_ALIVE, seen.State, name)
+	}
+	require.Equal(t, before, s.owners("t-1-0"))
+}
--- /dev/null
+++ b/internal/control/simulation_test.go
@@ -0,0 +1,389 @@
+package control
+
+import (
+	"container/heap"
+	"fmt"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawayreel/carawayreel/internal/configuration"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+// simulation wires machines to one another, to a store and to a VM list in
+// virtual time. Everything is determined by its construction.
+type simulation struct {
+	now       time.Duration
+	queue     eventQueue
+	sequence  int
+	vms       map[string]*simulatedVM
+	names     []string
+	byAddress map[string]*simulatedVM
+	// cut reports whether two failure domains cannot reach one another; the
+	// platform is the failure domain "platform".
+	cut       func(a, b string) bool
+	storeDown bool
+	store     *pb.Configuration
+	version   uint64
+	calls     int
+	list      []*pb.ListedVm
+	waiters   map[int]func()
+	latency   time.Duration
+}
+
+type simulatedVM struct {
+	name, domain string
+	header       *pb.ControlTraceHeader
+	machine      *machine
+	up, frozen   bool
+	bornAt       time.Duration
+	backlog      []*pb.ControlEvent
+	backlogDone  []func([]*pb.ControlDecision)
+	bytes        int
+	messages     int
+	adoptedAt    map[uint64]time.Duration
+	reverted     bool
+	onStep       func(*pb.ControlEvent, []*pb.ControlDecision)
+}
+
+type queued struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+type eventQueue []queued
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].sequence < q[j].sequence
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(queued)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+const simulatedTimeout = 500 * time.Millisecond
+
+var simulationStart = time.UnixMicro(1_800_000_000_000_000)
+
+func newSimulation() *simulation {
+	return &simulation{
+		vms:       map[string]*simulatedVM{},
+		byAddress: map[string]*simulatedVM{},
+		cut:       func(_, _ string) bool { return false },
+		waiters:   map[int]func(){},
+		latency:   500 * time.Microsecond,
+	}
+}
+
+func simulatedHeader(name, domain string, start time.Duration, seed uint64) *pb.ControlTraceHeader {
+	return &pb.ControlTraceHeader{
+		Self: &pb.Member{
+			Vm: name, FailureDomain: domain, PeerAddress: "10.0.0.1:" + name,
+			Incarnation: uint64(simulationStart.Add(start).UnixNano()),
+			State:       pb.MemberState_MEMBER_STATE_ALIVE,
+		},
+		Platform: &pb.PlatformSettings{CallTimeoutMs: 1000, ListIntervalMs: 5000, WatchWaitMs: 30000, WatchersPerFailureDomain: 2},
+		Peers:    &pb.PeerSettings{HeartbeatIntervalMs: 300, SuspectAfterMs: 1000, DeadAfterMs: 1000, MonitoredVms: 3},
+		Limits:   &pb.LimitSettings{ClockGapMs: 500, GuardMs: 1000},
+		Seed:     seed, StartUnixUs: simulationStart.Add(start).UnixMicro(),
+	}
+}
+
+// deployment starts perDomain VMs in each of the domains.
+func deployment(domains, perDomain int) *simulation {
+	s := newSimulation()
+	for d := range domains {
+		for i := range perDomain {
+			s.listVM(fmt.Sprintf("vm-%d-%03d", d, i), fmt.Sprintf("domain-%d", d))
+		}
+	}
+	for i, vm := range s.list {
+		s.startVM(vm.Vm, vm.FailureDomain, uint64(i+1))
+	}
+	return s
+}
+
+func (s *simulation) listVM(name, domain string) {
+	s.list = append(s.list, &pb.ListedVm{Vm: name, FailureDomain: domain, PeerAddress: "10.0.0.1:" + name, State: pb.VmState_VM_STATE_LIVE})
+}
+
+func (s *simulation) startVM(name, domain string, seed uint64) *simulatedVM {
+	// Ticks of different VMs fall on different times.
+	header := simulatedHeader(name, domain, s.now, seed)
+	vm := &simulatedVM{name: name, domain: domain, header: header, machine: newMachine(header), up: true, bornAt: s.now, adoptedAt: map[uint64]time.Duration{}}
+	if s.vms[name] == nil {
+		s.names = append(s.names, name)
+	}
+	s.vms[name] = vm
+	s.byAddress[header.Self.PeerAddress] = vm
+	s.after(time.Duration(seed%97)*time.Millisecond, func() { s.tick(vm) })
+	return vm
+}
+
+func (s *simulation) tick(vm *simulatedVM) {
+	if !vm.up {
+		return
+	}
+	if !vm.frozen {
+		s.give(vm, tickEvent(), nil)
+	}
+	s.after(100*time.Millisecond, func() { s.tick(vm) })
+}
+
+func (s *simulation) after(d time.Duration, run func()) {
+	s.sequence++
+	heap.Push(&s.queue, queued{at: s.now + d, sequence: s.sequence, run: run})
+}
+
+func (s *simulation) run(d time.Duration) {
+	end := s.now + d
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		next := heap.Pop(&s.queue).(queued)
+		s.now = next.at
+		next.run()
+	}
+	s.now = end
+}
+
+// give lets a VM take an event; a frozen VM takes it when it wakes.
+func (s *simulation) give(vm *simulatedVM, event *pb.ControlEvent, done func([]*pb.ControlDecision)) {
+	if !vm.up {
+		return
+	}
+	if vm.frozen {
+		vm.backlog = append(vm.backlog, event)
+		vm.backlogDone = append(vm.backlogDone, done)
+		return
+	}
+	event.OffsetUs = (s.now - vm.bornAt).Microseconds()
+	before := vm.machine.revision()
+	decisions := vm.machine.step(event)
+	if vm.machine.revision() < before {
+		vm.reverted = true
+	}
+	if _, ok := vm.adoptedAt[vm.machine.revision()]; !ok {
+		vm.adoptedAt[vm.machine.revision()] = s.now
+	}
+	if vm.onStep != nil {
+		vm.onStep(event, decisions)
+	}
+	for _, decision := range decisions {
+		s.carryOut(vm, decision)
+	}
+	if done != nil {
+		done(decisions)
+	}
+}
+
+func (s *simulation) freeze(name string) { s.vms[name].frozen = true }
+
+func (s *simulation) wake(name string) {
+	vm := s.vms[name]
+	vm.frozen = false
+	events, done := vm.backlog, vm.backlogDone
+	vm.backlog, vm.backlogDone = nil, nil
+	for i := range events {
+		s.give(vm, events[i], done[i])
+	}
+}
+
+func (s *simulation) kill(name string) { s.vms[name].up = false }
+
+func (s *simulation) reach(vm *simulatedVM, address string) *simulatedVM {
+	other := s.byAddress[address]
+	if other == nil || !other.up || s.cut(vm.domain, other.domain) || s.cut(other.domain, vm.domain) {
+		return nil
+	}
+	return other
+}
+
+func (s *simulation) offset(vm *simulatedVM) int64 { return (s.now - vm.bornAt).Microseconds() }
+
+func (s *simulation) carryOut(vm *simulatedVM, decision *pb.ControlDecision) {
+	switch kind := decision.Kind.(type) {
+	case *pb.ControlDecision_SendHeartbeat:
+		s.heartbeat(vm, kind.SendHeartbeat)
+	case *pb.ControlDecision_ReadList:
+		s.readList(vm)
+	case *pb.ControlDecision_WatchStore:
+		s.watch(vm, kind.WatchStore)
+	case *pb.ControlDecision_Fetch:
+		s.fetch(vm, kind.Fetch)
+	case *pb.ControlDecision_Offer:
+		s.offer(vm, kind.Offer)
+	}
+}
+
+func (s *simulation) exchange(a, b *simulatedVM, m proto.Message) {
+	size := proto.Size(m)
+	a.bytes += size
+	b.bytes += size
+	a.messages++
+	b.messages++
+}
+
+func (s *simulation) heartbeat(vm *simulatedVM, send *pb.SendHeartbeat) {
+	sent := s.offset(vm)
+	answered := false
+	other := s.reach(vm, send.Address)
+	s.after(simulatedTimeout, func() {
+		if !answered {
+			answered = true
+			s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatFailed{HeartbeatFailed: &pb.HeartbeatFailed{Vm: send.Vm, SentOffsetUs: sent}}}, nil)
+		}
+	})
+	if other == nil {
+		return
+	}
+	s.exchange(vm, other, send.Request)
+	s.after(s.latency, func() {
+		s.give(other, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatReceived{HeartbeatReceived: proto.Clone(send.Request).(*pb.HeartbeatRequest)}}, func(decisions []*pb.ControlDecision) {
+			response := responseIn(decisions)
+			if answered || s.reach(other, vm.header.Self.PeerAddress) != vm {
+				return
+			}
+			s.exchange(other, vm, response)
+			s.after(s.latency, func() {
+				if answered {
+					return
+				}
+				answered = true
+				s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatAnswered{HeartbeatAnswered: &pb.HeartbeatAnswered{
+					Vm: send.Vm, Response: proto.Clone(response).(*pb.HeartbeatResponse), SentOffsetUs: sent,
+				}}}, nil)
+			})
+		})
+	})
+}
+
+func responseIn(decisions []*pb.ControlDecision) *pb.HeartbeatResponse {
+	for _, decision := range decisions {
+		if response := decision.GetRespond(); response != nil {
+			return response
+		}
+	}
+	return &pb.HeartbeatResponse{}
+}
+
+func (s *simulation) readList(vm *simulatedVM) {
+	s.calls++
+	read := &pb.VmListRead{Failed: s.platformDown(vm)}
+	if !read.Failed {
+		read.Vms = append(read.Vms, s.list...)
+	}
+	s.after(s.latency*2, func() {
+		s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_ListRead{ListRead: read}}, nil)
+	})
+}
+
+func (s *simulation) platformDown(vm *simulatedVM) bool {
+	return s.storeDown || s.cut(vm.domain, "platform")
+}
+
+func (s *simulation) watch(vm *simulatedVM, watch *pb.WatchStore) {
+	s.calls++
+	sent := s.offset(vm)
+	ended := false
+	id := s.sequence
+	end := func() {
+		if ended {
+			return
+		}
+		ended = true
+		delete(s.waiters, id)
+		read := &pb.StoreRead{SentOffsetUs: sent, Version: watch.AfterVersion}
+		switch {
+		case s.platformDown(vm):
+			read.Failed, read.Error = true, "down"
+		case s.version > watch.AfterVersion:
+			read.Version, read.Configuration = s.version, s.store
+		}
+		s.after(s.latency, func() { s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_StoreRead{StoreRead: read}}, nil) })
+	}
+	if s.platformDown(vm) || s.version > watch.AfterVersion {
+		s.after(s.latency, end)
+		return
+	}
+	s.waiters[id] = end
+	s.after(time.Duration(watch.WaitMs)*time.Millisecond, end)
+}
+
+// write puts the next revision into the store and wakes the watches.
+func (s *simulation) write(c *pb.Configuration) *pb.Configuration {
+	s.store = stamped(s.store, c)
+	s.version++
+	for id := 0; id <= s.sequence && len(s.waiters) > 0; id++ {
+		if end, ok := s.waiters[id]; ok {
+			end()
+		}
+	}
+	return s.store
+}
+
+func stamped(previous, c *pb.Configuration) *pb.Configuration {
+	next := configuration.Stamp(previous, c, previous.GetRevision()+1)
+	next.WriteId = strconv.FormatUint(next.Revision, 10)
+	return next
+}
+
+func (s *simulation) fetch(vm *simulatedVM, from *pb.FetchFrom) {
+	other := s.reach(vm, from.Address)
+	s.after(s.latency*2, func() {
+		if other == nil || other.frozen || !other.up {
+			s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_FetchFailed{FetchFailed: &pb.FetchFailed{Vm: from.Vm}}}, nil)
+			return
+		}
+		delta := configuration.MakeDelta(other.machine.configuration, from.SinceRevision)
+		s.exchange(vm, other, delta)
+		s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_DeltaReceived{DeltaReceived: &pb.DeltaReceived{
+			From: from.Vm, Delta: delta, Fetched: true, HopsLeft: maxHops,
+		}}}, nil)
+	})
+}
+
+func (s *simulation) offer(vm *simulatedVM, to *pb.OfferTo) {
+	other := s.reach(vm, to.Address)
+	if other == nil {
+		return
+	}
+	delta := configuration.MakeDelta(vm.machine.configuration, to.BaseRevision)
+	s.exchange(vm, other, delta)
+	s.after(s.latency, func() {
+		s.give(other, &pb.ControlEvent{Kind: &pb.ControlEvent_DeltaReceived{DeltaReceived: &pb.DeltaReceived{
+			From: vm.name, Delta: delta, HopsLeft: to.HopsLeft,
+		}}}, nil)
+	})
+}
+
+// testConfiguration has a target in each of some failure domains.
+func testConfiguration(domains int, comment string) *pb.Configuration {
+	c := &pb.Configuration{Comment: comment, Author: "test"}
+	service := &pb.Service{Name: "births"}
+	for d := range domains {
+		name := fmt.Sprintf("domain-%d", d)
+		c.FailureDomains = append(c.FailureDomains, &pb.FailureDomain{Name: name, State: pb.ServingState_SERVING_STATE_IN_SERVICE})
+		for i := range 3 {
+			id := fmt.Sprintf("t-%d-%d", d, i)
+			service.Targets = append(service.Targets, &pb.Target{
+				Id: id, Address: "127.0.0.1:" + id, FailureDomain: name, Slots: 2, Connections: 25, ColdLimit: 1,
+				State: pb.ServingState_SERVING_STATE_IN_SERVICE,
+			})
+		}
+	}
+	c.Fronts = []*pb.Front{{
+		Name: "front", Services: []*pb.Service{service},
+		Limits: &pb.FrontLimits{DefaultTimeLimitMs: 100, DefaultRowLimit: 50, ExtraLoadPercent: 5},
+	}}
+	return c
+}
