--- a/internal/change/change.go
+++ b/internal/change/change.go
@@ -14,7 +14,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carawayreel/carawayreel/internal/decision"
@@ -48,7 +47,6 @@
 	Claims     Claims
 	Limits     *pb.LimitSettings
 	Decisions  decision.Recorder
-	Logger     zerolog.Logger
 }
 
 // Changes runs changes and keeps their outcomes. It is safe for concurrent use.
--- /dev/null
+++ b/internal/daemon/adapters.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/carawayreel/carawayreel/internal/coordinator/search"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/peer"
+	"github.com/carawayreel/carawayreel/internal/platform"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
+	"github.com/carawayreel/carawayreel/internal/view"
+)
+
+// searchQuarantine tells the coordinator what the list holds against a content.
+type searchQuarantine struct {
+	list *quarantine.List
+}
+
+// Check returns the verdict on a content.
+func (q searchQuarantine) Check(digest uint64) search.Verdict {
+	verdict := q.list.Check(digest, time.Now())
+	switch {
+	case verdict.Quarantined:
+		return search.Quarantined
+	case len(verdict.Crashed) > 0:
+		return search.Suspect
+	default:
+		return search.Clear
+	}
+}
+
+// claimStore keeps callers' claims in the platform's store.
+type claimStore struct {
+	store platform.Store
+}
+
+// Read returns the value under the key.
+func (c claimStore) Read(ctx context.Context, key string) (value []byte, found bool, err error) {
+	entry, err := c.store.Get(ctx, key)
+	if err != nil {
+		return nil, false, err
+	}
+	return entry.Value, entry.Version > 0, nil
+}
+
+// Create writes the value when the key does not exist.
+func (c claimStore) Create(ctx context.Context, key string, value []byte) ([]byte, error) {
+	result, err := c.store.Put(ctx, key, value, 0)
+	if err != nil {
+		return nil, err
+	}
+	if result.Written {
+		return value, nil
+	}
+	return result.Present, nil
+}
+
+// announcer spreads suspicions to the owners of a service's targets.
+type announcer struct {
+	views view.Source
+	peers *peer.Client
+}
+
+// Announce returns when every owner that can be reached has taken the entries,
+// or when ctx ends.
+func (a announcer) Announce(ctx context.Context, service string, entries []*pb.QuarantineEntry) {
+	var sends sync.WaitGroup
+	for _, vm := range a.owners(service) {
+		sends.Go(func() { _ = a.peers.Announce(ctx, vm, entries) })
+	}
+	sends.Wait()
+}
+
+// owners returns the other VMs that own targets of the service.
+func (a announcer) owners(service string) []view.VM {
+	current := a.views.Current()
+	found := map[string]view.VM{}
+	for _, front := range current.Configuration.GetFronts() {
+		for _, candidate := range front.Services {
+			if candidate.Name != service {
+				continue
+			}
+			for _, target := range candidate.Targets {
+				if owner, ok := current.Owner(target.Id); ok && owner.ID != current.Self.ID {
+					found[owner.ID] = owner
+				}
+			}
+		}
+	}
+	owners := make([]view.VM, 0, len(found))
+	for _, vm := range found {
+		owners = append(owners, vm)
+	}
+	return owners
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +22,7 @@
 	"github.com/carawayreel/carawayreel/internal/platform"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/server"
+	"github.com/carawayreel/carawayreel/internal/statement"
 	"github.com/carawayreel/carawayreel/internal/transport"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
@@ -32,7 +31,8 @@
 type Daemon struct {
 	settings *pb.Settings
 	logger   zerolog.Logger
-	trace    io.WriteCloser
+	traces   traces
+	poison   *quarantine.List
 
 	control     *control.Control
 	owner       *owner.Owner
@@ -45,16 +45,18 @@
 
 // New builds the roles and binds the addresses of the settings.
 func New(settings *pb.Settings, logger zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: settings, logger: logger}
+	d := &Daemon{settings: settings, logger: logger, traces: newTraces()}
 	key, err := loadKey(settings.Peers.SharedKeyFile)
 	if err != nil {
 		return nil, err
 	}
-	if err := d.openTrace(); err != nil {
+	if err := d.openTraces(); err != nil {
 		return nil, err
 	}
 	decisions := decision.NewLog(logger, settings.Log.DecisionSample)
-	d.buildRoles(key, decisions)
+	if err := d.buildRoles(key, decisions); err != nil {
+		return nil, err
+	}
 	return d, d.listen(key, decisions)
 }
 
@@ -65,57 +67,57 @@
 	return auth.LoadKey(path)
 }
 
-func (d *Daemon) openTrace() error {
+// openTraces opens one trace file for each role that records one.
+func (d *Daemon) openTraces() error {
 	if d.settings.Log.TraceFile == "" {
 		return nil
 	}
-	file, err := os.OpenFile(d.settings.Log.TraceFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return errors.Wrap(err, "trace file")
+	for _, role := range []*traceFile{&d.traces.control, &d.traces.owner, &d.traces.coordinator} {
+		if err := role.open(d.settings.Log.TraceFile); err != nil {
+			return err
+		}
 	}
-	d.trace = newLineWriter(file)
 	return nil
 }
 
-// traceWriter returns the trace as an io.Writer that is nil when there is none.
-func (d *Daemon) traceWriter() io.Writer {
-	if d.trace == nil {
-		return nil
-	}
-	return d.trace
-}
-
-func (d *Daemon) buildRoles(key *auth.Key, decisions *decision.Log) {
+func (d *Daemon) buildRoles(key *auth.Key, decisions *decision.Log) error {
 	settings := d.settings
 	self := selfVM(settings)
-	identity := auth.Identity{Subject: self.ID, Role: auth.RolePeer}
 	client := transport.NewClient(transport.ClientOptions{
-		SourceAddress: settings.Listen.SourceAddress, Key: key, Identity: identity,
+		SourceAddress: settings.Listen.SourceAddress, Key: key,
+		Identity: auth.Identity{Subject: self.ID, Role: auth.RolePeer},
 	})
 	platformHTTP := transport.NewClient(transport.ClientOptions{
 		SourceAddress: settings.Listen.SourceAddress, HTTP1: true,
 	})
-	platformClient := newPlatform(platformHTTP, settings.Platform)
-	poison := quarantine.New(quarantine.DefaultLimits())
+	store := newPlatform(platformHTTP, settings.Platform)
+	d.poison = quarantine.New(quarantine.DefaultLimits())
 	d.peers = peer.New(self.ID, client, settings.Limits.MaxRequestBytes)
-	d.control = control.New(control.Options{
-		Settings: settings, Self: self, Store: platformClient, VMList: platformClient,
-		Peers: d.peers, Quarantine: poison, Logger: d.logger, Trace: d.traceWriter(),
+	var err error
+	d.control, err = control.New(control.Options{
+		Settings: settings, Self: self, Store: store, VMList: store,
+		Peers: d.peers, Quarantine: d.poison, Logger: d.logger, Trace: d.traces.control.writer(),
 	})
+	if err != nil {
+		return errors.Wrap(err, "control")
+	}
 	d.owner = owner.New(owner.Options{
 		Views: d.control, Limits: settings.Limits, Decisions: decisions, Logger: d.logger,
-		SourceAddress: settings.Listen.SourceAddress, Quarantine: poison, Trace: d.traceWriter(),
+		SourceAddress: settings.Listen.SourceAddress, Quarantine: d.poison,
+		Announcer: announcer{views: d.control, peers: d.peers}, Trace: d.traces.owner.writer(),
 	})
 	d.peers.SetOwner(d.owner)
 	d.coordinator = coordinator.New(coordinator.Options{
 		Views: d.control, Dispatcher: d.peers, Decisions: decisions, Limits: settings.Limits,
-		Experiment: settings.Experiment, Quarantine: poison, Logger: d.logger, Trace: d.traceWriter(),
+		Experiment: settings.Experiment, Quarantine: searchQuarantine{d.poison}, Logger: d.logger,
+		ProveUnseen: true, Trace: d.traces.coordinator.writer(),
 	})
 	d.changes = change.New(change.Options{
 		Views: d.control, Dispatcher: d.peers, Forwarder: d.peers,
-		Claims: change.NewStoreClaims(platformClaims{platformClient}),
-		Limits: settings.Limits, Decisions: decisions, Logger: d.logger,
+		Claims: change.NewStoreClaims(claimStore{store}),
+		Limits: settings.Limits, Decisions: decisions,
 	})
+	return nil
 }
 
 func newPlatform(client *http.Client, settings *pb.PlatformSettings) *platform.Client {
@@ -140,13 +142,17 @@
 
 func (d *Daemon) listen(key *auth.Key, decisions *decision.Log) error {
 	guard := auth.NewGuard(key, d.logger)
+	admin := server.NewAdmin(server.AdminOptions{
+		Control: d.control, Owner: d.owner, Peers: d.peers, Records: d.changes,
+		Budget: d.coordinator, Quarantine: d.poison, Decisions: decisions,
+	})
 	roles := server.Roles{
 		Searcher: d.coordinator, Changes: d.changes, Owner: d.owner, Control: d.control,
-		Admin: server.NewAdmin(server.AdminOptions{
-			Control: d.control, Owner: d.owner, Peers: d.peers, Changes: d.changes,
-			Searcher: d.coordinator, Decisions: decisions,
-		}),
+		Quarantine: d.poison, Admin: admin,
 	}
+	admin.SetExecutor(statement.New(statement.Options{
+		Caller: server.NewCaller(roles), Admin: admin, Author: d.settings.Vm.Id, Now: time.Now,
+	}))
 	limits := d.settings.Limits
 	var err error
 	d.callers, err = transport.Listen(d.settings.Listen.CallerAddress,
@@ -170,7 +176,6 @@
 	}
 	ended := supervisor.ServeBackground(services)
 	d.logger.Info().
-		Str("vm", d.settings.Vm.Id).
 		Str("failure_domain", d.settings.Vm.FailureDomain).
 		Str("callers", d.callers.Address()).
 		Str("peers", d.others.Address()).
@@ -183,9 +188,7 @@
 	err := d.stop()
 	cancel()
 	<-ended
-	if d.trace != nil {
-		_ = d.trace.Close()
-	}
+	d.traces.close()
 	return err
 }
 
--- a/internal/gen/carawayreel/v1/carawayreelv1connect/peer.connect.go
+++ b/internal/gen/carawayreel/v1/carawayreelv1connect/peer.connect.go
@@ -55,6 +55,8 @@
 	PeerServiceOfferConfigurationProcedure = "/carawayreel.v1.PeerService/OfferConfiguration"
 	// PeerServiceHandOverProcedure is the fully-qualified name of the PeerService's HandOver RPC.
 	PeerServiceHandOverProcedure = "/carawayreel.v1.PeerService/HandOver"
+	// PeerServiceAnnounceProcedure is the fully-qualified name of the PeerService's Announce RPC.
+	PeerServiceAnnounceProcedure = "/carawayreel.v1.PeerService/Announce"
 	// PeerServiceGetTargetsProcedure is the fully-qualified name of the PeerService's GetTargets RPC.
 	PeerServiceGetTargetsProcedure = "/carawayreel.v1.PeerService/GetTargets"
 )
@@ -77,6 +79,8 @@
 	OfferConfiguration(context.Context, *connect.Request[v1.OfferConfigurationRequest]) (*connect.Response[v1.OfferConfigurationResponse], error)
 	// HandOver passes target states and change records before a planned stop.
 	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
+	// Announce spreads new suspicions against a request's content.
+	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	// GetTargets returns the states of the targets that this VM owns.
 	GetTargets(context.Context, *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error)
 }
@@ -140,6 +144,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("HandOver")),
 			connect.WithClientOptions(opts...),
 		),
+		announce: connect.NewClient[v1.AnnounceRequest, v1.AnnounceResponse](
+			httpClient,
+			baseURL+PeerServiceAnnounceProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Announce")),
+			connect.WithClientOptions(opts...),
+		),
 		getTargets: connect.NewClient[v1.GetTargetsRequest, v1.GetTargetsResponse](
 			httpClient,
 			baseURL+PeerServiceGetTargetsProcedure,
@@ -159,6 +169,7 @@
 	fetchConfiguration *connect.Client[v1.FetchConfigurationRequest, v1.FetchConfigurationResponse]
 	offerConfiguration *connect.Client[v1.OfferConfigurationRequest, v1.OfferConfigurationResponse]
 	handOver           *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
+	announce           *connect.Client[v1.AnnounceRequest, v1.AnnounceResponse]
 	getTargets         *connect.Client[v1.GetTargetsRequest, v1.GetTargetsResponse]
 }
 
@@ -202,6 +213,11 @@
 	return c.handOver.CallUnary(ctx, req)
 }
 
+// Announce calls carawayreel.v1.PeerService.Announce.
+func (c *peerServiceClient) Announce(ctx context.Context, req *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error) {
+	return c.announce.CallUnary(ctx, req)
+}
+
 // GetTargets calls carawayreel.v1.PeerService.GetTargets.
 func (c *peerServiceClient) GetTargets(ctx context.Context, req *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error) {
 	return c.getTargets.CallUnary(ctx, req)
@@ -225,6 +241,8 @@
 	OfferConfiguration(context.Context, *connect.Request[v1.OfferConfigurationRequest]) (*connect.Response[v1.OfferConfigurationResponse], error)
 	// HandOver passes target states and change records before a planned stop.
 	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
+	// Announce spreads new suspicions against a request's content.
+	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	// GetTargets returns the states of the targets that this VM owns.
 	GetTargets(context.Context, *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error)
 }
@@ -284,6 +302,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("HandOver")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceAnnounceHandler := connect.NewUnaryHandler(
+		PeerServiceAnnounceProcedure,
+		svc.Announce,
+		connect.WithSchema(peerServiceMethods.ByName("Announce")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceGetTargetsHandler := connect.NewUnaryHandler(
 		PeerServiceGetTargetsProcedure,
 		svc.GetTargets,
@@ -308,6 +332,8 @@
 			peerServiceOfferConfigurationHandler.ServeHTTP(w, r)
 		case PeerServiceHandOverProcedure:
 			peerServiceHandOverHandler.ServeHTTP(w, r)
+		case PeerServiceAnnounceProcedure:
+			peerServiceAnnounceHandler.ServeHTTP(w, r)
 		case PeerServiceGetTargetsProcedure:
 			peerServiceGetTargetsHandler.ServeHTTP(w, r)
 		default:
@@ -351,6 +377,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.HandOver is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.Announce is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) GetTargets(context.Context, *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.GetTargets is not implemented"))
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -146,6 +146,12 @@
 	return unwrap(c.at(vm.PeerAddress).HandOver(ctx, connect.NewRequest(r)))
 }
 
+// Announce spreads suspicions to a VM.
+func (c *Client) Announce(ctx context.Context, vm view.VM, entries []*pb.QuarantineEntry) error {
+	_, err := unwrap(c.at(vm.PeerAddress).Announce(ctx, connect.NewRequest(&pb.AnnounceRequest{Entries: entries})))
+	return err
+}
+
 // GetTargets returns the states of the targets that a VM owns.
 func (c *Client) GetTargets(ctx context.Context, vm view.VM) (*pb.GetTargetsResponse, error) {
 	return unwrap(c.at(vm.PeerAddress).GetTargets(ctx, connect.NewRequest(&pb.GetTargetsRequest{})))
--- /dev/null
+++ b/internal/server/admin.go
@@ -0,0 +1,191 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/carawayreel/carawayreel/internal/decision"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/statement"
+	"github.com/carawayreel/carawayreel/internal/view"
+)
+
+// statusTimeout bounds the question to each other VM for its targets.
+const statusTimeout = time.Second
+
+// AdminControl is the part of control that operators use.
+type AdminControl interface {
+	view.Source
+	Apply(ctx context.Context, r *pb.ApplyConfigurationRequest) *pb.ApplyConfigurationResponse
+	SetServingState(ctx context.Context, r *pb.SetServingStateRequest) *pb.ApplyConfigurationResponse
+	History(ctx context.Context, r *pb.ListHistoryRequest) (*pb.ListHistoryResponse, error)
+	Get(ctx context.Context, r *pb.GetConfigurationRequest) (*pb.GetConfigurationResponse, error)
+	Push(ctx context.Context, r *pb.PushConfigurationRequest) (*pb.PushConfigurationResponse, error)
+	Members() []*pb.Member
+	Ready() (bool, string)
+}
+
+// TargetReporter returns the states of targets.
+type TargetReporter interface {
+	Targets() []*pb.TargetStatusReport
+}
+
+// TargetAsker asks another VM for the states of its targets.
+type TargetAsker interface {
+	GetTargets(ctx context.Context, vm view.VM) (*pb.GetTargetsResponse, error)
+}
+
+// RecordCounter counts the change records kept.
+type RecordCounter interface {
+	Len() int
+}
+
+// BudgetReporter returns the hedges and retries still allowed.
+type BudgetReporter interface {
+	BudgetLeft() uint64
+}
+
+// QuarantineReporter returns the quarantined contents.
+type QuarantineReporter interface {
+	Quarantined(now time.Time) []uint64
+}
+
+// AdminOptions are the parts that an Admin shows and changes.
+type AdminOptions struct {
+	Control    AdminControl
+	Owner      TargetReporter
+	Peers      TargetAsker
+	Records    RecordCounter
+	Budget     BudgetReporter
+	Quarantine QuarantineReporter
+	Decisions  *decision.Log
+}
+
+// Admin serves operators.
+type Admin struct {
+	options  AdminOptions
+	executor *statement.Runner
+}
+
+// NewAdmin returns an Admin.
+func NewAdmin(options AdminOptions) *Admin {
+	return &Admin{options: options}
+}
+
+// SetExecutor sets what runs statements. It must be called before the first
+// call is served.
+func (a *Admin) SetExecutor(executor *statement.Runner) {
+	a.executor = executor
+}
+
+// GetConfiguration returns the configuration in force or in the store.
+func (a *Admin) GetConfiguration(ctx context.Context, r *connect.Request[pb.GetConfigurationRequest]) (*connect.Response[pb.GetConfigurationResponse], error) {
+	response, err := a.options.Control.Get(ctx, r.Msg)
+	return answer(response, err)
+}
+
+// ApplyConfiguration replaces the configuration by compare-and-swap.
+func (a *Admin) ApplyConfiguration(ctx context.Context, r *connect.Request[pb.ApplyConfigurationRequest]) (*connect.Response[pb.ApplyConfigurationResponse], error) {
+	return connect.NewResponse(a.options.Control.Apply(ctx, r.Msg)), nil
+}
+
+// SetServingState takes a failure domain or target out, or brings it back.
+func (a *Admin) SetServingState(ctx context.Context, r *connect.Request[pb.SetServingStateRequest]) (*connect.Response[pb.ApplyConfigurationResponse], error) {
+	return connect.NewResponse(a.options.Control.SetServingState(ctx, r.Msg)), nil
+}
+
+// ListHistory returns the newest revisions.
+func (a *Admin) ListHistory(ctx context.Context, r *connect.Request[pb.ListHistoryRequest]) (*connect.Response[pb.ListHistoryResponse], error) {
+	response, err := a.options.Control.History(ctx, r.Msg)
+	return answer(response, err)
+}
+
+// PushConfiguration hands an accepted revision straight to this VM.
+func (a *Admin) PushConfiguration(ctx context.Context, r *connect.Request[pb.PushConfigurationRequest]) (*connect.Response[pb.PushConfigurationResponse], error) {
+	response, err := a.options.Control.Push(ctx, r.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(response), nil
+}
+
+// GetStatus shows this VM, and with all set the targets of every VM.
+func (a *Admin) GetStatus(ctx context.Context, r *connect.Request[pb.GetStatusRequest]) (*connect.Response[pb.GetStatusResponse], error) {
+	current := a.options.Control.Current()
+	response := &pb.GetStatusResponse{
+		Vm:                    current.Self.ID,
+		FailureDomain:         current.Self.FailureDomain,
+		ConfigurationRevision: current.Revision(),
+		ConfigurationAgeMs:    uint64(current.ConfigurationAge(time.Now()).Milliseconds()),
+		Members:               a.options.Control.Members(),
+		Targets:               a.options.Owner.Targets(),
+		ChangeRecords:         uint64(a.options.Records.Len()),
+		HedgeBudgetLeft:       a.options.Budget.BudgetLeft(),
+	}
+	response.Ready, response.NotReadyReason = a.options.Control.Ready()
+	for _, digest := range a.options.Quarantine.Quarantined(time.Now()) {
+		response.Quarantined = append(response.Quarantined, fmt.Sprintf("%016x", digest))
+	}
+	if r.Msg.All {
+		response.Targets = append(response.Targets, a.remoteTargets(ctx, current)...)
+	}
+	sort.Slice(response.Targets, func(i, j int) bool {
+		return response.Targets[i].Target < response.Targets[j].Target
+	})
+	return connect.NewResponse(response), nil
+}
+
+// remoteTargets asks every other VM; those that do not answer are left out.
+func (a *Admin) remoteTargets(ctx context.Context, current *view.View) []*pb.TargetStatusReport {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var reports []*pb.TargetStatusReport
+	var asks sync.WaitGroup
+	for _, domain := range current.Configuration.GetFailureDomains() {
+		for _, vm := range current.DomainVMs(domain.Name) {
+			if vm.ID == current.Self.ID {
+				continue
+			}
+			asks.Go(func() {
+				response, err := a.options.Peers.GetTargets(ctx, vm)
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				reports = append(reports, response.Targets...)
+			})
+		}
+	}
+	asks.Wait()
+	return reports
+}
+
+// Execute runs one statement of the query and command language.
+func (a *Admin) Execute(ctx context.Context, r *connect.Request[pb.ExecuteRequest]) (*connect.Response[pb.ExecuteResponse], error) {
+	if a.executor == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("statements are not served"))
+	}
+	response, err := a.executor.Execute(ctx, r.Msg)
+	return answer(response, err)
+}
+
+// ListDecisions returns the decisions this VM remembers of a request.
+func (a *Admin) ListDecisions(_ context.Context, r *connect.Request[pb.ListDecisionsRequest]) (*connect.Response[pb.ListDecisionsResponse], error) {
+	found := a.options.Decisions.Find(r.Msg.RequestId)
+	return connect.NewResponse(&pb.ListDecisionsResponse{Decisions: found}), nil
+}
+
+func answer[T any](message *T, err error) (*connect.Response[T], error) {
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(message), nil
+}
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -52,6 +53,11 @@
 	return connect.NewResponse(&pb.HandOverResponse{Accepted: accepted}), nil
 }
 
+func (s *peerService) Announce(_ context.Context, r *connect.Request[pb.AnnounceRequest]) (*connect.Response[pb.AnnounceResponse], error) {
+	s.roles.Quarantine.Merge(r.Msg.Entries, time.Now())
+	return connect.NewResponse(&pb.AnnounceResponse{}), nil
+}
+
 func (s *peerService) GetTargets(context.Context, *connect.Request[pb.GetTargetsRequest]) (*connect.Response[pb.GetTargetsResponse], error) {
 	return connect.NewResponse(&pb.GetTargetsResponse{Targets: s.roles.Owner.Targets()}), nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"buf.build/go/protovalidate"
 	"connectrpc.com/connect"
@@ -49,13 +50,20 @@
 	Ready() (bool, string)
 }
 
+// Quarantine takes suspicions of other VMs.
+type Quarantine interface {
+	Merge(entries []*pb.QuarantineEntry, now time.Time)
+}
+
 // Roles are the parts that serve the calls.
 type Roles struct {
 	Searcher Searcher
 	Changes  Changes
 	Owner    Owner
 	Control  Control
-	Admin    carawayreelv1connect.AdminServiceHandler
+	// Quarantine is shared by the roles.
+	Quarantine Quarantine
+	Admin      carawayreelv1connect.AdminServiceHandler
 }
 
 // CallerHandler serves callers and operators, metrics and the balancer's health
@@ -63,7 +71,7 @@
 func CallerHandler(roles Roles, guard *auth.Guard, maxBytes uint32, logger zerolog.Logger) http.Handler {
 	options := handlerOptions(maxBytes, logger)
 	mux := http.NewServeMux()
-	path, caller := carawayreelv1connect.NewCallerServiceHandler(&callerService{roles}, options...)
+	path, caller := carawayreelv1connect.NewCallerServiceHandler(NewCaller(roles), options...)
 	mux.Handle(path, guard.Require(auth.RoleCaller, caller))
 	path, admin := carawayreelv1connect.NewAdminServiceHandler(roles.Admin, options...)
 	mux.Handle(path, guard.Require(auth.RoleOperator, admin))
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -125,6 +125,8 @@
 		vm := d.newVM(fmt.Sprintf("vm-%s-%d", domain, i/len(domains)+1), domain, addresses[own+perVM*i:])
 		d.VMs = append(d.VMs, vm)
 		arguments = append(arguments, "--relay", domain+"="+vm.RelayAddress+"="+vm.PeerAddress)
+	}
+	for _, vm := range d.VMs {
 		if err := d.writeSettings(vm); err != nil {
 			return err
 		}
@@ -158,6 +160,7 @@
 		{"listen", "advertised_peer_address", vm.RelayAddress},
 		{"listen", "source_address", profile.SourceAddress(vm.FailureDomain)},
 		{"platform", "address", d.platformAddress},
+		{"peers", "seeds", d.seeds()},
 	}, d.options.Settings...)
 	sections := map[string][]string{}
 	var order []string
@@ -175,6 +178,15 @@
 	return errors.Wrap(os.WriteFile(vm.settings, []byte(text.String()), 0o600), "settings")
 }
 
+// seeds returns the peer addresses of all VMs.
+func (d *Deployment) seeds() string {
+	addresses := make([]string, len(d.VMs))
+	for i, vm := range d.VMs {
+		addresses[i] = vm.RelayAddress
+	}
+	return strings.Join(addresses, ",")
+}
+
 // listVMs puts the VMs on the platform's list.
 func (d *Deployment) listVMs() error {
 	request := &standinv1.SetVmsRequest{}
