--- /dev/null
+++ b/internal/e2e/configuration_test.go
@@ -0,0 +1,190 @@
+package e2e_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	standinv1 "github.com/carawayreel/carawayreel/internal/gen/standin/v1"
+	"github.com/carawayreel/carawayreel/internal/testkit"
+)
+
+// inForceLimit is the time in which an accepted configuration is in force on
+// every VM.
+const inForceLimit = 4 * time.Second
+
+// revision returns the revision in force on a VM.
+func revision(t *testing.T, vm *testkit.VM) uint64 {
+	t.Helper()
+	response, err := vm.Admin.GetStatus(t.Context(), connect.NewRequest(&pb.GetStatusRequest{}))
+	require.NoError(t, err)
+	return response.Msg.ConfigurationRevision
+}
+
+// edited returns the configuration in force with another row limit.
+func edited(t *testing.T, vm *testkit.VM, rowLimit uint32) *pb.ApplyConfigurationRequest {
+	t.Helper()
+	response, err := vm.Admin.GetConfiguration(t.Context(), connect.NewRequest(&pb.GetConfigurationRequest{}))
+	require.NoError(t, err)
+	next := proto.Clone(response.Msg.Configuration).(*pb.Configuration)
+	next.Fronts[0].Limits.DefaultRowLimit = rowLimit
+	next.Author = vm.ID
+	return &pb.ApplyConfigurationRequest{Configuration: next, ExpectedRevision: next.Revision}
+}
+
+func apply(t *testing.T, vm *testkit.VM, request *pb.ApplyConfigurationRequest) *pb.ApplyConfigurationResponse {
+	t.Helper()
+	response, err := vm.Admin.ApplyConfiguration(t.Context(), connect.NewRequest(request))
+	require.NoError(t, err)
+	return response.Msg
+}
+
+func requireInForce(t *testing.T, d *testkit.Deployment, wanted uint64) {
+	t.Helper()
+	for _, vm := range d.VMs {
+		err := testkit.Poll(t.Context(), inForceLimit, func() bool { return revision(t, vm) >= wanted })
+		require.NoError(t, err, "%s is at revision %d, not %d", vm.ID, revision(t, vm), wanted)
+	}
+}
+
+// Of operators that race, one wins and the others are told who, with the
+// difference; nothing is overwritten.
+func TestOperatorsRace(t *testing.T) {
+	d := start(t, testkit.Options{Profile: "demo", VMsPerDomain: 1})
+	for round := range uint32(5) {
+		var requests []*pb.ApplyConfigurationRequest
+		for i, vm := range d.VMs {
+			requests = append(requests, edited(t, vm, 100+10*round+uint32(i)))
+		}
+		responses := make([]*pb.ApplyConfigurationResponse, len(d.VMs))
+		var race sync.WaitGroup
+		for i, vm := range d.VMs {
+			race.Go(func() { responses[i] = apply(t, vm, requests[i]) })
+		}
+		race.Wait()
+		accepted := uint64(0)
+		for _, response := range responses {
+			if response.Status == pb.ApplyStatus_APPLY_STATUS_ACCEPTED {
+				require.Zero(t, accepted, "two operators won")
+				accepted = response.Revision
+			}
+		}
+		require.NotZero(t, accepted)
+		for _, response := range responses {
+			if response.Status != pb.ApplyStatus_APPLY_STATUS_ACCEPTED {
+				require.Equal(t, pb.ApplyStatus_APPLY_STATUS_CONFLICT, response.Status, response.String())
+				require.Equal(t, accepted, response.Revision)
+				require.NotEmpty(t, response.Winner)
+				require.NotEmpty(t, response.Difference)
+			}
+		}
+		requireInForce(t, d, accepted)
+		requireSameContent(t, d)
+	}
+}
+
+// requireSameContent requires that all VMs, and the store, hold one content.
+func requireSameContent(t *testing.T, d *testkit.Deployment) {
+	t.Helper()
+	stored, err := d.VMs[0].Admin.GetConfiguration(t.Context(), connect.NewRequest(&pb.GetConfigurationRequest{FromStore: true}))
+	require.NoError(t, err)
+	for _, vm := range d.VMs {
+		held, err := vm.Admin.GetConfiguration(t.Context(), connect.NewRequest(&pb.GetConfigurationRequest{}))
+		require.NoError(t, err)
+		require.True(t, proto.Equal(stored.Msg.Configuration, held.Msg.Configuration), vm.ID)
+	}
+}
+
+// Answers of the store that are lost after the write are settled by reading back
+// and reported rightly: an accepted revision is in force, and after a command
+// that was not run the store holds what it held before.
+func TestLostAnswersOfWritesAreReportedRightly(t *testing.T) {
+	d := start(t, testkit.Options{Profile: "demo", VMsPerDomain: 1})
+	before := revision(t, d.VMs[0])
+	for lost := range uint32(6) {
+		require.NoError(t, d.StoreFault(t.Context(), &standinv1.SetStoreFaultRequest{LosePutAnswers: lost}))
+		response := apply(t, d.VMs[0], edited(t, d.VMs[0], 200+lost))
+		require.NoError(t, d.StoreFault(t.Context(), &standinv1.SetStoreFaultRequest{}))
+		if lost <= 1 {
+			require.Equal(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, response.Status, response.String())
+		}
+		if response.Status == pb.ApplyStatus_APPLY_STATUS_ACCEPTED {
+			before++
+			require.Equal(t, before, response.Revision)
+		} else {
+			require.Equal(t, pb.ApplyStatus_APPLY_STATUS_NOT_RUN, response.Status, response.String())
+		}
+		stored, err := d.VMs[0].Admin.GetConfiguration(t.Context(), connect.NewRequest(&pb.GetConfigurationRequest{FromStore: true}))
+		require.NoError(t, err)
+		require.Equal(t, before, stored.Msg.Configuration.Revision)
+		requireInForce(t, d, before)
+	}
+}
+
+// While the store is down a command is refused as not run and changes nothing; a
+// VM that starts then learns the configuration from its peers; a revision
+// accepted right before the outage reaches every VM and never reverts.
+func TestConfigurationThroughAStoreOutage(t *testing.T) {
+	d := start(t, testkit.Options{Profile: "demo", VMsPerDomain: 2})
+	accepted := apply(t, d.VMs[0], edited(t, d.VMs[0], 300))
+	require.Equal(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, accepted.Status, accepted.String())
+	require.NoError(t, d.StoreFault(t.Context(), &standinv1.SetStoreFaultRequest{Outage: true}))
+	requireInForce(t, d, accepted.Revision)
+	refused := apply(t, d.VMs[1], edited(t, d.VMs[1], 301))
+	require.Equal(t, pb.ApplyStatus_APPLY_STATUS_NOT_RUN, refused.Status, refused.String())
+	restarted := d.VMs[2]
+	restarted.Kill()
+	require.NoError(t, d.StartVM(restarted))
+	require.NoError(t, d.AwaitReady(t.Context()))
+	requireInForce(t, d, accepted.Revision)
+	require.NoError(t, d.StoreFault(t.Context(), &standinv1.SetStoreFaultRequest{}))
+	again := apply(t, d.VMs[1], edited(t, d.VMs[1], 302))
+	require.Equal(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, again.Status, again.String())
+	requireInForce(t, d, again.Revision)
+}
+
+// With nobody to ask a VM is not ready and says why.
+func TestVMWithNobodyToAskIsNotReady(t *testing.T) {
+	d := start(t, testkit.Options{Profile: "demo", VMsPerDomain: 1})
+	for _, vm := range d.VMs {
+		vm.Kill()
+	}
+	require.NoError(t, d.StoreFault(t.Context(), &standinv1.SetStoreFaultRequest{Outage: true}))
+	lonely := d.VMs[0]
+	require.NoError(t, d.StartVM(lonely))
+	var reason string
+	require.NoError(t, testkit.Poll(t.Context(), 10*time.Second, func() bool {
+		response, err := lonely.Admin.GetStatus(t.Context(), connect.NewRequest(&pb.GetStatusRequest{}))
+		if err != nil {
+			return false
+		}
+		require.False(t, response.Msg.Ready)
+		reason = response.Msg.NotReadyReason
+		return reason != ""
+	}))
+	require.Contains(t, reason, "no configuration is known")
+}
+
+// A command that would take out the last failure domain is refused unless it is
+// forced.
+func TestLastFailureDomainIsNotTakenOut(t *testing.T) {
+	d := start(t, testkit.Options{Profile: "demo", VMsPerDomain: 1})
+	takeOut(t, d, d.VMs[0], "a")
+	requireInForce(t, d, 2)
+	takeOut(t, d, d.VMs[0], "b")
+	request := &pb.SetServingStateRequest{
+		FailureDomain: "c", State: pb.ServingState_SERVING_STATE_TAKEN_OUT, Author: "test",
+	}
+	response, err := d.VMs[0].Admin.SetServingState(t.Context(), connect.NewRequest(request))
+	require.NoError(t, err)
+	require.Equal(t, pb.ApplyStatus_APPLY_STATUS_UNSAFE, response.Msg.Status, response.Msg.String())
+	request.Force = true
+	response, err = d.VMs[0].Admin.SetServingState(t.Context(), connect.NewRequest(request))
+	require.NoError(t, err)
+	require.Equal(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, response.Msg.Status, response.Msg.String())
+}
--- /dev/null
+++ b/internal/e2e/ownership_test.go
@@ -0,0 +1,45 @@
+package e2e_test
+
+import (
+	"testing"
+	"time"
+
+	standinv1 "github.com/carawayreel/carawayreel/internal/gen/standin/v1"
+	"github.com/carawayreel/carawayreel/internal/testkit"
+	"github.com/stretchr/testify/require"
+)
+
+// No target gets more than it bears in cold start, and no more connections than
+// it accepts, through the start of everything at once, an owner that is killed,
+// one that is frozen for 10 s and wakes, VMs that join, and targets that turn
+// cold without warning.
+func TestColdTargetsAreNotOverloaded(t *testing.T) {
+	d := start(t, testkit.Options{
+		Profile: "demo", VMsPerDomain: 2, Standin: []string{"--start-cold", "--warm-requests", "60", "--warm-time", "3s"},
+	})
+	searches := startSearches(t, d, "archive", 12, time.Millisecond)
+	time.Sleep(time.Second)
+	killed, frozen := d.InDomain("a")[0], d.InDomain("b")[1]
+	turnCold(t, d)
+	killed.Kill()
+	frozen.Pause()
+	const frozenFor = 10 * time.Second
+	woken := time.AfterFunc(frozenFor, frozen.Resume)
+	defer woken.Stop()
+	time.Sleep(frozenFor / 2)
+	require.NoError(t, d.StartVM(killed))
+	turnCold(t, d)
+	time.Sleep(frozenFor/2 + 200*time.Millisecond)
+	turnCold(t, d)
+	time.Sleep(3 * time.Second)
+	searches.end(t)
+	requireNoColdViolation(t, d)
+}
+
+// turnCold restarts every target of the front: connections drop and the boot
+// identity changes.
+func turnCold(t *testing.T, d *testkit.Deployment) {
+	t.Helper()
+	cold := &standinv1.Fault{Kind: standinv1.FaultKind_FAULT_KIND_TURN_COLD, DropConnections: true}
+	require.NoError(t, d.Fault(t.Context(), &standinv1.Selector{Front: "archive"}, cold))
+}
