--- a/internal/owner/conclude.go
+++ b/internal/owner/conclude.go
@@ -80,14 +80,14 @@
 
 // answered concludes a call with a valid answer.
 func (o *Owner) answered(w *work, h *handler, id JobID, c callOutcome) result {
-	h.observeReply(c.bootID, c.began, time.Now())
+	h.observeReply(c.bootID, c.began)
 	event := Event{Took: c.took, BootID: c.bootID, Result: ResultNotRun}
 	res := result{status: pb.SubStatus_SUB_STATUS_SHED, reason: "target_shed"}
 	switch c.status {
 	case pb.TargetStatus_TARGET_STATUS_OK:
 		event.Result = ResultOK
 		res = result{status: pb.SubStatus_SUB_STATUS_OK}
-		o.quarantine.Clear(w.digest, w.service, time.Now())
+		o.quarantine.Clear(w.digest, w.service)
 	case pb.TargetStatus_TARGET_STATUS_SHED:
 		event.Result = ResultShed
 	case pb.TargetStatus_TARGET_STATUS_DRAINING:
--- a/internal/owner/crash.go
+++ b/internal/owner/crash.go
@@ -78,7 +78,7 @@
 
 // observeReply settles the last break: a reply to work sent after it with the
 // boot identity of before shows that the target did not crash.
-func (h *handler) observeReply(bootID string, began, now time.Time) {
+func (h *handler) observeReply(bootID string, began time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.crash.digests) == 0 || bootID == "" || !began.After(h.crash.at) {
@@ -86,7 +86,7 @@
 	}
 	if bootID == h.crash.bootID {
 		for _, digest := range h.crash.digests {
-			h.owner.quarantine.Retract(digest, h.place, now)
+			h.owner.quarantine.Retract(digest, h.place)
 		}
 	}
 	h.crash = crashWatch{}
--- a/internal/owner/machine.go
+++ b/internal/owner/machine.go
@@ -12,12 +12,20 @@
 	probeBackoffMost  = 3 * time.Second
 	// silencesToDown is the number of unanswered jobs in a row that mean down.
 	silencesToDown = 3
+	// breaksToDown is the number of broken connections in a row that mean down.
+	breaksToDown = 3
 	// silenceFactor and silenceFloor tell from which running time on a cancelled
 	// job counts as unanswered: above both.
 	silenceFactor = 8
 	silenceFloor  = 50 * time.Millisecond
 )
 
+// runningJob is a job that was sent to the target.
+type runningJob struct {
+	started   time.Duration
+	exclusive bool
+}
+
 // Machine decides for one target when work is sent to it. It is pure: it has no
 // clock, no goroutines and no input or output but events and decisions. It is
 // not safe for concurrent use.
@@ -40,9 +48,13 @@
 
 	ramp      ramp
 	queue     jobQueue
-	running   map[JobID]bool // value: the job runs alone
-	exclusive bool           // a job runs alone
-	silences  int
+	running   map[JobID]runningJob
+	exclusive bool // a job runs alone
+	// silences and breaks count unanswered and broken jobs since the last
+	// answer; brokenAt is the time of the last break.
+	silences int
+	breaks   int
+	brokenAt time.Duration
 
 	nextProbe time.Duration
 	backoff   time.Duration
@@ -54,7 +66,7 @@
 // NewMachine returns the machine of a target taken over at time zero. Nothing is
 // sent before guard has passed, unless a hand-over ends the wait.
 func NewMachine(limits Limits, guard time.Duration) *Machine {
-	m := &Machine{limits: limits, guard: guard, running: map[JobID]bool{}}
+	m := &Machine{limits: limits, guard: guard, running: map[JobID]runningJob{}}
 	if !limits.InService {
 		m.phase = PhaseLeaving
 		return m
@@ -117,7 +129,7 @@
 			return
 		}
 		m.queue.pop()
-		m.running[job.id] = job.exclusive
+		m.running[job.id] = runningJob{started: now, exclusive: job.exclusive}
 		m.exclusive = job.exclusive
 		if m.phase == PhaseDown {
 			m.nextProbe = now + m.backoff
--- /dev/null
+++ b/internal/owner/machine_test.go
@@ -0,0 +1,253 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayreel/carawayreel/internal/owner"
+)
+
+// driver feeds a machine and keeps the books that tests check.
+type driver struct {
+	m       *owner.Machine
+	now     time.Duration
+	nextJob owner.JobID
+	running []owner.JobID
+	started map[owner.JobID]time.Duration
+	refused map[owner.JobID]owner.Reason
+	onStart func(owner.JobID)
+}
+
+func newDriver(limits owner.Limits, guard time.Duration) *driver {
+	return &driver{
+		m:       owner.NewMachine(limits, guard),
+		started: map[owner.JobID]time.Duration{},
+		refused: map[owner.JobID]owner.Reason{},
+	}
+}
+
+func (d *driver) step(e owner.Event) {
+	e.At = d.now
+	for _, decision := range d.m.Step(e) {
+		switch decision.Kind {
+		case owner.DecideStart:
+			d.running = append(d.running, decision.Job)
+			d.started[decision.Job] = d.now
+			if d.onStart != nil {
+				d.onStart(decision.Job)
+			}
+		case owner.DecideRefuse:
+			d.refused[decision.Job] = decision.Reason
+		}
+	}
+}
+
+func (d *driver) submit(limit time.Duration) owner.JobID {
+	d.nextJob++
+	d.step(owner.Event{Kind: owner.EventSubmit, Job: d.nextJob, Deadline: d.now + limit})
+	return d.nextJob
+}
+
+func (d *driver) finish(job owner.JobID, result owner.Result, boot string, took time.Duration) {
+	for i, id := range d.running {
+		if id == job {
+			d.running = append(d.running[:i], d.running[i+1:]...)
+			break
+		}
+	}
+	d.step(owner.Event{Kind: owner.EventFinish, Job: job, Result: result, BootID: boot, Took: took})
+}
+
+// serve runs jobs one after the other until the duration has passed.
+func (d *driver) serve(duration time.Duration, boot string) {
+	const took = 5 * time.Millisecond
+	for end := d.now + duration; d.now < end; {
+		d.submit(time.Second)
+		d.now += took
+		for len(d.running) > 0 {
+			d.finish(d.running[0], owner.ResultOK, boot, took)
+		}
+	}
+}
+
+var threeSlots = owner.Limits{Slots: 3, Cold: 1, Queue: 8, InService: true}
+
+func warmDriver(t *testing.T) *driver {
+	d := newDriver(threeSlots, 0)
+	d.serve(3*time.Second, "boot-1")
+	require.Equal(t, owner.PhaseWarm, d.m.State().Phase)
+	require.Equal(t, 3, d.m.State().Limit)
+	return d
+}
+
+func TestGuardHoldsWorkUntilItEnds(t *testing.T) {
+	d := newDriver(threeSlots, time.Second)
+	early := d.submit(500 * time.Millisecond)
+	require.Equal(t, owner.ReasonGuard, d.refused[early])
+	waits := d.submit(2 * time.Second)
+	require.Empty(t, d.running)
+	d.now = time.Second
+	d.step(owner.Event{Kind: owner.EventTick})
+	require.Equal(t, []owner.JobID{waits}, d.running)
+	require.Equal(t, owner.PhaseCold, d.m.State().Phase)
+}
+
+func TestHandOverEndsTheGuardAndKeepsTheLimitOfTheSameBoot(t *testing.T) {
+	for _, boot := range []string{"boot-1", "boot-2"} {
+		d := newDriver(threeSlots, time.Second)
+		d.step(owner.Event{Kind: owner.EventHandOver, BootID: "boot-1", Limit: 3})
+		first := d.submit(time.Second)
+		d.submit(time.Second)
+		require.Equal(t, []owner.JobID{first}, d.running, "unconfirmed: cold limit")
+		d.finish(first, owner.ResultOK, boot, time.Millisecond)
+		d.submit(time.Second)
+		d.submit(time.Second)
+		want := map[string]int{"boot-1": 3, "boot-2": 1}[boot]
+		require.Len(t, d.running, want, boot)
+	}
+}
+
+func TestHandOverWithRunningWorkKeepsTheGuard(t *testing.T) {
+	d := newDriver(threeSlots, time.Second)
+	d.step(owner.Event{Kind: owner.EventHandOver, BootID: "boot-1", Limit: 3, Running: 1})
+	d.submit(2 * time.Second)
+	require.Empty(t, d.running)
+}
+
+func TestEvidenceOfColdReturnsToTheColdLimitAtOnce(t *testing.T) {
+	for name, result := range map[string]struct {
+		result owner.Result
+		boot   string
+	}{
+		"new boot":          {owner.ResultOK, "boot-2"},
+		"new boot on shed":  {owner.ResultShed, "boot-2"},
+		"broken connection": {owner.ResultBroken, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := warmDriver(t)
+			a, b, c := d.submit(time.Second), d.submit(time.Second), d.submit(time.Second)
+			next := d.submit(time.Second)
+			require.Len(t, d.running, 3)
+			d.finish(a, result.result, result.boot, time.Millisecond)
+			require.Equal(t, owner.PhaseCold, d.m.State().Phase)
+			d.finish(b, owner.ResultOK, "boot-1", time.Millisecond)
+			require.Equal(t, []owner.JobID{c}, d.running, "in flight equals the cold limit")
+			d.finish(c, owner.ResultOK, "boot-1", time.Millisecond)
+			require.Equal(t, []owner.JobID{next}, d.running)
+		})
+	}
+}
+
+func TestLatencyJumpMeansCold(t *testing.T) {
+	d := warmDriver(t)
+	for range 3 {
+		job := d.submit(time.Second)
+		d.now += 100 * time.Millisecond
+		d.finish(job, owner.ResultOK, "boot-1", 100*time.Millisecond)
+	}
+	require.Equal(t, owner.PhaseCold, d.m.State().Phase)
+}
+
+func TestIdleWarmTargetIsAskedWithinTheColdLimitFirst(t *testing.T) {
+	d := warmDriver(t)
+	d.now += time.Second
+	first := d.submit(time.Second)
+	d.submit(time.Second)
+	require.Equal(t, []owner.JobID{first}, d.running)
+	d.finish(first, owner.ResultOK, "boot-1", time.Millisecond)
+	d.submit(time.Second)
+	d.submit(time.Second)
+	require.Len(t, d.running, 3)
+}
+
+func TestRefusedTargetIsProbedWithBackoff(t *testing.T) {
+	d := newDriver(threeSlots, 0)
+	probes := 0
+	d.onStart = func(owner.JobID) { probes++ }
+	for end := d.now + 10*time.Second; d.now < end; d.now += 10 * time.Millisecond {
+		job := d.submit(time.Second)
+		if _, ok := d.started[job]; ok {
+			d.finish(job, owner.ResultRefused, "", 0)
+			continue
+		}
+		require.Equal(t, owner.ReasonDown, d.refused[job])
+	}
+	require.InDelta(t, 8, probes, 2)
+	d.now += 5 * time.Second
+	d.finish(d.submit(time.Second), owner.ResultOK, "boot-2", time.Millisecond)
+	require.Equal(t, owner.PhaseCold, d.m.State().Phase)
+}
+
+func TestSilentTargetIsDown(t *testing.T) {
+	d := warmDriver(t)
+	for range 3 {
+		d.finish(d.submit(time.Second), owner.ResultTimeout, "", time.Second)
+	}
+	require.Equal(t, owner.PhaseDown, d.m.State().Phase)
+}
+
+func TestQueueIsBoundedAndRefusesWhatCannotFinish(t *testing.T) {
+	d := warmDriver(t)
+	for range 3 {
+		d.submit(time.Second)
+	}
+	require.Equal(t, owner.ReasonTooLate, d.refused[d.submit(2*time.Millisecond)])
+	expires := d.submit(100 * time.Millisecond)
+	for range threeSlots.Queue - 1 {
+		d.submit(time.Second)
+	}
+	require.Equal(t, owner.ReasonQueueFull, d.refused[d.submit(time.Second)])
+	wake, ok := d.m.Wake()
+	require.True(t, ok)
+	require.Equal(t, d.now+100*time.Millisecond, wake)
+	d.now = wake
+	d.step(owner.Event{Kind: owner.EventTick})
+	require.Equal(t, owner.ReasonExpired, d.refused[expires])
+	require.NotContains(t, d.started, expires)
+}
+
+func TestLeavingTargetGetsNothingAndReturnsThroughTheRamp(t *testing.T) {
+	out := threeSlots
+	out.InService = false
+	d := warmDriver(t)
+	d.step(owner.Event{Kind: owner.EventConfigure, Limits: out})
+	require.Equal(t, owner.ReasonLeaving, d.refused[d.submit(time.Second)])
+	d.step(owner.Event{Kind: owner.EventConfigure, Limits: threeSlots})
+	require.Equal(t, owner.PhaseCold, d.m.State().Phase)
+}
+
+func TestDrainingTargetReturnsOnlyAfterANewBootOrTheConfigurationsWord(t *testing.T) {
+	drained := func() *driver {
+		d := warmDriver(t)
+		d.finish(d.submit(time.Second), owner.ResultDraining, "boot-1", time.Millisecond)
+		require.Equal(t, owner.PhaseLeaving, d.m.State().Phase)
+		d.step(owner.Event{Kind: owner.EventHealth, BootID: "boot-1"})
+		require.Equal(t, owner.PhaseLeaving, d.m.State().Phase, "health lies")
+		return d
+	}
+	d := drained()
+	d.step(owner.Event{Kind: owner.EventHealth, BootID: "boot-2"})
+	require.Equal(t, owner.PhaseCold, d.m.State().Phase)
+	d = drained()
+	out := threeSlots
+	out.InService = false
+	d.step(owner.Event{Kind: owner.EventConfigure, Limits: out})
+	d.step(owner.Event{Kind: owner.EventConfigure, Limits: threeSlots})
+	require.Equal(t, owner.PhaseCold, d.m.State().Phase)
+}
+
+func TestExclusiveJobRunsAlone(t *testing.T) {
+	d := warmDriver(t)
+	first := d.submit(time.Second)
+	d.nextJob++
+	alone := d.nextJob
+	d.step(owner.Event{Kind: owner.EventSubmit, Job: alone, Deadline: d.now + time.Second, Exclusive: true})
+	d.submit(time.Second)
+	require.Equal(t, []owner.JobID{first}, d.running)
+	d.finish(first, owner.ResultOK, "boot-1", time.Millisecond)
+	require.Equal(t, []owner.JobID{alone}, d.running)
+	d.finish(alone, owner.ResultOK, "boot-1", time.Millisecond)
+	require.Len(t, d.running, 1)
+}
--- a/internal/owner/ramp.go
+++ b/internal/owner/ramp.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// coldDuration is the shortest stay in the cold phase.
-	coldDuration = time.Second
+	// coldDuration and coldSuccesses are the least time and number of successes
+	// at the cold limit before it is raised.
+	coldDuration  = time.Second
+	coldSuccesses = 32
 	// growInterval is the shortest time between two raises of the limit.
 	growInterval = 200 * time.Millisecond
 	// roundsPerRaise is the number of successes per unit of the limit that one
@@ -69,10 +71,10 @@
 }
 
 // roundDone reports whether the limit may grow, and begins the next round when
-// the present one was long enough. A round whose mean service time is well
+// the present one had enough time and successes. A round whose mean service time is well
 // below that of the round before shows a target that still warms up.
-func (r *ramp) roundDone(limit int, least, now time.Duration) bool {
-	if r.successes < limit*roundsPerRaise || now-r.since < least {
+func (r *ramp) roundDone(successes int, least, now time.Duration) bool {
+	if r.successes < successes || now-r.since < least {
 		return false
 	}
 	mean := r.total / time.Duration(r.successes)
--- a/internal/owner/trace.go
+++ b/internal/owner/trace.go
@@ -101,7 +101,7 @@
 }
 
 func decisionMessages(decisions []Decision) []*pb.OwnerDecision {
-	var messages []*pb.OwnerDecision
+	messages := make([]*pb.OwnerDecision, 0, len(decisions))
 	for _, d := range decisions {
 		m := &pb.OwnerDecision{Kind: pb.OwnerDecisionKind(d.Kind), Job: uint64(d.Job)}
 		switch d.Kind {
--- a/internal/owner/transition.go
+++ b/internal/owner/transition.go
@@ -70,12 +70,12 @@
 
 // finish frees the job's slot and draws conclusions from how it ended.
 func (m *Machine) finish(e Event) {
-	exclusive, ok := m.running[e.Job]
+	job, ok := m.running[e.Job]
 	if !ok {
 		return
 	}
 	delete(m.running, e.Job)
-	if exclusive {
+	if job.exclusive {
 		m.exclusive = false
 	}
 	if e.BootID != "" {
@@ -93,7 +93,7 @@
 	case ResultDraining:
 		m.drain(e.BootID)
 	case ResultBroken:
-		m.broken(e.At)
+		m.broken(job, e.At)
 	case ResultRefused:
 		m.down(e.At)
 	case ResultTimeout:
@@ -121,7 +121,7 @@
 
 // answered notes that the target answers.
 func (m *Machine) answered(now time.Duration) {
-	m.silences = 0
+	m.silences, m.breaks = 0, 0
 	if m.phase == PhaseDown {
 		m.turnCold(now)
 	}
@@ -137,15 +137,15 @@
 		m.turnColdIfServing(e.At)
 		return
 	}
-	least := growInterval
+	successes, least := m.limit*roundsPerRaise, growInterval
 	switch m.phase {
 	case PhaseCold:
-		least = coldDuration
+		successes, least = max(successes, coldSuccesses), coldDuration
 	case PhaseRamp:
 	default:
 		return
 	}
-	if m.ramp.roundDone(m.limit, least, e.At) {
+	if m.ramp.roundDone(successes, least, e.At) {
 		m.setLimit(raise(m.limit, m.limits.Slots))
 	}
 }
@@ -169,10 +169,14 @@
 	m.limit, m.phase = limit, PhaseRamp
 }
 
-// broken turns the target cold, and down when it breaks again and again.
-func (m *Machine) broken(now time.Duration) {
-	m.silences++
-	if m.silences >= silencesToDown {
+// broken turns the target cold, and down when it breaks again and again. Jobs
+// that break together count once.
+func (m *Machine) broken(job runningJob, now time.Duration) {
+	if m.breaks > 0 && job.started <= m.brokenAt {
+		return
+	}
+	m.breaks, m.brokenAt = m.breaks+1, now
+	if m.breaks >= breaksToDown {
 		m.down(now)
 		return
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -127,18 +127,18 @@
 }
 
 // Retract takes a coincidence back: the target did not crash after all.
-func (l *List) Retract(digest uint64, place Place, now time.Time) {
-	l.clear(digest, now, func(p Place) bool { return p == place })
+func (l *List) Retract(digest uint64, place Place) {
+	l.clear(digest, func(p Place) bool { return p == place })
 }
 
 // Clear notes that the content ran to success on a target of the service.
-func (l *List) Clear(digest uint64, service string, now time.Time) {
-	l.clear(digest, now, func(p Place) bool { return p.Service == service })
+func (l *List) Clear(digest uint64, service string) {
+	l.clear(digest, func(p Place) bool { return p.Service == service })
 }
 
 // clear raises the epoch of the matching records, which stay until they expire
 // so that the news reaches the other VMs.
-func (l *List) clear(digest uint64, now time.Time, matches func(Place) bool) {
+func (l *List) clear(digest uint64, matches func(Place) bool) {
 	if l.size.Load() == 0 {
 		return
 	}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := validSearch(r, reply); err != nil {
+	if err := CheckReply(r, reply); err != nil {
 		return reply, &Error{Kind: Invalid, Cause: err}
 	}
 	return reply, nil
@@ -221,8 +221,8 @@
 	return &Error{Kind: kind, Cause: err, Settled: u.conn.ended}
 }
 
-// validSearch checks that a reply answers the request and is complete.
-func validSearch(r *pb.TargetSearchRequest, reply *pb.TargetSearchResponse) error {
+// CheckReply checks that a reply answers the request and is complete.
+func CheckReply(r *pb.TargetSearchRequest, reply *pb.TargetSearchResponse) error {
 	if reply.RequestId != r.RequestId || reply.Attempt != r.Attempt {
 		return errors.Wrap(ErrInvalidReply, "request identifier")
 	}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -12,6 +12,10 @@
 // that the client has closed.
 const closeTimeout = time.Second
 
+// closeGrace is how much longer a connection counts after both ends closed it:
+// a target's own count may lag a little.
+const closeGrace = 5 * time.Millisecond
+
 // conn is one connection to a target. Closing it shuts down the sending half
 // and then waits for the target to close too, so that a connection counts
 // against the budget for as long as the target may still count it.
@@ -117,8 +121,8 @@
 		_, _ = io.Copy(io.Discard, c.Conn)
 	}
 	_ = c.Conn.Close()
-	c.onEnd()
 	close(c.ended)
+	time.AfterFunc(closeGrace, c.onEnd)
 }
 
 // wrote reports whether the call wrote anything. When it did not, the
