--- a/internal/owner/crash.go
+++ b/internal/owner/crash.go
@@ -32,14 +32,16 @@
 	if !verdict.Suspect(w.service) {
 		return false, nil
 	}
-	designated := quarantine.Designate(w.digest, candidates(v, w.target), verdict.CrashedTargets(w.service))
+	designated := quarantine.Designate(
+		w.digest, candidates(v, w.target), verdict.CrashedTargets(w.service), verdict.Age)
 	if designated != w.target {
 		return false, &admissionError{pb.SubStatus_SUB_STATUS_UNAVAILABLE, reasonSuspect + designated}
 	}
 	return true, nil
 }
 
-// candidates returns the targets in service that serve the same as a target.
+// candidates returns the targets in service, and with an owner, that serve the
+// same as a target.
 func candidates(v *view.View, id string) []string {
 	found, ok := v.Target(id)
 	if !ok {
@@ -51,7 +53,7 @@
 	}
 	var ids []string
 	for _, replica := range front.Services[found.Service].GetTargets() {
-		if v.InService(replica.Id) {
+		if _, owned := v.Owner(replica.Id); owned && v.InService(replica.Id) {
 			ids = append(ids, replica.Id)
 		}
 	}
--- a/internal/owner/machine_test.go
+++ b/internal/owner/machine_test.go
@@ -251,3 +251,16 @@
 	d.finish(alone, owner.ResultOK, "boot-1", time.Millisecond)
 	require.Len(t, d.running, 1)
 }
+
+// Time alone does not prove a target warm: a slow trickle of successes stays at
+// the cold limit until there were enough.
+func TestColdLimitIsRaisedOnlyAfterEnoughSuccesses(t *testing.T) {
+	d := newDriver(threeSlots, 0)
+	for i := range 32 {
+		require.Equal(t, owner.PhaseCold, d.m.State().Phase, "after %d successes", i)
+		job := d.submit(time.Second)
+		d.now += 100 * time.Millisecond
+		d.finish(job, owner.ResultOK, "boot-1", 5*time.Millisecond)
+	}
+	require.Equal(t, owner.PhaseRamp, d.m.State().Phase)
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -57,6 +57,8 @@
 	Quarantined bool
 	// Crashed holds the places of the crashes that count, in ascending order.
 	Crashed []Place
+	// Age is the time since the last of them.
+	Age time.Duration
 }
 
 // Suspect reports whether the content is suspect in a service, and so may only
@@ -160,12 +162,17 @@
 	defer l.mu.Unlock()
 	var verdict Verdict
 	var crashes uint32
+	var expires time.Time
 	for place, r := range l.contents[digest] {
 		if r.crashes > 0 && now.Before(r.expires) {
 			verdict.Crashed = append(verdict.Crashed, place)
 			crashes += r.crashes
+			expires = maxTime(expires, r.expires)
 		}
 	}
+	if crashes > 0 {
+		verdict.Age = l.limits.Lifetime - expires.Sub(now)
+	}
 	slices.SortFunc(verdict.Crashed, comparePlaces)
 	verdict.Quarantined = crashes >= crashesToQuarantine
 	return verdict
@@ -293,13 +300,18 @@
 func lastExpiry(places map[Place]record) time.Time {
 	var last time.Time
 	for _, r := range places {
-		if r.expires.After(last) {
-			last = r.expires
-		}
+		last = maxTime(last, r.expires)
 	}
 	return last
 }
 
+func maxTime(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (l *List) expire(now time.Time) {
 	for digest, places := range l.contents {
 		for place, r := range places {
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -130,7 +130,7 @@
 	require.NoError(t, err)
 	f.cut.Store(true)
 	_, err = c.Apply(t.Context(), change, nil)
-	requireKind(t, target.Broken, err)
+	_ = requireKind(t, target.Broken, err)
 	require.EqualValues(t, 2, f.effects.Load())
 }
 
@@ -162,7 +162,7 @@
 	t.Cleanup(redirect.Close)
 	c := target.New(target.Options{Address: redirect.Listener.Addr().String(), Connections: 1})
 	_, err := c.Apply(t.Context(), change, nil)
-	requireKind(t, target.Invalid, err)
+	_ = requireKind(t, target.Invalid, err)
 	require.Zero(t, f.effects.Load())
 }
 
