Configuration and store: checks, differences, deltas, races and lost answers tested

The settling reads back, and sends the same compare-and-swap again while the root is still the old one: a read alone proves nothing against a late write. Property over races with lost answers, lost and late writes: one write for each revision, each report true.

--- /dev/null
+++ b/internal/configstore/configstore_test.go
@@ -0,0 +1,311 @@
+package configstore_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/carawayreel/carawayreel/internal/configstore"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/platform"
+)
+
+const (
+	in  = pb.ServingState_SERVING_STATE_IN_SERVICE
+	out = pb.ServingState_SERVING_STATE_TAKEN_OUT
+)
+
+func proposal(author string, rows uint32) *pb.Configuration {
+	front := func(name string, rows uint32) *pb.Front {
+		return &pb.Front{
+			Name:   name,
+			Limits: &pb.FrontLimits{DefaultTimeLimitMs: 100, DefaultRowLimit: rows},
+			Services: []*pb.Service{{Name: "s", Targets: []*pb.Target{
+				{Id: name + "-a", Address: "127.0.0.1:" + name + "a", FailureDomain: "a", Slots: 2, Connections: 25, ColdLimit: 1, State: in},
+				{Id: name + "-b", Address: "127.0.0.1:" + name + "b", FailureDomain: "b", Slots: 2, Connections: 25, ColdLimit: 1, State: in},
+			}}},
+		}
+	}
+	return &pb.Configuration{
+		Author: author, Comment: fmt.Sprintf("rows %d", rows),
+		FailureDomains: []*pb.FailureDomain{{Name: "a", State: in}, {Name: "b", State: in}},
+		Fronts:         []*pb.Front{front("one", rows), front("two", 10)},
+	}
+}
+
+func apply(t require.TestingT, s *configstore.Store, author string, rows uint32, expected uint64) configstore.Result {
+	if helper, ok := t.(interface{ Helper() }); ok {
+		helper.Helper()
+	}
+	request := &pb.ApplyConfigurationRequest{Configuration: proposal(author, rows), ExpectedRevision: expected}
+	return s.Apply(context.Background(), request, nil, time.UnixMilli(1))
+}
+
+func requireStatus(t require.TestingT, status pb.ApplyStatus, result configstore.Result) {
+	require.Equal(t, status.String(), result.Response.Status.String(), result.Response.Reason)
+}
+
+// oneFate gives the first compare-and-swap of the root a fate.
+func oneFate(f fate) func(string) fate {
+	used := false
+	return func(string) fate {
+		if used {
+			return answered
+		}
+		used = true
+		return f
+	}
+}
+
+func TestApplyAndLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakeStore()
+		s := configstore.New(fake)
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, apply(t, s, "anna", 5, 0))
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, apply(t, s, "anna", 6, 1))
+		synctest.Wait()
+		stored, err := s.Load(context.Background(), nil)
+		require.NoError(t, err)
+		require.Equal(t, uint64(2), stored.Configuration.Revision)
+		require.Equal(t, uint64(2), stored.Configuration.Fronts[0].Revision)
+		require.Equal(t, uint64(1), stored.Configuration.Fronts[1].Revision, "the unchanged front is not written again")
+		require.Len(t, fake.expired, 1, "the replaced front's key is emptied")
+		entries, err := s.History(context.Background(), 10)
+		require.NoError(t, err)
+		require.Len(t, entries, 2)
+		require.Equal(t, "rows 6", entries[0].Comment)
+		require.Equal(t, "- front one: time_limit_ms=100 rows=5 extra_load_percent=0", entries[0].Difference[0])
+		require.Equal(t, uint64(1), entries[1].Revision)
+	})
+}
+
+func TestALostAnswerIsSettledByReadingBack(t *testing.T) {
+	for name, f := range map[string]fate{"took effect": lostAnswer, "did not": lostWrite, "arrives late": lateWrite} {
+		synctest.Test(t, func(t *testing.T) {
+			fake := newFakeStore()
+			s := configstore.New(fake)
+			apply(t, s, "anna", 5, 0)
+			fake.onPut = oneFate(f)
+			result := apply(t, s, "anna", 6, 1)
+			requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, result)
+			fake.arrive()
+			synctest.Wait()
+			require.Len(t, fake.roots, 2, "%s: one write for each revision", name)
+			stored, err := s.Load(context.Background(), nil)
+			require.NoError(t, err)
+			require.Equal(t, result.Stored.Configuration.WriteId, stored.Configuration.WriteId)
+		})
+	}
+}
+
+func TestAnAnswerThatCannotBeReadBackIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakeStore()
+		s := configstore.New(fake)
+		apply(t, s, "anna", 5, 0)
+		fake.onPut = func(string) fate {
+			fake.down = true
+			return lostAnswer
+		}
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_UNKNOWN, apply(t, s, "anna", 6, 1))
+		synctest.Wait()
+	})
+}
+
+func TestAStoreThatIsDownIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakeStore()
+		s := configstore.New(fake)
+		apply(t, s, "anna", 5, 0)
+		fake.onPut = func(string) fate { return refused }
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_NOT_RUN, apply(t, s, "anna", 6, 1))
+		fake.down = true
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_NOT_RUN, apply(t, s, "anna", 6, 1))
+		synctest.Wait()
+		require.Len(t, fake.roots, 1)
+	})
+}
+
+func TestTheLoserOfARaceHearsWhoWonAndTheDifference(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := configstore.New(newFakeStore())
+		apply(t, s, "anna", 5, 0)
+		results := make([]configstore.Result, 2)
+		var group sync.WaitGroup
+		for i, author := range []string{"bert", "cees"} {
+			group.Go(func() { results[i] = apply(t, s, author, uint32(20+i), 1) })
+		}
+		group.Wait()
+		winner, loser := results[0], results[1]
+		if winner.Response.Status != pb.ApplyStatus_APPLY_STATUS_ACCEPTED {
+			winner, loser = loser, winner
+		}
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, winner)
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_CONFLICT, loser)
+		require.Equal(t, winner.Stored.Configuration.Author, loser.Response.Winner)
+		require.Equal(t, uint64(2), loser.Response.Revision)
+		require.Len(t, loser.Response.Difference, 2)
+		synctest.Wait()
+	})
+}
+
+func TestUnsafeAndInvalidAreRefusedAndDryRunsWriteNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakeStore()
+		s := configstore.New(fake)
+		apply(t, s, "anna", 5, 0)
+		take := func(domain string, force bool) configstore.Result {
+			return s.SetServingState(context.Background(), &pb.SetServingStateRequest{FailureDomain: domain, State: out, Force: force, Author: "bert"}, nil, time.UnixMilli(2))
+		}
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, take("a", false))
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_UNSAFE, take("b", false))
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_INVALID, take("x", false))
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, take("a", false))
+		require.Len(t, fake.roots, 2, "a repeated command writes nothing")
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, take("b", true))
+		dry := &pb.ApplyConfigurationRequest{Configuration: proposal("anna", 9), ExpectedRevision: 3, DryRun: true}
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, s.Apply(context.Background(), dry, nil, time.UnixMilli(1)))
+		bad := proposal("anna", 0)
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_INVALID, s.Apply(context.Background(), &pb.ApplyConfigurationRequest{Configuration: bad, ExpectedRevision: 3}, nil, time.UnixMilli(1)))
+		require.Len(t, fake.roots, 3)
+		synctest.Wait()
+	})
+}
+
+func TestRacingServingCommandsBothCountUnlessTheyTouchTheSame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakeStore()
+		s := configstore.New(fake)
+		apply(t, s, "anna", 5, 0)
+		raced := false
+		fake.onPut = func(key string) fate {
+			if !raced && key == configstore.RootKey {
+				raced = true
+				other := proposal("bert", 6)
+				fake.mu.Unlock()
+				apply(t, s, other.Author, 6, 1)
+				fake.mu.Lock()
+			}
+			return answered
+		}
+		result := s.SetServingState(context.Background(), &pb.SetServingStateRequest{Target: "one-a", State: out, Author: "cees"}, nil, time.UnixMilli(2))
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, result)
+		require.Equal(t, uint64(3), result.Response.Revision)
+		require.Equal(t, uint32(6), result.Stored.Configuration.Fronts[0].Limits.DefaultRowLimit, "bert's revision is kept")
+		raced = false
+		fake.onPut = func(key string) fate {
+			if !raced && key == configstore.RootKey {
+				raced = true
+				fake.mu.Unlock()
+				s.SetServingState(context.Background(), &pb.SetServingStateRequest{Target: "one-a", State: in, Author: "bert"}, nil, time.UnixMilli(2))
+				fake.mu.Lock()
+			}
+			return answered
+		}
+		result = s.SetServingState(context.Background(), &pb.SetServingStateRequest{FailureDomain: "a", State: out, Author: "dirk"}, nil, time.UnixMilli(2))
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, result)
+		synctest.Wait()
+	})
+}
+
+// Operators race over a store that loses answers and writes and lets writes
+// arrive late. Each revision is written at most once, and each report is true.
+func TestRacesWithLostAnswersAreReportedTruly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fake := newFakeStore()
+		s := configstore.New(fake)
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, apply(t, s, "start", 1, 0))
+		fates := rapid.SliceOfN(rapid.SampledFrom([]fate{answered, refused, lostAnswer, lostWrite, lateWrite}), 1, 12).Draw(t, "fates")
+		fake.onPut = func(string) fate {
+			if len(fates) == 0 {
+				return answered
+			}
+			next := fates[0]
+			fates = fates[1:]
+			return next
+		}
+		operators := rapid.IntRange(2, 4).Draw(t, "operators")
+		for round := range uint32(3) {
+			expected := uint64(len(fake.roots))
+			results := make([]configstore.Result, operators)
+			var group sync.WaitGroup
+			for i := range operators {
+				group.Go(func() { results[i] = apply(t, s, fmt.Sprintf("%d/%d", round, i), 10+round*10+uint32(i), expected) })
+			}
+			group.Wait()
+			fake.arrive()
+			checkReports(t, fake, results, expected, round)
+		}
+	})
+}
+
+func checkReports(t *rapid.T, fake *fakeStore, results []configstore.Result, expected uint64, round uint32) {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	authors := map[string]int{}
+	for i, entry := range fake.roots {
+		root := &pb.ConfigurationRoot{}
+		require.NoError(t, proto.Unmarshal(entry.Value, root))
+		require.Equal(t, uint64(i+1), root.Revision, "each revision is written once")
+		authors[root.Author]++
+	}
+	for i, result := range results {
+		author := fmt.Sprintf("%d/%d", round, i)
+		switch result.Response.Status {
+		case pb.ApplyStatus_APPLY_STATUS_ACCEPTED:
+			require.Equal(t, 1, authors[author])
+			require.Equal(t, expected+1, result.Stored.Configuration.Revision)
+		case pb.ApplyStatus_APPLY_STATUS_CONFLICT:
+			require.Zero(t, authors[author])
+			require.NotEqual(t, author, result.Response.Winner)
+		case pb.ApplyStatus_APPLY_STATUS_NOT_RUN:
+			require.Zero(t, authors[author])
+		default:
+			t.Fatalf("unexpected %v", result.Response)
+		}
+	}
+}
+
+func TestAFrontReplacedDuringALoadIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakeStore()
+		s := configstore.New(fake)
+		apply(t, s, "anna", 5, 0)
+		old, err := fake.Get(context.Background(), configstore.RootKey)
+		require.NoError(t, err)
+		apply(t, s, "anna", 6, 1)
+		synctest.Wait()
+		_, err = s.Assemble(context.Background(), old, nil)
+		require.Error(t, err)
+		stored, err := s.Load(context.Background(), nil)
+		require.NoError(t, err)
+		require.Equal(t, uint64(2), stored.Configuration.Revision)
+	})
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakeStore()
+		s := configstore.New(fake)
+		const revisions = configstore.HistoryLength + 10
+		for i := range uint64(revisions) {
+			requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, apply(t, s, "anna", uint32(i%7+1), i))
+			synctest.Wait()
+		}
+		entries, err := s.History(context.Background(), 0)
+		require.NoError(t, err)
+		require.Len(t, entries, configstore.HistoryLength)
+		require.Equal(t, uint64(revisions), entries[0].Revision)
+		require.Less(t, len(fake.entries)-len(fake.expired), configstore.HistoryLength+4, "keys that are not expired")
+		require.Less(t, len(fake.entries[configstore.RootKey].Value), 10_000)
+	})
+}
+
+var _ platform.Store = (*fakeStore)(nil)
