--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,287 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/membership"
+)
+
+const (
+	alive   = pb.MemberState_MEMBER_STATE_ALIVE
+	suspect = pb.MemberState_MEMBER_STATE_SUSPECT
+	leaving = pb.MemberState_MEMBER_STATE_LEAVING
+	dead    = pb.MemberState_MEMBER_STATE_DEAD
+)
+
+var (
+	settings = membership.Settings{
+		HeartbeatInterval: 300 * time.Millisecond,
+		SuspectAfter:      time.Second,
+		DeadAfter:         time.Second,
+		ForgetAfter:       5 * time.Minute,
+		Monitored:         3,
+		NewsPerMessage:    8,
+	}
+	zero = time.Unix(1_800_000_000, 0)
+)
+
+func member(vm, domain string) *pb.Member {
+	return &pb.Member{Vm: vm, FailureDomain: domain, PeerAddress: vm, Incarnation: 1, State: alive}
+}
+
+func stateOf(table *membership.Table, vm string) pb.MemberState {
+	for _, m := range table.Members() {
+		if m.Vm == vm {
+			return m.State
+		}
+	}
+	return pb.MemberState_MEMBER_STATE_UNSPECIFIED
+}
+
+// cluster joins tables by heartbeats that take no time and may be lost.
+type cluster struct {
+	tables map[string]*membership.Table
+	domain map[string]string
+	names  []string
+	now    time.Time
+	lost   func(from, to string) bool
+	stuck  map[string]bool
+}
+
+func newCluster(domains, perDomain int) *cluster {
+	c := &cluster{tables: map[string]*membership.Table{}, domain: map[string]string{}, now: zero, stuck: map[string]bool{}}
+	c.lost = func(string, string) bool { return false }
+	for d := range domains {
+		for i := range perDomain {
+			c.start(fmt.Sprintf("vm-%d-%d", d, i), fmt.Sprintf("d%d", d), 1)
+		}
+	}
+	for _, to := range c.names {
+		for _, from := range c.names {
+			if from != to {
+				c.tables[to].Heard(c.tables[from].Self(), nil, c.now)
+			}
+		}
+	}
+	return c
+}
+
+func (c *cluster) start(vm, domain string, incarnation uint64) {
+	m := member(vm, domain)
+	m.Incarnation = incarnation
+	if c.tables[vm] == nil {
+		c.names = append(c.names, vm)
+	}
+	c.tables[vm] = membership.New(settings, m, uint64(len(c.names))+incarnation, c.now)
+	c.domain[vm] = domain
+}
+
+func (c *cluster) run(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(step)
+		for _, vm := range c.names {
+			if c.stuck[vm] {
+				continue
+			}
+			for _, contact := range c.tables[vm].Tick(c.now) {
+				c.heartbeat(vm, contact.VM)
+			}
+		}
+	}
+}
+
+func (c *cluster) heartbeat(from, to string) {
+	a, b := c.tables[from], c.tables[to]
+	if b == nil || c.stuck[to] || c.lost(from, to) {
+		a.Failed(to, c.now)
+		return
+	}
+	b.Heard(a.Self(), a.News(to), c.now)
+	answer, news := b.Self(), b.News(from)
+	if c.lost(to, from) {
+		a.Failed(to, c.now)
+		return
+	}
+	a.Answered(to, answer, news, c.now)
+}
+
+func (c *cluster) requireStates(t require.TestingT, vm string, want pb.MemberState) {
+	for _, from := range c.names {
+		if from != vm && !c.stuck[from] {
+			require.Equal(t, want.String(), stateOf(c.tables[from], vm).String(), "%s as seen by %s", vm, from)
+		}
+	}
+}
+
+func TestASilentVMIsSuspectedThenDeadAndForgotten(t *testing.T) {
+	c := newCluster(1, 5)
+	c.run(time.Second)
+	c.stuck["vm-0-1"] = true
+	c.run(800 * time.Millisecond)
+	c.requireStates(t, "vm-0-1", alive)
+	c.run(900 * time.Millisecond)
+	c.requireStates(t, "vm-0-1", suspect)
+	c.run(1500 * time.Millisecond)
+	c.requireStates(t, "vm-0-1", dead)
+	c.run(settings.ForgetAfter + time.Second)
+	c.requireStates(t, "vm-0-1", pb.MemberState_MEMBER_STATE_UNSPECIFIED)
+}
+
+func TestASuspectedVMRefutesAndADeadOneComesBack(t *testing.T) {
+	for _, silence := range []time.Duration{1500 * time.Millisecond, 10 * time.Second} {
+		c := newCluster(1, 5)
+		c.run(time.Second)
+		c.stuck["vm-0-1"] = true
+		c.run(silence)
+		c.stuck["vm-0-1"] = false
+		c.tables["vm-0-1"].Resume(c.now)
+		c.run(2 * time.Second)
+		c.requireStates(t, "vm-0-1", alive)
+		require.Equal(t, silence > 5*time.Second, c.tables["vm-0-1"].DeclaredDead())
+		require.Positive(t, c.tables["vm-0-1"].Stats().OwnRefutations)
+		for _, vm := range c.names {
+			if vm != "vm-0-1" {
+				c.requireStates(t, vm, alive)
+			}
+		}
+	}
+}
+
+func TestARestartedVMReplacesItsOldSelf(t *testing.T) {
+	c := newCluster(1, 4)
+	c.run(time.Second)
+	c.tables["vm-0-0"].Leave(c.now)
+	c.run(time.Second)
+	c.requireStates(t, "vm-0-0", leaving)
+	c.start("vm-0-0", "d0", 2)
+	c.tables["vm-0-0"].List([]*pb.ListedVm{{Vm: "vm-0-1", FailureDomain: "d0", PeerAddress: "vm-0-1"}}, c.now)
+	c.run(2 * time.Second)
+	c.requireStates(t, "vm-0-0", alive)
+	old := member("vm-0-0", "d0")
+	old.Refutation, old.State = 9, dead
+	c.tables["vm-0-2"].Heard(member("vm-0-1", "d0"), []*pb.Member{old}, c.now)
+	c.requireStates(t, "vm-0-0", alive)
+}
+
+func TestALeavingVMIsNeverMerelySuspected(t *testing.T) {
+	c := newCluster(1, 4)
+	c.run(time.Second)
+	c.tables["vm-0-0"].Leave(c.now)
+	c.run(time.Second)
+	c.stuck["vm-0-0"] = true
+	for range 40 {
+		c.run(100 * time.Millisecond)
+		require.NotEqual(t, suspect, stateOf(c.tables["vm-0-1"], "vm-0-0"))
+	}
+	c.requireStates(t, "vm-0-0", dead)
+}
+
+func TestAnUnreachableFailureDomainIsSuspectedAndComesBackAtOnce(t *testing.T) {
+	c := newCluster(3, 3)
+	c.run(2 * time.Second)
+	c.lost = func(from, to string) bool { return (c.domain[from] == "d1") != (c.domain[to] == "d1") }
+	c.run(time.Minute)
+	for _, from := range []string{"vm-0-0", "vm-2-2"} {
+		require.Equal(t, suspect, stateOf(c.tables[from], "vm-1-1"))
+		require.Equal(t, alive, stateOf(c.tables[from], "vm-0-1"))
+	}
+	require.Equal(t, alive, stateOf(c.tables["vm-1-0"], "vm-1-1"))
+	c.lost = func(string, string) bool { return false }
+	c.run(700 * time.Millisecond)
+	for _, vm := range c.names {
+		c.requireStates(t, vm, alive)
+		require.Zero(t, c.tables[vm].Stats().OwnRefutations, "a healed cut needs no refutations")
+	}
+}
+
+func TestTheListIntroducesVMsAndDecidesNothing(t *testing.T) {
+	table := membership.New(settings, member("a", "d0"), 1, zero)
+	listed := []*pb.ListedVm{
+		{Vm: "a", FailureDomain: "d0", PeerAddress: "a", State: pb.VmState_VM_STATE_LEAVING},
+		{Vm: "b", FailureDomain: "d0", PeerAddress: "b", State: pb.VmState_VM_STATE_LIVE},
+	}
+	table.List(listed, zero)
+	require.Equal(t, alive, table.Self().State)
+	require.Len(t, table.Members(), 1, "a VM that nobody heard of owns nothing")
+	require.Equal(t, []membership.Contact{{VM: "b", Address: "b"}}, table.Tick(zero))
+	table.Heard(member("b", "d0"), nil, zero)
+	require.Equal(t, []string{"a", "b"}, table.OwnDomain())
+	table.List(nil, zero)
+	require.Equal(t, alive, stateOf(table, "b"), "the list lags")
+	listed[1].State = pb.VmState_VM_STATE_LEAVING
+	table.List(listed, zero)
+	require.Equal(t, alive, stateOf(table, "b"))
+}
+
+func TestMalformedNewsChangesNothing(t *testing.T) {
+	table := membership.New(settings, member("a", "d0"), 1, zero)
+	version := table.Version()
+	for _, m := range []*pb.Member{nil, {}, {Vm: "b"}, {Vm: "b", FailureDomain: "d0"}, {Vm: "b", FailureDomain: "d0", Incarnation: 1}, {Vm: "b", FailureDomain: "d0", Incarnation: 1, State: 77}} {
+		table.Heard(m, []*pb.Member{m}, zero)
+		table.Answered("x", m, nil, zero)
+	}
+	require.Equal(t, version, table.Version())
+}
+
+// Whatever is lost, frozen or cut: some time after it ended, all VMs agree that
+// all are alive, and their digests agree.
+func TestMembershipConvergesAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.IntRange(1, 3).Draw(t, "domains"), rapid.IntRange(2, 5).Draw(t, "vms"))
+		for range rapid.IntRange(1, 5).Draw(t, "faults") {
+			faulty := rapid.SampledFrom(c.names).Draw(t, "vm")
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				c.stuck[faulty] = true
+			case 1:
+				c.lost = func(from, to string) bool {
+					return c.domain[from] == c.domain[faulty] && c.domain[to] != c.domain[faulty]
+				}
+			case 2:
+				c.lost = func(_, to string) bool { return to == faulty }
+			}
+			c.run(time.Duration(rapid.IntRange(100, 6000).Draw(t, "ms")) * time.Millisecond)
+			if c.stuck[faulty] {
+				c.stuck[faulty] = false
+				c.tables[faulty].Resume(c.now)
+			}
+			if rapid.Bool().Draw(t, "heal") {
+				c.lost = func(string, string) bool { return false }
+			}
+		}
+		c.lost = func(string, string) bool { return false }
+		c.run(15 * time.Second)
+		for _, vm := range c.names {
+			c.requireStates(t, vm, alive)
+			require.Equal(t, c.tables[c.names[0]].Digest(), c.tables[vm].Digest())
+		}
+	})
+}
+
+// The order of pieces of news does not matter.
+func TestNewsInAnyOrderGivesTheSameBelief(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		news := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *pb.Member {
+			m := member("b", "d1")
+			m.Incarnation = rapid.Uint64Range(1, 3).Draw(t, "incarnation")
+			m.Refutation = rapid.Uint64Range(0, 2).Draw(t, "refutation")
+			m.State = rapid.SampledFrom([]pb.MemberState{alive, suspect, leaving, dead}).Draw(t, "state")
+			return m
+		}), 1, 8).Draw(t, "news")
+		first := membership.New(settings, member("a", "d0"), 1, zero)
+		second := membership.New(settings, member("a", "d0"), 1, zero)
+		known := member("b", "d1")
+		first.Heard(known, news, zero)
+		shuffled := rapid.Permutation(news).Draw(t, "order")
+		second.Heard(known, shuffled, zero)
+		require.Equal(t, first.Digest(), second.Digest())
+		require.Equal(t, stateOf(first, "b"), stateOf(second, "b"))
+	})
+}
