--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -86,8 +86,10 @@
 	lastTick atomic.Int64
 	trace    *recorder
 	machine  *machine
-	// pending holds views whose rebuilding may be spared.
-	built publication
+	// built is what the newest view was built from, and membersShown the version
+	// of the members in the status.
+	built        publication
+	membersShown uint64
 }
 
 // status is what others than the control goroutine read besides the view.
@@ -211,8 +213,9 @@
 	if before != nil {
 		next.members = before.members
 	}
-	if before == nil || c.built.members != c.machine.table.Version() {
+	if version := c.machine.table.Version(); before == nil || c.membersShown != version {
 		next.members = c.machine.table.Members()
+		c.membersShown = version
 	}
 	if before == nil || before.ready != next.ready || before.reason != next.reason {
 		c.options.Logger.Info().Bool("ready", next.ready).Str("reason", next.reason).Msg("readiness")
--- /dev/null
+++ b/internal/control/fake_test.go
@@ -0,0 +1,272 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/platform"
+	"github.com/carawayreel/carawayreel/internal/view"
+)
+
+var errUnreachable = errors.New("unreachable")
+
+// fakePlatform is a store with watches and a VM list, in memory.
+type fakePlatform struct {
+	mu      sync.Mutex
+	entries map[string]platform.Entry
+	version uint64
+	changed chan struct{}
+	down    bool
+	// loseAnswers makes each compare-and-swap take effect without an answer.
+	loseAnswers bool
+	vms         []*pb.ListedVm
+	// deaf watches never see a change: they are lost.
+	deaf bool
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{entries: map[string]platform.Entry{}, changed: make(chan struct{})}
+}
+
+func (f *fakePlatform) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakePlatform) Get(_ context.Context, key string) (platform.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return f.entries[key], nil
+}
+
+func (f *fakePlatform) set(key string, value []byte) {
+	f.version++
+	f.entries[key] = platform.Entry{Value: value, Version: f.version}
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakePlatform) Put(_ context.Context, key string, value []byte, expected uint64) (platform.PutResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.PutResult{}, platform.ErrUnavailable
+	}
+	if present := f.entries[key]; present.Version != expected {
+		return platform.PutResult{Version: present.Version, Present: present.Value}, nil
+	}
+	f.set(key, value)
+	if f.loseAnswers {
+		return platform.PutResult{}, platform.ErrOutcomeUnknown
+	}
+	return platform.PutResult{Written: true, Version: f.version}, nil
+}
+
+func (f *fakePlatform) Replace(_ context.Context, key string, value []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.ErrUnavailable
+	}
+	f.set(key, value)
+	return nil
+}
+
+func (f *fakePlatform) Expire(ctx context.Context, key string, _ time.Duration) error {
+	return f.Replace(ctx, key, nil)
+}
+
+func (f *fakePlatform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.WatchResult, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		entry, down, changed := f.entries[key], f.down, f.changed
+		f.mu.Unlock()
+		if down {
+			return platform.WatchResult{}, platform.ErrUnavailable
+		}
+		if entry.Version > after {
+			return platform.WatchResult{Changed: true, Entry: entry}, nil
+		}
+		if f.deaf {
+			changed = nil
+		}
+		select {
+		case <-ctx.Done():
+			return platform.WatchResult{}, platform.ErrUnavailable
+		case <-timer.C:
+			return platform.WatchResult{}, nil
+		case <-changed:
+		}
+	}
+}
+
+func (f *fakePlatform) ListVMs(context.Context) ([]*pb.ListedVm, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, platform.ErrUnavailable
+	}
+	return append([]*pb.ListedVm(nil), f.vms...), nil
+}
+
+// fakeNetwork joins Controls; calls are encoded and decoded on the way.
+type fakeNetwork struct {
+	mu       sync.Mutex
+	controls map[string]*Control
+	cut      map[string]bool
+}
+
+func (n *fakeNetwork) find(address string) (*Control, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.controls[address]; c != nil && !n.cut[address] {
+		return c, nil
+	}
+	return nil, errUnreachable
+}
+
+// link is a VM's end of the network.
+type link struct {
+	network *fakeNetwork
+	self    string
+}
+
+func (l link) call(address string) (*Control, error) {
+	if _, err := l.network.find(l.self); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Millisecond)
+	return l.network.find(address)
+}
+
+func copyOf[M proto.Message](m M) M { return proto.Clone(m).(M) }
+
+func (l link) Heartbeat(ctx context.Context, address string, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	other, err := l.call(address)
+	if err != nil {
+		return nil, err
+	}
+	return copyOf(other.Heartbeat(ctx, copyOf(r))), ctx.Err()
+}
+
+func (l link) FetchConfiguration(ctx context.Context, address string, r *pb.FetchConfigurationRequest) (*pb.FetchConfigurationResponse, error) {
+	other, err := l.call(address)
+	if err != nil {
+		return nil, err
+	}
+	return copyOf(other.FetchConfiguration(ctx, copyOf(r))), ctx.Err()
+}
+
+func (l link) OfferConfiguration(ctx context.Context, address string, r *pb.OfferConfigurationRequest) (*pb.OfferConfigurationResponse, error) {
+	other, err := l.call(address)
+	if err != nil {
+		return nil, err
+	}
+	return copyOf(other.OfferConfiguration(ctx, copyOf(r))), ctx.Err()
+}
+
+// stage is a deployment of Controls in a synctest bubble.
+type stage struct {
+	t        *testing.T
+	platform *fakePlatform
+	network  *fakeNetwork
+	controls []*Control
+	freezers []*freezer
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+	ctx      context.Context
+}
+
+// freezer is a trace writer that stops the control goroutine.
+type freezer struct {
+	mu   sync.Mutex
+	hold chan struct{}
+	out  []byte
+}
+
+func (f *freezer) Write(p []byte) (int, error) {
+	f.mu.Lock()
+	hold := f.hold
+	f.out = append(f.out, p...)
+	f.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
+	return len(p), nil
+}
+
+func (f *freezer) freeze() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hold = make(chan struct{})
+}
+
+func (f *freezer) thaw() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.hold != nil {
+		close(f.hold)
+		f.hold = nil
+	}
+}
+
+func testSettings() *pb.Settings {
+	header := simulatedHeader("x", "x", 0, 1)
+	return &pb.Settings{Platform: header.Platform, Peers: header.Peers, Limits: header.Limits}
+}
+
+func newStage(t *testing.T, names ...string) *stage {
+	s := &stage{t: t, platform: newFakePlatform(), network: &fakeNetwork{controls: map[string]*Control{}, cut: map[string]bool{}}}
+	s.ctx, s.cancel = context.WithCancel(t.Context())
+	for _, name := range names {
+		s.platform.vms = append(s.platform.vms, &pb.ListedVm{Vm: name, FailureDomain: "domain-" + name[:1], PeerAddress: name})
+	}
+	t.Cleanup(s.stop)
+	for _, name := range names {
+		s.start(name)
+	}
+	return s
+}
+
+func (s *stage) start(name string) *Control {
+	self := view.VM{ID: name, FailureDomain: "domain-" + name[:1], PeerAddress: name, Incarnation: uint64(time.Now().UnixNano()), State: pb.MemberState_MEMBER_STATE_ALIVE}
+	f := &freezer{}
+	c, err := New(Options{
+		Settings: testSettings(), Self: self, Store: s.platform, VMList: s.platform,
+		Peers: link{s.network, name}, Logger: zerolog.Nop(), Trace: f,
+	})
+	require.NoError(s.t, err)
+	s.network.mu.Lock()
+	s.network.controls[name] = c
+	s.network.mu.Unlock()
+	s.controls = append(s.controls, c)
+	s.freezers = append(s.freezers, f)
+	s.group.Go(func() { _ = c.Serve(s.ctx) })
+	return c
+}
+
+func (s *stage) stop() {
+	s.cancel()
+	for _, f := range s.freezers {
+		f.thaw()
+	}
+	s.group.Wait()
+	// Calls that were on their way end by then.
+	time.Sleep(10 * time.Second)
+	synctest.Wait()
+}
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -373,7 +373,7 @@
 	for d := range domains {
 		name := fmt.Sprintf("domain-%d", d)
 		c.FailureDomains = append(c.FailureDomains, &pb.FailureDomain{Name: name, State: pb.ServingState_SERVING_STATE_IN_SERVICE})
-		for i := range 3 {
+		for i := range 8 {
 			id := fmt.Sprintf("t-%d-%d", d, i)
 			service.Targets = append(service.Targets, &pb.Target{
 				Id: id, Address: "127.0.0.1:" + id, FailureDomain: name, Slots: 2, Connections: 25, ColdLimit: 1,
