Control: no two dispatchers and no older revision, as properties over faults

The property over faults found a leaving VM, the last of its failure domain, whose configuration grew stale (4.7 s against 2 s): leaving VMs did not watch. It watches now when nobody else of its failure domain can; a test keeps it.

--- a/internal/control/distribute.go
+++ b/internal/control/distribute.go
@@ -60,9 +60,13 @@
 }
 
 // watches reports whether this VM is one of the watchers of its failure domain,
-// which are chosen by rendezvous over its live VMs.
+// which are chosen by rendezvous over its live VMs. A leaving VM watches only
+// when no other VM of its failure domain is left to do so.
 func (m *machine) watches() bool {
 	vms := m.table.OwnDomain()
+	if len(vms) == 0 {
+		return true
+	}
 	sortByHash(vms, "watch")
 	position := slices.Index(vms, m.table.Self().Vm)
 	return position >= 0 && position < m.config.watchers
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -186,3 +186,33 @@
 	}
 	require.Equal(t, before, s.owners("t-1-0"))
 }
+
+// Found by the property over faults: the only VM left of a failure domain was
+// leaving, did not watch, and its configuration grew stale.
+func TestTheLastVMOfADomainWatchesWhileItLeaves(t *testing.T) {
+	s := deployment(1, 2)
+	s.write(testConfiguration(1, "first"))
+	s.run(4 * time.Second)
+	s.kill("vm-0-000")
+	vm := s.vms["vm-0-001"]
+	s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_Leave{Leave: &pb.LeaveRequested{}}}, nil)
+	s.run(15 * time.Second)
+	require.Less(t, vm.machine.age(), 2*time.Second)
+}
+
+// A VM whose list does not name itself yet cannot conclude from it that it is
+// alone.
+func TestAListThatLagsBehindTheStartConfirmsNothing(t *testing.T) {
+	s := newSimulation()
+	s.write(testConfiguration(1, "first"))
+	a := s.startVM("vm-0-000", "domain-0", 1)
+	b := s.startVM("vm-0-001", "domain-0", 2)
+	s.run(2 * time.Second)
+	require.True(t, a.machine.published.paused)
+	require.True(t, b.machine.published.paused)
+	s.listVM("vm-0-000", "domain-0")
+	s.listVM("vm-0-001", "domain-0")
+	s.run(10 * time.Second)
+	require.False(t, a.machine.published.paused)
+	require.Len(t, s.owners("t-0-0"), 1)
+}
