Configuration store: the loser of a race is shown the winner's fronts

A test of two racing operators failed now and then: the loser's difference was empty. Cause: its own fronts, which have the same name and revision as the winner's, stood for those. Only accepted fronts do so now. Also tests for what ends a pause: two mechanisms had been switched off unnoticed.

--- a/internal/configstore/configstore_test.go
+++ b/internal/configstore/configstore_test.go
@@ -156,6 +156,60 @@
 	})
 }
 
+// Found by the race of two operators: the loser took its own front for the
+// winner's, as both had the same name and revision, and showed no difference.
+func TestTheDifferenceIsAgainstTheWinnersFronts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakeStore()
+		s := configstore.New(fake)
+		apply(t, s, "anna", 5, 0)
+		raced := false
+		fake.onPut = func(string) fate {
+			if !raced {
+				raced = true
+				fake.mu.Unlock()
+				apply(t, s, "bert", 20, 1)
+				fake.mu.Lock()
+			}
+			return answered
+		}
+		loser := apply(t, s, "cees", 21, 1)
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_CONFLICT, loser)
+		require.Equal(t, []string{
+			"- front one: time_limit_ms=100 rows=20 extra_load_percent=0",
+			"+ front one: time_limit_ms=100 rows=21 extra_load_percent=0",
+		}, loser.Response.Difference)
+		require.Equal(t, uint32(20), loser.Stored.Configuration.Fronts[0].Limits.DefaultRowLimit)
+		synctest.Wait()
+	})
+}
+
+// A write whose answer was lost, and on which another operator has built
+// already, is reported as accepted.
+func TestALostAnswerIsSettledAfterFurtherRevisions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakeStore()
+		s := configstore.New(fake)
+		apply(t, s, "anna", 5, 0)
+		lost := false
+		fake.onPut = func(string) fate {
+			if lost {
+				return answered
+			}
+			lost = true
+			go apply(t, s, "bert", 30, 2)
+			fake.down = true
+			time.AfterFunc(time.Millisecond, func() { fake.setDown(false) })
+			return lostAnswer
+		}
+		result := apply(t, s, "cees", 21, 1)
+		requireStatus(t, pb.ApplyStatus_APPLY_STATUS_ACCEPTED, result)
+		require.Equal(t, "cees", result.Stored.Configuration.Author)
+		synctest.Wait()
+		require.Len(t, fake.roots, 3)
+	})
+}
+
 func TestUnsafeAndInvalidAreRefusedAndDryRunsWriteNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fake := newFakeStore()
--- a/internal/configstore/fake_test.go
+++ b/internal/configstore/fake_test.go
@@ -116,6 +116,12 @@
 	return platform.WatchResult{}, platform.ErrUnavailable
 }
 
+func (f *fakeStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
 // arrive lets the late writes arrive.
 func (f *fakeStore) arrive() {
 	f.mu.Lock()
--- a/internal/configstore/settle.go
+++ b/internal/configstore/settle.go
@@ -15,7 +15,7 @@
 	case err == nil && put.Written:
 		return accepted(Stored{Configuration: next, Version: put.Version, Root: root})
 	case err == nil:
-		return s.settled(ctx, next, root, platform.Entry{Value: put.Present, Version: put.Version})
+		return s.settled(ctx, present, next, root, platform.Entry{Value: put.Present, Version: put.Version})
 	case hadNoEffect(err):
 		return notRun(err)
 	default:
@@ -34,7 +34,7 @@
 	for {
 		entry, err := s.platform.Get(ctx, RootKey)
 		if err == nil && entry.Version != present.Version {
-			return s.settled(ctx, next, root, entry)
+			return s.settled(ctx, present, next, root, entry)
 		}
 		if err == nil {
 			put, err := s.platform.Put(ctx, RootKey, value, present.Version)
@@ -42,7 +42,7 @@
 				return accepted(Stored{Configuration: next, Version: put.Version, Root: root})
 			}
 			if err == nil {
-				return s.settled(ctx, next, root, platform.Entry{Value: put.Present, Version: put.Version})
+				return s.settled(ctx, present, next, root, platform.Entry{Value: put.Present, Version: put.Version})
 			}
 		}
 		if !pause(ctx, retryDelay) {
@@ -53,7 +53,7 @@
 
 // settled decides from the root that is in the store now. Roots name the writes
 // before them, so a later revision shows whether this write was among them.
-func (s *Store) settled(ctx context.Context, next *pb.Configuration, root *pb.ConfigurationRoot, entry platform.Entry) Result {
+func (s *Store) settled(ctx context.Context, present Stored, next *pb.Configuration, root *pb.ConfigurationRoot, entry platform.Entry) Result {
 	found, err := parseRoot(entry.Value)
 	if err != nil {
 		return unknown(next, err)
@@ -67,12 +67,13 @@
 	if found.Revision > next.Revision+rememberedWrites {
 		return unknown(next, platform.ErrOutcomeUnknown)
 	}
-	return s.lost(ctx, next, entry)
+	return s.lost(ctx, present.Configuration, next, entry)
 }
 
-// lost reports a write that another one came before.
-func (s *Store) lost(ctx context.Context, next *pb.Configuration, entry platform.Entry) Result {
-	present, err := s.Assemble(ctx, entry, next)
+// lost reports a write that another one came before. Only accepted fronts may
+// stand for the winner's: those of next can have the same names and revisions.
+func (s *Store) lost(ctx context.Context, known, next *pb.Configuration, entry platform.Entry) Result {
+	present, err := s.Assemble(ctx, entry, known)
 	if err != nil {
 		root, _ := parseRoot(entry.Value)
 		present = Stored{Configuration: &pb.Configuration{Revision: root.GetRevision(), Author: root.GetAuthor()}}
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -216,3 +216,27 @@
 	require.False(t, a.machine.published.paused)
 	require.Len(t, s.owners("t-0-0"), 1)
 }
+
+// answer is the answer of a peer that holds the revision, to a heartbeat sent at
+// some time.
+func answer(peer *machine, vm string, sent, now time.Duration) *pb.ControlEvent {
+	return &pb.ControlEvent{OffsetUs: now.Microseconds(), Kind: &pb.ControlEvent_HeartbeatAnswered{HeartbeatAnswered: &pb.HeartbeatAnswered{
+		Vm: vm, SentOffsetUs: sent.Microseconds(),
+		Response: &pb.HeartbeatResponse{Responder: peer.table.Self(), MembersDigest: peer.table.Digest(), ConfigurationRevision: peer.revision()},
+	}}}
+}
+
+func TestOnlyAnAnswerThatConfirmsEndsAPause(t *testing.T) {
+	s := deployment(1, 2)
+	s.run(3 * time.Second)
+	m, peer := s.vms["vm-0-000"].machine, s.vms["vm-0-001"].machine
+	require.False(t, m.published.paused)
+	asked, woken := 3*time.Second, 4500*time.Millisecond
+	m.step(answer(peer, "vm-0-001", asked, woken))
+	require.True(t, m.published.paused, "the heartbeat was sent before the gap")
+	other := newMachine(simulatedHeader("vm-0-001", "domain-0", 0, 1))
+	m.step(answer(other, "vm-0-001", woken, woken+time.Millisecond))
+	require.True(t, m.published.paused, "the peer believes something else and did not say what")
+	m.step(answer(peer, "vm-0-001", woken, woken+2*time.Millisecond))
+	require.False(t, m.published.paused)
+}
