--- a/internal/configstore/configstore_test.go
+++ b/internal/configstore/configstore_test.go
@@ -197,9 +197,11 @@
 				return answered
 			}
 			lost = true
-			go apply(t, s, "bert", 30, 2)
 			fake.down = true
-			time.AfterFunc(time.Millisecond, func() { fake.setDown(false) })
+			time.AfterFunc(time.Millisecond, func() {
+				fake.setDown(false)
+				apply(t, s, "bert", 30, 2)
+			})
 			return lostAnswer
 		}
 		result := apply(t, s, "cees", 21, 1)
