--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -51,32 +51,34 @@
 
 // globals are the flags of every command.
 type globals struct {
-	Server    []string      `help:"Addresses of VMs, separated by commas; the next one is asked when one cannot be reached." default:"127.0.0.1:7100" env:"CARAWAYREEL_SERVER" placeholder:"HOST:PORT"`
-	KeyFile   string        `help:"File with the operators' key." env:"CARAWAYREEL_KEY_FILE" placeholder:"FILE"`
-	Format    string        `help:"Layout of results: report, json or csv." enum:"report,json,csv" default:"report"`
-	JSON      bool          `help:"Print results as JSON, the same as --format=json." name:"json"`
-	TimeLimit time.Duration `help:"Time limit of a search or change, such as 140ms; zero takes the front's." default:"0s"`
-	Author    string        `help:"Name recorded with configuration changes." env:"CARAWAYREEL_AUTHOR" default:"${user}"`
+	Server          []string      `help:"Addresses of VMs, separated by commas; the next one is asked when one cannot be reached." default:"127.0.0.1:7100" env:"CARAWAYREEL_SERVER" placeholder:"HOST:PORT"`
+	KeyFile         string        `help:"File with the operators' key." env:"CARAWAYREEL_KEY_FILE" placeholder:"FILE"`
+	AccessTokenFile string        `help:"File with a ready access token, used instead of a key." env:"CARAWAYREEL_ACCESS_TOKEN_FILE" placeholder:"FILE"`
+	Format          string        `help:"Layout of results: report, json or csv." enum:"report,json,csv" default:"report"`
+	JSON            bool          `help:"Print results as JSON, the same as --format=json." name:"json"`
+	TimeLimit       time.Duration `help:"Time limit of a search or change, such as 140ms; zero takes the front's." default:"0s"`
+	Author          string        `help:"Name recorded with configuration changes." env:"CARAWAYREEL_AUTHOR" default:"${user}"`
 }
 
 // root has the commands.
 type root struct {
 	globals
 
-	Search     searchCommand     `cmd:"" help:"Search a front."`
-	Edit       editCommand       `cmd:"" help:"Edit a record, at most once."`
-	Transfer   transferCommand   `cmd:"" help:"Transfer the title of a cask, at most once."`
-	Token      tokenCommand      `cmd:"" help:"Fetch a token for one change."`
-	Outcome    outcomeCommand    `cmd:"" help:"Ask what became of a change."`
-	Run        runCommand        `cmd:"" help:"Run statements of the query and command language."`
-	Config     configCommand     `cmd:"" help:"Show, check and change the configuration."`
-	TakeOut    takeOutCommand    `cmd:"" help:"Take a failure domain or target out of service."`
-	BringBack  bringBackCommand  `cmd:"" help:"Bring a failure domain or target back into service."`
-	Status     statusCommand     `cmd:"" help:"Show VMs, owners, ramps, budgets and the configuration's age."`
-	VMs        vmsCommand        `cmd:"" name:"vms" help:"List the VMs of the deployment."`
-	Explain    explainCommand    `cmd:"" help:"Show the decisions taken for a request, with their reasons."`
-	Prompt     promptCommand     `cmd:"" help:"Read statements interactively."`
-	Completion completionCommand `cmd:"" help:"Print a shell completion script."`
+	Search      searchCommand      `cmd:"" help:"Search a front."`
+	Edit        editCommand        `cmd:"" help:"Edit a record, at most once."`
+	Transfer    transferCommand    `cmd:"" help:"Transfer the title of a cask, at most once."`
+	Token       tokenCommand       `cmd:"" help:"Fetch a token for one change."`
+	Outcome     outcomeCommand     `cmd:"" help:"Ask what became of a change."`
+	Run         runCommand         `cmd:"" help:"Run statements of the query and command language."`
+	Config      configCommand      `cmd:"" help:"Show, check and change the configuration."`
+	TakeOut     takeOutCommand     `cmd:"" help:"Take a failure domain or target out of service."`
+	BringBack   bringBackCommand   `cmd:"" help:"Bring a failure domain or target back into service."`
+	Status      statusCommand      `cmd:"" help:"Show VMs, owners, ramps, budgets and the configuration's age."`
+	VMs         vmsCommand         `cmd:"" name:"vms" help:"List the VMs of the deployment."`
+	Explain     explainCommand     `cmd:"" help:"Show the decisions taken for a request, with their reasons."`
+	Prompt      promptCommand      `cmd:"" help:"Read statements interactively."`
+	Completion  completionCommand  `cmd:"" help:"Print a shell completion script."`
+	AccessToken accessTokenCommand `cmd:"" help:"Sign an access token for a team that shares the deployment."`
 }
 
 // session is what a command runs with.
@@ -157,7 +159,7 @@
 	if flags.TimeLimit < 0 || flags.TimeLimit > time.Minute {
 		return nil, &UsageError{Reason: "--time-limit must be from 0s to 1m"}
 	}
-	httpClient, err := newHTTPClient(flags.KeyFile)
+	httpClient, err := newHTTPClient(flags)
 	if err != nil {
 		return nil, &UsageError{Reason: err.Error()}
 	}
--- a/internal/cli/http.go
+++ b/internal/cli/http.go
@@ -1,36 +1,37 @@
 package cli
 
 import (
+	"bytes"
 	"net/http"
 	"os"
-	"strings"
 
-	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+
+	"github.com/carawayreel/carawayreel/internal/auth"
+	"github.com/carawayreel/carawayreel/internal/transport"
 )
 
-// newHTTPClient returns the client for calls to VMs. With a key file, each call
-// carries the key.
-func newHTTPClient(keyFile string) (connect.HTTPClient, error) {
-	client := &http.Client{}
-	if keyFile == "" {
+// newHTTPClient returns the client for calls to VMs. With a key file, calls are
+// signed for an operator; with a token file they carry its ready token.
+func newHTTPClient(flags globals) (*http.Client, error) {
+	options := transport.ClientOptions{
+		Identity: auth.Identity{Subject: flags.Author, Role: auth.RoleOperator},
+	}
+	if flags.KeyFile != "" {
+		key, err := auth.LoadKey(flags.KeyFile)
+		if err != nil {
+			return nil, errors.Wrap(err, "load key")
+		}
+		options.Key = key
+	}
+	client := transport.NewClient(options)
+	if flags.AccessTokenFile == "" {
 		return client, nil
 	}
-	key, err := os.ReadFile(keyFile)
+	token, err := os.ReadFile(flags.AccessTokenFile)
 	if err != nil {
-		return nil, errors.Wrap(err, "read key file")
+		return nil, errors.Wrap(err, "read access token")
 	}
-	return &keyedClient{client: client, key: strings.TrimSpace(string(key))}, nil
-}
-
-// keyedClient adds the operators' key to each request.
-type keyedClient struct {
-	client *http.Client
-	key    string
-}
-
-// Do sends the request with the key.
-func (c *keyedClient) Do(r *http.Request) (*http.Response, error) {
-	r.Header.Set("Authorization", "Bearer "+c.key)
-	return c.client.Do(r)
+	client.Transport = auth.Bearer{Next: client.Transport, Token: string(bytes.TrimSpace(token))}
+	return client, nil
 }
--- a/internal/cli/prompt.go
+++ b/internal/cli/prompt.go
@@ -153,7 +153,8 @@
 	word := strings.ToUpper(typed[start:])
 	var endings [][]rune
 	for _, candidate := range language.Expected(typed[:start]) {
-		if candidate == strings.ToUpper(candidate) && strings.HasPrefix(candidate, word) {
+		isKeyword := candidate[0] >= 'A' && candidate[0] <= 'Z'
+		if isKeyword && strings.HasPrefix(candidate, word) {
 			endings = append(endings, []rune(candidate[len(word):]+" "))
 		}
 	}
--- a/internal/language/parse.go
+++ b/internal/language/parse.go
@@ -41,12 +41,19 @@
 
 var symbols = definition.Symbols()
 
-var parser = participle.MustBuild[Statement](
+var parser = participle.MustBuild[Statement](parserOptions...)
+
+var conditionParser = participle.MustBuild[conditionList](parserOptions...)
+
+// parserOptions make an alternative or an optional part binding from its first
+// token on, so that errors are found where they are.
+var parserOptions = []participle.Option{
 	participle.Lexer(definition),
 	participle.Map(reserve, "Ident"),
 	participle.CaseInsensitive("Keyword"),
 	participle.Elide("Comment", "Whitespace"),
-)
+	participle.UseLookahead(0),
+}
 
 // reserve turns an identifier that is a keyword into a keyword token.
 func reserve(token lexer.Token) (lexer.Token, error) {
@@ -97,16 +104,11 @@
 		}
 		return nil, lexError
 	}
-	prefix, prefixError := tokenize("SEARCH x WHERE")
-	if prefixError != nil {
-		return nil, prefixError
-	}
-	tokens = append(prefix[:len(prefix)-1], tokens...)
-	statement, err := parseTokens(tokens)
+	list, err := parseTokens(conditionParser, tokens)
 	if err != nil {
-		return nil, diagnose(tokens, err)
+		return nil, diagnose(conditionCheck, tokens, err)
 	}
-	return statement.Search.Conditions, nil
+	return list.Conditions, nil
 }
 
 // ParseScript parses statements that semicolons separate. The error is a
@@ -122,7 +124,7 @@
 		if len(part) == 1 && lexError == nil {
 			continue
 		}
-		statement, err := parseTokens(part)
+		statement, err := parseTokens(parser, part)
 		if err == nil {
 			statements = append(statements, statement)
 			continue
@@ -130,12 +132,12 @@
 		if lexError != nil && unfinished(err) {
 			break
 		}
-		return nil, diagnose(part, err)
+		return nil, diagnose(statementCheck, part, err)
 	}
 	if lexError != nil {
 		parts := split(tokens)
 		last := parts[len(parts)-1]
-		lexError.Expected = expectedAfter(last[:len(last)-1])
+		lexError.Expected = statementCheck.expectedAfter(last[:len(last)-1])
 		return nil, lexError
 	}
 	return statements, nil
@@ -209,7 +211,7 @@
 	return parts
 }
 
-func parseTokens(tokens []lexer.Token) (*Statement, error) {
+func parseTokens[G any](parser *participle.Parser[G], tokens []lexer.Token) (*G, error) {
 	peeking, err := lexer.Upgrade(&tokenSource{tokens: tokens})
 	if err != nil {
 		return nil, errors.WithStack(err)
--- a/internal/language/statement.go
+++ b/internal/language/statement.go
@@ -42,6 +42,11 @@
 	Value    Value     `parser:"@(String | Date | Number)"`
 }
 
+// conditionList is what may follow WHERE.
+type conditionList struct {
+	Conditions []*Condition `parser:"@@ ( 'AND' @@ )*"`
+}
+
 // Operator is the comparison of a Condition; exactly one field is set.
 type Operator struct {
 	Equal    bool `parser:"(   @'='"`
--- a/internal/language/syntax_error.go
+++ b/internal/language/syntax_error.go
@@ -47,7 +47,7 @@
 }
 
 // Expected returns what may follow an unfinished statement: keywords in upper
-// case as they are written, and descriptions in lower case. It is empty when
+// case, punctuation in quotes, and descriptions in lower case. It is empty when
 // the text is already wrong.
 func Expected(unfinished string) []string {
 	tokens, err := tokenize(unfinished)
@@ -56,21 +56,21 @@
 	}
 	parts := split(tokens)
 	last := parts[len(parts)-1]
-	return expectedAfter(last[:len(last)-1])
+	return statementCheck.expectedAfter(last[:len(last)-1])
 }
 
-// diagnose finds the first token after which no statement can continue.
-func diagnose(tokens []lexer.Token, err error) *SyntaxError {
+// diagnose finds the first token with which nothing right can begin.
+func diagnose(c check, tokens []lexer.Token, err error) *SyntaxError {
 	var unexpected *participle.UnexpectedTokenError
 	if !errors.As(err, &unexpected) {
 		return badValue(tokens, err)
 	}
 	body := tokens[:len(tokens)-1]
-	wrong := sort.Search(len(body), func(i int) bool { return !canContinue(body[:i+1]) })
+	wrong := sort.Search(len(body), func(i int) bool { return !c.canContinue(body[:i+1]) })
 	found := tokens[wrong]
 	return &SyntaxError{
 		Line: found.Pos.Line, Column: found.Pos.Column,
-		Expected: expectedAfter(body[:wrong]), Found: describe(found),
+		Expected: c.expectedAfter(body[:wrong]), Found: describe(found),
 	}
 }
 
@@ -111,7 +111,7 @@
 	position.Advance(text)
 	return &SyntaxError{
 		Line: position.Line, Column: position.Column,
-		Expected: expectedAfter(nil), Found: endOfText,
+		Expected: statementCheck.expectedAfter(nil), Found: endOfText,
 	}
 }
 
@@ -129,14 +129,6 @@
 	return errors.As(err, &unexpected) && unexpected.Unexpected.EOF()
 }
 
-// canContinue reports whether some statement begins with the tokens.
-func canContinue(tokens []lexer.Token) bool {
-	end := lexer.Position{Line: 1, Column: 1}
-	_, err := parseTokens(append(tokens[:len(tokens):len(tokens)], lexer.EOFToken(end)))
-	var unexpected *participle.UnexpectedTokenError
-	return err == nil || unfinished(err) || !errors.As(err, &unexpected)
-}
-
 func describe(token lexer.Token) string {
 	if token.EOF() {
 		return endOfText
