--- a/internal/report/closing.go
+++ b/internal/report/closing.go
@@ -45,7 +45,7 @@
 	case pb.Outcome_OUTCOME_NOT_RUN:
 		return "REFUSED: NOT RUN"
 	case pb.Outcome_OUTCOME_UNKNOWN:
-		return "OUTCOME UNKNOWN"
+		return "UNKNOWN: MAY OR MAY NOT HAVE RUN"
 	default:
 		return "NOT STATED"
 	}
@@ -103,7 +103,10 @@
 // reason.
 func missingLines(c *pb.Coverage) []Line {
 	const label = "MISSING"
-	if c != nil && !c.MapKnown {
+	if c == nil {
+		return []Line{{label, "DOES NOT APPLY"}}
+	}
+	if !c.MapKnown {
 		return []Line{{label, "UNKNOWN"}}
 	}
 	type group struct {
@@ -124,6 +127,9 @@
 		texts[i] = fmt.Sprintf("%s: SERVICE %s PARTITIONS %s",
 			MissingName(g.reason), g.service, strings.Join(partitions[g], " "))
 	}
+	if explained := uint64(c.Covered) + uint64(len(c.Missing)); explained < uint64(c.Total) {
+		texts = append(texts, fmt.Sprintf("%d PARTITIONS WITHOUT A STATED REASON", uint64(c.Total)-explained))
+	}
 	return listed(label, texts)
 }
 
