--- a/internal/report/admin.go
+++ b/internal/report/admin.go
@@ -26,7 +26,7 @@
 func Applied(title string, response *pb.ApplyConfigurationResponse, elapsed time.Duration, runDate time.Time) *Report {
 	outcome := ApplyOutcome(response.Status)
 	reason := response.Reason
-	if outcome != pb.Outcome_OUTCOME_SUCCESS {
+	if outcome == pb.Outcome_OUTCOME_NOT_RUN {
 		reason = strings.TrimSuffix(applyStatusName(response.Status)+": "+reason, ": ")
 	}
 	r := &Report{
@@ -37,7 +37,7 @@
 			Reason:   reason,
 			Elapsed:  elapsed,
 			Refusals: refusal(outcome, "THE COMMAND", reason),
-			Notes:    []Line{{"REVISION", strconv.FormatUint(response.Revision, 10)}},
+			Notes:    []Line{{"REVISION", revisionText(response.Revision)}},
 		},
 	}
 	r.Closing.Notes = append(r.Closing.Notes, confirmationLines(outcome, response)...)
@@ -47,6 +47,13 @@
 	return r
 }
 
+func revisionText(revision uint64) string {
+	if revision == 0 {
+		return "NOT STATED"
+	}
+	return strconv.FormatUint(revision, 10)
+}
+
 func applyStatusName(status pb.ApplyStatus) string {
 	return strings.ReplaceAll(strings.TrimPrefix(status.String(), "APPLY_STATUS_"), "_", " ")
 }
--- a/internal/report/printed.go
+++ b/internal/report/printed.go
@@ -98,7 +98,7 @@
 // labelled writes a line with a label, and continues long texts below.
 func (p *printer) labelled(line Line) {
 	label := printable(line.Label)
-	for _, text := range wrap(printable(line.Text), lineWidth-labelWidth) {
+	for _, text := range wrapWords(printable(line.Text), lineWidth-labelWidth) {
 		p.line(pad(label, labelWidth, false) + text)
 		label = ""
 	}
--- a/internal/report/width.go
+++ b/internal/report/width.go
@@ -63,6 +63,21 @@
 	return append(lines, line.String())
 }
 
+// wrapWords cuts a text into lines of at most the given width, between words
+// where it can.
+func wrapWords(text string, limit int) []string {
+	var lines []string
+	for textWidth(text) > limit {
+		line := wrap(text, limit)[0]
+		if space := strings.LastIndex(line, " "); space > 0 && !strings.HasPrefix(text[len(line):], " ") {
+			line = line[:space]
+		}
+		lines = append(lines, line)
+		text = strings.TrimPrefix(text[len(line):], " ")
+	}
+	return append(lines, text)
+}
+
 // pad fills a text with spaces to the given width.
 func pad(text string, limit int, right bool) string {
 	space := strings.Repeat(" ", max(limit-textWidth(text), 0))
