--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -117,12 +117,12 @@
 }
 
 // ForwardChange submits a change on the VM that issued its token.
-func (c *Client) ForwardChange(ctx context.Context, vm view.VM, r *pb.SubmitChangeRequest) (*pb.SubmitChangeResponse, error) {
+func (c *Client) ForwardChange(ctx context.Context, vm view.VM, r *pb.SubmitChangeRequest) (*pb.ForwardChangeResponse, error) {
 	return unwrap(c.at(vm.PeerAddress).ForwardChange(ctx, connect.NewRequest(r)))
 }
 
 // ForwardOutcome asks the VM that issued a token for its outcome.
-func (c *Client) ForwardOutcome(ctx context.Context, vm view.VM, r *pb.GetOutcomeRequest) (*pb.GetOutcomeResponse, error) {
+func (c *Client) ForwardOutcome(ctx context.Context, vm view.VM, r *pb.GetOutcomeRequest) (*pb.ForwardOutcomeResponse, error) {
 	return unwrap(c.at(vm.PeerAddress).ForwardOutcome(ctx, connect.NewRequest(r)))
 }
 
@@ -146,6 +146,12 @@
 	return unwrap(c.at(vm.PeerAddress).HandOver(ctx, connect.NewRequest(r)))
 }
 
+// Announce spreads suspicions to a VM.
+func (c *Client) Announce(ctx context.Context, vm view.VM, entries []*pb.QuarantineEntry) error {
+	_, err := unwrap(c.at(vm.PeerAddress).Announce(ctx, connect.NewRequest(&pb.AnnounceRequest{Entries: entries})))
+	return err
+}
+
 // GetTargets returns the states of the targets that a VM owns.
 func (c *Client) GetTargets(ctx context.Context, vm view.VM) (*pb.GetTargetsResponse, error) {
 	return unwrap(c.at(vm.PeerAddress).GetTargets(ctx, connect.NewRequest(&pb.GetTargetsRequest{})))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"buf.build/go/protovalidate"
 	"connectrpc.com/connect"
@@ -27,10 +28,10 @@
 type Changes interface {
 	IssueToken() (*pb.IssueTokenResponse, error)
 	Submit(ctx context.Context, r *pb.SubmitChangeRequest) *pb.SubmitChangeResponse
-	SubmitHere(ctx context.Context, r *pb.SubmitChangeRequest) *pb.SubmitChangeResponse
+	SubmitForwarded(ctx context.Context, r *pb.SubmitChangeRequest) *pb.ForwardChangeResponse
 	Outcome(ctx context.Context, r *pb.GetOutcomeRequest) *pb.GetOutcomeResponse
-	OutcomeHere(r *pb.GetOutcomeRequest) *pb.GetOutcomeResponse
-	Accept(issuers []*pb.ChangeIssuer, records []*pb.ChangeRecord) bool
+	OutcomeForwarded(r *pb.GetOutcomeRequest) *pb.ForwardOutcomeResponse
+	Accept(issuer *pb.ChangeIssuer, records []*pb.ChangeRecord) bool
 }
 
 // Owner dispatches to the targets that this VM owns.
@@ -49,13 +50,20 @@
 	Ready() (bool, string)
 }
 
+// Quarantine takes suspicions of other VMs.
+type Quarantine interface {
+	Merge(entries []*pb.QuarantineEntry, now time.Time)
+}
+
 // Roles are the parts that serve the calls.
 type Roles struct {
 	Searcher Searcher
 	Changes  Changes
 	Owner    Owner
 	Control  Control
-	Admin    carawayreelv1connect.AdminServiceHandler
+	// Quarantine is shared by the roles.
+	Quarantine Quarantine
+	Admin      carawayreelv1connect.AdminServiceHandler
 }
 
 // CallerHandler serves callers and operators, metrics and the balancer's health
@@ -63,7 +71,7 @@
 func CallerHandler(roles Roles, guard *auth.Guard, maxBytes uint32, logger zerolog.Logger) http.Handler {
 	options := handlerOptions(maxBytes, logger)
 	mux := http.NewServeMux()
-	path, caller := carawayreelv1connect.NewCallerServiceHandler(&callerService{roles}, options...)
+	path, caller := carawayreelv1connect.NewCallerServiceHandler(NewCaller(roles), options...)
 	mux.Handle(path, guard.Require(auth.RoleCaller, caller))
 	path, admin := carawayreelv1connect.NewAdminServiceHandler(roles.Admin, options...)
 	mux.Handle(path, guard.Require(auth.RoleOperator, admin))
