--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -79,6 +79,9 @@
 	Prompt      promptCommand      `cmd:"" help:"Read statements interactively."`
 	Completion  completionCommand  `cmd:"" help:"Print a shell completion script."`
 	AccessToken accessTokenCommand `cmd:"" help:"Sign an access token for a team that shares the deployment."`
+	Load        loadCommand        `cmd:"" help:"Load a front with searches and measure latency, coverage and extra load."`
+	LoadCompare loadCompareCommand `cmd:"" help:"Compare the results of two load runs."`
+	LoadPlot    loadPlotCommand    `cmd:"" help:"Draw the result of a load run."`
 }
 
 // session is what a command runs with.
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -24,6 +24,7 @@
 	Apply    configApplyCommand    `cmd:"" help:"Apply a file by compare-and-swap on its revision."`
 	History  configHistoryCommand  `cmd:"" help:"List accepted revisions."`
 	Push     configPushCommand     `cmd:"" help:"Hand an accepted revision straight to VMs."`
+	Profile  configProfileCommand  `cmd:"" help:"Print the configuration of a known deployment."`
 }
 
 // Help has the examples.
--- a/internal/coordinator/search/leg.go
+++ b/internal/coordinator/search/leg.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/plan"
 	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 const (
--- a/internal/coordinator/search/machine.go
+++ b/internal/coordinator/search/machine.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/budget"
 	"github.com/carawayreel/carawayreel/internal/coordinator/plan"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 // Machine decides one search. It is used by one goroutine.
--- a/internal/coordinator/search/reply.go
+++ b/internal/coordinator/search/reply.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 // takeReply ends an attempt by its reply or error.
--- a/internal/coordinator/search/send.go
+++ b/internal/coordinator/search/send.go
@@ -4,10 +4,10 @@
 	"slices"
 	"time"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/budget"
 	"github.com/carawayreel/carawayreel/internal/coordinator/plan"
 	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
--- a/internal/report/search.go
+++ b/internal/report/search.go
@@ -37,8 +37,7 @@
 	lines := []Line{{"REQUEST", response.RequestId}}
 	label := "WHERE"
 	for _, condition := range request.Conditions {
-		text := fmt.Sprintf("%s %s '%s'", condition.Field, operatorText(condition.Operator), condition.Value)
-		lines = append(lines, Line{label, text})
+		lines = append(lines, Line{label, ConditionText(condition)})
 		label = ""
 	}
 	if request.MinimumCoveragePercent > 0 {
@@ -47,6 +46,12 @@
 	return lines
 }
 
+// ConditionText returns a condition as the query language has it.
+func ConditionText(c *pb.Condition) string {
+	quoted := strings.ReplaceAll(c.Value, "'", "''")
+	return fmt.Sprintf("%s %s '%s'", c.Field, operatorText(c.Operator), quoted)
+}
+
 func operatorText(operator pb.Operator) string {
 	switch operator {
 	case pb.Operator_OPERATOR_EQUAL:
