--- a/internal/language/parse_test.go
+++ b/internal/language/parse_test.go
@@ -19,8 +19,9 @@
 	page, err := os.ReadFile("../../docs/LANGUAGE.md")
 	require.NoError(t, err)
 	fence := regexp.MustCompile("(?s)```" + label + "\n(.*?)\n```")
-	var found []string
-	for _, match := range fence.FindAllStringSubmatch(string(page), -1) {
+	matches := fence.FindAllStringSubmatch(string(page), -1)
+	found := make([]string, 0, len(matches))
+	for _, match := range matches {
 		found = append(found, match[1])
 	}
 	require.NotEmpty(t, found)
--- a/internal/report/export.go
+++ b/internal/report/export.go
@@ -141,10 +141,10 @@
 // writeCSV writes records of one length, whose first field tells what they are:
 // head, row, subject or closing.
 func writeCSV(w io.Writer, r *Report) error {
-	var records [][]string
-	records = append(records,
-		[]string{"title", r.Title},
-		[]string{"run date", r.RunDate.Format(time.RFC3339)})
+	records := [][]string{
+		{"title", r.Title},
+		{"run date", r.RunDate.Format(time.RFC3339)},
+	}
 	for _, line := range r.Subject {
 		records = append(records, []string{"subject", line.Label, line.Text})
 	}
@@ -162,7 +162,8 @@
 }
 
 func sectionRecords(s *Section) [][]string {
-	records := [][]string{append([]string{"head", s.Key}, fieldNames(s)...)}
+	records := make([][]string, 0, len(s.Rows)+1)
+	records = append(records, append([]string{"head", s.Key}, fieldNames(s)...))
 	for _, row := range s.Rows {
 		record := append([]string{"row", s.Key}, row.Groups...)
 		records = append(records, append(record, row.Cells...))
--- a/internal/statement/edit.go
+++ b/internal/statement/edit.go
@@ -107,7 +107,7 @@
 }
 
 func texts(items []language.Text) []string {
-	var result []string
+	result := make([]string, 0, len(items))
 	for _, item := range items {
 		result = append(result, string(item))
 	}
--- a/internal/statement/request.go
+++ b/internal/statement/request.go
@@ -19,7 +19,7 @@
 
 // Conditions returns the conditions as the caller interface has them.
 func Conditions(parsed []*language.Condition) []*pb.Condition {
-	var conditions []*pb.Condition
+	conditions := make([]*pb.Condition, 0, len(parsed))
 	for _, condition := range parsed {
 		conditions = append(conditions, &pb.Condition{
 			Field:    string(condition.Field),
