--- a/internal/report/export.go
+++ b/internal/report/export.go
@@ -141,10 +141,11 @@
 // writeCSV writes records of one length, whose first field tells what they are:
 // head, row, subject or closing.
 func writeCSV(w io.Writer, r *Report) error {
-	records := [][]string{
-		{"title", r.Title},
-		{"run date", r.RunDate.Format(time.RFC3339)},
-	}
+	closing := closingLines(&r.Closing)
+	records := make([][]string, 0, len(r.Subject)+len(closing)+2)
+	records = append(records,
+		[]string{"title", r.Title},
+		[]string{"run date", r.RunDate.Format(time.RFC3339)})
 	for _, line := range r.Subject {
 		records = append(records, []string{"subject", line.Label, line.Text})
 	}
@@ -152,7 +153,7 @@
 		records = append(records, sectionRecords(&r.Sections[i])...)
 	}
 	label := ""
-	for _, line := range closingLines(&r.Closing) {
+	for _, line := range closing {
 		if line.Label != "" {
 			label = strings.ToLower(line.Label)
 		}
