--- a/internal/report/export.go
+++ b/internal/report/export.go
@@ -141,7 +141,8 @@
 // writeCSV writes records of one length, whose first field tells what they are:
 // head, row, subject or closing.
 func writeCSV(w io.Writer, r *Report) error {
-	var records [][]string
+	closing := closingLines(&r.Closing)
+	records := make([][]string, 0, len(r.Subject)+len(closing)+2)
 	records = append(records,
 		[]string{"title", r.Title},
 		[]string{"run date", r.RunDate.Format(time.RFC3339)})
@@ -152,7 +153,7 @@
 		records = append(records, sectionRecords(&r.Sections[i])...)
 	}
 	label := ""
-	for _, line := range closingLines(&r.Closing) {
+	for _, line := range closing {
 		if line.Label != "" {
 			label = strings.ToLower(line.Label)
 		}
@@ -162,7 +163,8 @@
 }
 
 func sectionRecords(s *Section) [][]string {
-	records := [][]string{append([]string{"head", s.Key}, fieldNames(s)...)}
+	records := make([][]string, 0, len(s.Rows)+1)
+	records = append(records, append([]string{"head", s.Key}, fieldNames(s)...))
 	for _, row := range s.Rows {
 		record := append([]string{"row", s.Key}, row.Groups...)
 		records = append(records, append(record, row.Cells...))
