Servers that stopped as planned are not restarted by the supervisor

Cause: Serve returned nil after Shutdown, which suture takes for a failure; a planned stop logged six restarts.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/carawayreel/carawayreel/internal/auth"
 )
@@ -109,13 +110,14 @@
 	return s.listener.Addr().String()
 }
 
-// Serve serves until Shutdown or until the context ends.
+// Serve serves until Shutdown or until the context ends. After Shutdown it
+// returns suture.ErrDoNotRestart.
 func (s *Server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
 	err := s.server.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+		return suture.ErrDoNotRestart
 	}
 	return errors.Wrap(err, "serve")
 }
