--- /dev/null
+++ b/tools/measure/control.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/testkit"
+)
+
+const (
+	domains = 3
+	// storeReadsPerSecond is what the platform's store serves.
+	storeReadsPerSecond = 2000
+	// nodesAtSize is the number of VMs of letter 1, in failureDomainsAtSize.
+	nodesAtSize          = 3000
+	failureDomainsAtSize = 9
+	inForceLimit         = 4 * time.Second
+	revisionsMeasured    = 5
+)
+
+// store counts the calls that the platform sees at several numbers of VMs.
+func store(ctx context.Context, l *lab) (verdict, error) {
+	var parts []string
+	perDomain := 0.0
+	for _, vms := range l.VMs {
+		rate, err := l.storeRate(ctx, vms)
+		if err != nil {
+			return verdict{}, err
+		}
+		parts = append(parts, fmt.Sprintf("%d VMs: %.2f calls/s", vms, rate.total))
+		perDomain = max(perDomain, rate.reads/domains)
+	}
+	atSize := perDomain * failureDomainsAtSize
+	return verdict{
+		figures: fmt.Sprintf("%s; reads by the store at %d VMs in %d failure domains, extrapolated: %.2f/s",
+			strings.Join(parts, ", "), nodesAtSize, failureDomainsAtSize, atSize),
+		bound: fmt.Sprintf("<= %d reads/s", storeReadsPerSecond),
+		ok:    atSize <= storeReadsPerSecond,
+	}, nil
+}
+
+type storeRate struct {
+	reads, total float64
+}
+
+func (l *lab) storeRate(ctx context.Context, vms int) (storeRate, error) {
+	d, err := l.deployment(ctx, vms/domains, nil)
+	if err != nil {
+		return storeRate{}, err
+	}
+	defer d.Close()
+	before, err := d.Counters(ctx, nil)
+	if err != nil {
+		return storeRate{}, err
+	}
+	time.Sleep(l.Duration)
+	after, err := d.Counters(ctx, nil)
+	if err != nil {
+		return storeRate{}, err
+	}
+	seconds := l.Duration.Seconds()
+	reads := float64(after.Store.Gets+after.Store.Watches-before.Store.Gets-before.Store.Watches) / seconds
+	lists := float64(after.Store.ListCalls-before.Store.ListCalls) / seconds
+	writes := float64(after.Store.Puts-before.Store.Puts) / seconds
+	fmt.Printf("%3d VMs: gets and watches %.2f/s, list %.2f/s, puts %.2f/s, watches waiting %d\n",
+		vms, reads, lists, writes, after.Store.WatchesWaiting)
+	return storeRate{reads: reads, total: reads + lists + writes}, nil
+}
+
+// config measures how long an accepted revision takes until it is in force on
+// every VM.
+func config(ctx context.Context, l *lab) (verdict, error) {
+	var slowest time.Duration
+	var parts []string
+	for _, vms := range l.VMs {
+		took, err := l.propagation(ctx, vms)
+		if err != nil {
+			return verdict{}, err
+		}
+		parts = append(parts, fmt.Sprintf("%d VMs: %d ms", vms, took.Milliseconds()))
+		slowest = max(slowest, took)
+	}
+	return verdict{
+		figures: "slowest of " + fmt.Sprint(revisionsMeasured) + " revisions until in force everywhere: " + strings.Join(parts, ", "),
+		bound:   fmt.Sprintf("<= %d ms", inForceLimit.Milliseconds()),
+		ok:      slowest <= inForceLimit,
+	}, nil
+}
+
+func (l *lab) propagation(ctx context.Context, vms int) (time.Duration, error) {
+	d, err := l.deployment(ctx, vms/domains, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer d.Close()
+	var slowest time.Duration
+	for n := range revisionsMeasured {
+		at := d.VMs[n%len(d.VMs)]
+		took, err := propagate(ctx, d, at, uint32(n+1))
+		if err != nil {
+			return 0, err
+		}
+		slowest = max(slowest, took)
+	}
+	return slowest, nil
+}
+
+// propagate applies a revision and returns the time from the command to the
+// moment at which the last VM was seen to have it.
+func propagate(ctx context.Context, d *testkit.Deployment, at *testkit.VM, rowLimit uint32) (time.Duration, error) {
+	held, err := at.Admin.GetConfiguration(ctx, connect.NewRequest(&pb.GetConfigurationRequest{}))
+	if err != nil {
+		return 0, errors.Wrap(err, "configuration")
+	}
+	next := proto.CloneOf(held.Msg.Configuration)
+	next.Fronts[0].Limits.DefaultRowLimit = rowLimit
+	began := time.Now()
+	response, err := at.Admin.ApplyConfiguration(ctx, connect.NewRequest(&pb.ApplyConfigurationRequest{
+		Configuration: next, ExpectedRevision: next.Revision,
+	}))
+	if err != nil {
+		return 0, errors.Wrap(err, "apply")
+	}
+	if response.Msg.Status != pb.ApplyStatus_APPLY_STATUS_ACCEPTED {
+		return 0, errors.Errorf("apply: %s", response.Msg)
+	}
+	for _, vm := range d.VMs {
+		err := testkit.Poll(ctx, 2*inForceLimit, func() bool { return revisionOf(ctx, vm) >= response.Msg.Revision })
+		if err != nil {
+			return 0, errors.Wrap(err, vm.ID)
+		}
+	}
+	return time.Since(began), nil
+}
+
+func revisionOf(ctx context.Context, vm *testkit.VM) uint64 {
+	status, err := vm.Admin.GetStatus(ctx, connect.NewRequest(&pb.GetStatusRequest{}))
+	if err != nil {
+		return 0
+	}
+	return status.Msg.ConfigurationRevision
+}
+
+// rolling replaces every VM, one after the other, under load.
+func rolling(ctx context.Context, l *lab) (verdict, error) {
+	d, err := l.deployment(ctx, vmsPerDomain, nil)
+	if err != nil {
+		return verdict{}, err
+	}
+	defer d.Close()
+	replaced := make(chan error, 1)
+	loading, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		replaced <- replaceAll(ctx, d)
+		stop()
+	}()
+	long := *l
+	long.Duration = limit / 2
+	result, err := (&long).loadReady(loading, d)
+	if err != nil {
+		return verdict{}, err
+	}
+	if err := <-replaced; err != nil {
+		return verdict{}, err
+	}
+	bad := result.Counts.Failed + result.Counts.NotRun + result.Counts.Partial
+	return verdict{
+		figures: fmt.Sprintf("%d VMs replaced under %d searches: %d failed, %d refused, %d partial, p99 %.1f ms",
+			len(d.VMs), result.Counts.Intended, result.Counts.Failed, result.Counts.NotRun, result.Counts.Partial, ms(result.Latency.P99Us)),
+		bound: "0 failed, 0 refused, 0 partial",
+		ok:    bad == 0,
+	}, nil
+}
+
+func replaceAll(ctx context.Context, d *testkit.Deployment) error {
+	for _, vm := range d.VMs {
+		if _, err := vm.Stop(ctx); err != nil {
+			return err
+		}
+		if err := d.StartVM(vm); err != nil {
+			return err
+		}
+		if err := d.AwaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/tools/measure/main.go
@@ -0,0 +1,90 @@
+// Command measure runs one experiment: real processes under load, product and
+// baseline in one run. It closes with one line of figures, the stated bound, and
+// "ok" or "short".
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sort"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+)
+
+// experiment measures and returns its verdict.
+type experiment func(ctx context.Context, l *lab) (verdict, error)
+
+// verdict closes an experiment.
+type verdict struct {
+	figures string
+	bound   string
+	ok      bool
+}
+
+func experiments() map[string]experiment {
+	return map[string]experiment{
+		"tail":      tail,
+		"ownership": ownership,
+		"cold":      cold,
+		"choice":    choice,
+		"store":     store,
+		"config":    config,
+		"rolling":   rolling,
+	}
+}
+
+type arguments struct {
+	Name     string        `arg:"" help:"Experiment: ${names}."`
+	Seed     uint64        `help:"Seed of records, targets and arrivals." default:"1"`
+	Duration time.Duration `help:"Length of each measured part." default:"12s"`
+	Rate     float64       `help:"Searches a second." default:"100"`
+	Profile  string        `help:"Deployment: stamboomhuis or casgen." default:"stamboomhuis"`
+	VMs      []int         `help:"Numbers of VMs, for experiments that vary it." default:"9,30"`
+}
+
+const limit = 30 * time.Minute
+
+func main() {
+	var args arguments
+	kong.Parse(&args, kong.Description("Run one experiment."), kong.Vars{"names": names()})
+	if err := run(args); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func names() string {
+	found := make([]string, 0, len(experiments()))
+	for name := range experiments() {
+		found = append(found, name)
+	}
+	sort.Strings(found)
+	return fmt.Sprint(found)
+}
+
+func run(args arguments) error {
+	chosen, ok := experiments()[args.Name]
+	if !ok {
+		return errors.Errorf("no experiment %q; there are %s", args.Name, names())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "carawayreel-measure-")
+	if err != nil {
+		return errors.Wrap(err, "directory")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	closing, err := chosen(ctx, &lab{arguments: args, dir: dir})
+	if err != nil {
+		return err
+	}
+	word := "short"
+	if closing.ok {
+		word = "ok"
+	}
+	fmt.Printf("%s: %s; bound: %s; %s\n", args.Name, closing.figures, closing.bound, word)
+	return nil
+}
