--- a/internal/owner/conclude.go
+++ b/internal/owner/conclude.go
@@ -25,7 +25,7 @@
 // conclude turns the outcome of a call into a result and an event.
 func (o *Owner) conclude(ctx context.Context, w *work, h *handler, id JobID, c callOutcome) result {
 	if c.err == nil {
-		return o.answered(w, h, id, c)
+		return o.answered(ctx, w, h, id, c)
 	}
 	var failure *target.Error
 	if !errors.As(c.err, &failure) {
@@ -40,6 +40,7 @@
 	case target.Refused:
 		event.Result = ResultRefused
 		h.end(id, event)
+		o.announce(ctx, w.service, h.refusedConnection(time.Now())...)
 		return o.refuse(w, h, &admissionError{pb.SubStatus_SUB_STATUS_UNAVAILABLE, ReasonDown.String()})
 	case target.Invalid:
 		event.Result = ResultInvalid
@@ -48,18 +49,18 @@
 		o.record(w, pb.DecisionKind_DECISION_KIND_DISCARD, c.err.Error())
 		return result{status: pb.SubStatus_SUB_STATUS_FAILED, reason: failure.Kind.String(), sent: true}
 	case target.Broken:
-		h.suspectRunning(time.Now())
+		suspects := h.suspectRunning(time.Now())
 		event.Result = ResultBroken
 		h.end(id, event)
-		o.announce(ctx, w)
+		o.announce(ctx, w.service, suspects...)
 		return result{status: pb.SubStatus_SUB_STATUS_FAILED, reason: ReasonBroken, sent: true}
 	}
-	return h.unanswered(ctx, id, event, failure.Settled)
+	return h.unanswered(ctx, w, id, event, failure.Settled)
 }
 
 // unanswered keeps the slot until the target has closed the connection, which
 // shows that it no longer runs the job.
-func (h *handler) unanswered(ctx context.Context, id JobID, event Event, settled <-chan struct{}) result {
+func (h *handler) unanswered(ctx context.Context, w *work, id JobID, event Event, settled <-chan struct{}) result {
 	event.Result = ResultCancelled
 	res := result{status: pb.SubStatus_SUB_STATUS_FAILED, reason: "cancelled", sent: true}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -73,21 +74,24 @@
 		case <-settled:
 		case <-limit.C:
 		}
+		h.forget(id, w.digest, time.Now())
 		h.end(id, event)
 	}()
 	return res
 }
 
 // answered concludes a call with a valid answer.
-func (o *Owner) answered(w *work, h *handler, id JobID, c callOutcome) result {
-	h.observeReply(c.bootID, c.began)
+func (o *Owner) answered(ctx context.Context, w *work, h *handler, id JobID, c callOutcome) result {
+	suspects := h.observeReply(c.bootID, c.began, time.Now())
 	event := Event{Took: c.took, BootID: c.bootID, Result: ResultNotRun}
 	res := result{status: pb.SubStatus_SUB_STATUS_SHED, reason: "target_shed"}
 	switch c.status {
 	case pb.TargetStatus_TARGET_STATUS_OK:
 		event.Result = ResultOK
 		res = result{status: pb.SubStatus_SUB_STATUS_OK}
-		o.quarantine.Clear(w.digest, w.service)
+		if o.quarantine.Clear(w.digest, w.service) {
+			suspects = append(suspects, w.digest)
+		}
 	case pb.TargetStatus_TARGET_STATUS_SHED:
 		event.Result = ResultShed
 	case pb.TargetStatus_TARGET_STATUS_DRAINING:
@@ -105,5 +109,6 @@
 		res = result{status: pb.SubStatus_SUB_STATUS_FAILED, reason: target.Invalid.String(), sent: true}
 	}
 	h.end(id, event)
+	o.announce(ctx, w.service, suspects...)
 	return res
 }
--- a/internal/owner/crash.go
+++ b/internal/owner/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
@@ -13,13 +14,55 @@
 // failed reply goes out.
 const announceTimeout = 300 * time.Millisecond
 
-// crashWatch remembers which contents were held suspect at the last break of a
-// connection, until a reply tells whether the target crashed.
+const (
+	// settleByHealth is how long after a break the boot identity that the health
+	// endpoint gives is believed: it may lag by less.
+	settleByHealth = 3 * time.Second
+	// unansweredLifetime and maxUnanswered bound the contents that are remembered
+	// without an answer.
+	unansweredLifetime = 2 * time.Second
+	maxUnanswered      = 32
+)
+
+// crashWatch remembers the contents that may have crashed a target.
 type crashWatch struct {
-	// bootID is the target's boot identity before the break; empty when unknown.
+	// recent holds the contents of work that ended without an answer, oldest
+	// first.
+	recent []unansweredContent
+	// digests holds the contents made suspect at the last break, until a reply
+	// tells whether the target crashed; bootID is its boot identity before the
+	// break, at the time of the break.
+	digests []uint64
 	bootID  string
 	at      time.Time
-	digests []uint64
+}
+
+type unansweredContent struct {
+	digest uint64
+	at     time.Time
+}
+
+// unanswered notes work that ended without an answer.
+func (c *crashWatch) unanswered(digest uint64, now time.Time) {
+	if digest == 0 {
+		return
+	}
+	if len(c.recent) >= maxUnanswered {
+		c.recent = append(c.recent[:0], c.recent[1:]...)
+	}
+	c.recent = append(c.recent, unansweredContent{digest: digest, at: now})
+}
+
+// takeRecent removes and returns the distinct contents that are still recent.
+func (c *crashWatch) takeRecent(now time.Time) []uint64 {
+	var digests []uint64
+	for _, content := range c.recent {
+		if now.Sub(content.at) <= unansweredLifetime && !slices.Contains(digests, content.digest) {
+			digests = append(digests, content.digest)
+		}
+	}
+	c.recent = nil
+	return digests
 }
 
 // checkContent tells whether the content may be sent to the target, and whether
@@ -60,48 +103,94 @@
 	return ids
 }
 
-// suspectRunning holds the contents of all running jobs suspect. Jobs that break
-// together, at one crash, are counted once for each content.
-func (h *handler) suspectRunning(now time.Time) {
+// suspectRunning holds the contents of all running jobs suspect, and those that
+// lately ended without an answer. Jobs that break together, at one crash, are
+// counted once for each content. It returns the contents.
+func (h *handler) suspectRunning(now time.Time) []uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	seen := map[uint64]bool{}
 	for id, digest := range h.contents {
 		delete(h.contents, id)
-		if digest == 0 || seen[digest] {
-			continue
-		}
-		seen[digest] = true
-		h.crash.digests = append(h.crash.digests, digest)
+		h.crash.unanswered(digest, now)
+	}
+	return h.suspectUnanswered(now)
+}
+
+// suspectUnanswered holds the contents suspect that lately ended without an
+// answer. The caller holds the lock.
+func (h *handler) suspectUnanswered(now time.Time) []uint64 {
+	digests := h.crash.takeRecent(now)
+	for _, digest := range digests {
 		h.owner.quarantine.Suspect(digest, h.place, now)
 	}
+	h.crash.digests = append(h.crash.digests, digests...)
 	h.crash.bootID, h.crash.at = h.machine.State().BootID, now
+	return digests
+}
+
+// refusedConnection draws the conclusion that the target crashed, perhaps on
+// work that its caller had given up by then.
+func (h *handler) refusedConnection(now time.Time) []uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.crash.recent) == 0 {
+		return nil
+	}
+	return h.suspectUnanswered(now)
 }
 
 // observeReply settles the last break: a reply to work sent after it with the
-// boot identity of before shows that the target did not crash.
-func (h *handler) observeReply(bootID string, began time.Time) {
+// boot identity of before shows that the target did not crash. A new boot
+// identity without a break makes suspect what lately ended without an answer.
+func (h *handler) observeReply(bootID string, began, now time.Time) []uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.crash.digests) == 0 || bootID == "" || !began.After(h.crash.at) {
-		return
+	known := h.machine.State().BootID
+	if bootID != "" && began.After(h.crash.at) {
+		h.settleBreak(bootID)
 	}
+	if bootID != "" && known != "" && bootID != known && len(h.crash.recent) > 0 {
+		return h.suspectUnanswered(now)
+	}
+	return nil
+}
+
+// settleBreak takes the suspicions of the last break back when the target has
+// still the boot identity of before, and lets them stand otherwise. The caller
+// holds the lock.
+func (h *handler) settleBreak(bootID string) {
 	if bootID == h.crash.bootID {
 		for _, digest := range h.crash.digests {
 			h.owner.quarantine.Retract(digest, h.place)
 		}
 	}
-	h.crash = crashWatch{}
+	h.crash.digests = nil
+}
+
+// unsettledSince reports whether a break has waited so long for a reply that the
+// health endpoint is asked instead.
+func (h *handler) unsettledSince(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.crash.digests) > 0 && now.Sub(h.crash.at) >= settleByHealth
 }
 
-// announce spreads the suspicion against the content of failed work before its
-// reply goes out, so that a re-send meets VMs that know of it.
-func (o *Owner) announce(ctx context.Context, w *work) {
-	entry := o.quarantine.Entry(w.digest, time.Now())
-	if o.announcer == nil || entry == nil {
+// announce spreads what is known of contents before the reply goes out, so that
+// a re-send meets VMs that know of it.
+func (o *Owner) announce(ctx context.Context, service string, digests ...uint64) {
+	if o.announcer == nil || len(digests) == 0 {
+		return
+	}
+	var entries []*pb.QuarantineEntry
+	for _, digest := range digests {
+		if entry := o.quarantine.Entry(digest, time.Now()); entry != nil {
+			entries = append(entries, entry)
+		}
+	}
+	if len(entries) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 	defer cancel()
-	o.announcer.Announce(ctx, w.service, []*pb.QuarantineEntry{entry})
+	o.announcer.Announce(ctx, service, entries)
 }
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -36,7 +36,8 @@
 	connections     map[net.Conn]bool
 	mostConnections int
 	// kill crashes the target: every connection is cut and new ones refused.
-	kill sync.Once
+	kill    sync.Once
+	crashed atomic.Bool
 }
 
 func newFakeTarget(t testing.TB) *fakeTarget {
@@ -57,6 +58,7 @@
 
 func (f *fakeTarget) crash() {
 	f.kill.Do(func() {
+		f.crashed.Store(true)
 		_ = f.server.Listener.Close()
 		f.server.CloseClientConnections()
 	})
@@ -94,6 +96,10 @@
 	return connect.NewResponse(f.reply(r.Msg)), nil
 }
 
+func (f *fakeTarget) Health(context.Context, *connect.Request[pb.TargetHealthRequest]) (*connect.Response[pb.TargetHealthResponse], error) {
+	return connect.NewResponse(&pb.TargetHealthResponse{Healthy: true, BootId: *f.boot.Load()}), nil
+}
+
 func (f *fakeTarget) reply(r *pb.TargetSearchRequest) *pb.TargetSearchResponse {
 	return &pb.TargetSearchResponse{
 		RequestId: r.RequestId,
--- a/internal/owner/handler.go
+++ b/internal/owner/handler.go
@@ -160,6 +160,16 @@
 	h.contents[id] = digest
 }
 
+// forget notes that a job ended without an answer, unless its content was made
+// suspect already.
+func (h *handler) forget(id JobID, digest uint64, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, noted := h.contents[id]; noted {
+		h.crash.unanswered(digest, now)
+	}
+}
+
 // end frees the slot of a started job.
 func (h *handler) end(id JobID, e Event) {
 	h.mu.Lock()
@@ -201,12 +211,20 @@
 	return h.state().Running == 0 && h.client.Connections() == 0
 }
 
+// askHealth asks the health endpoint, which may lag or mislead, where no work is
+// at hand that would tell.
 func (h *handler) askHealth(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
+	settles := h.unsettledSince(time.Now())
 	health, err := h.client.Health(ctx)
 	if err != nil {
 		return
 	}
+	if settles && health.BootId != "" {
+		h.mu.Lock()
+		h.settleBreak(health.BootId)
+		h.mu.Unlock()
+	}
 	h.step(Event{Kind: EventHealth, BootID: health.BootId, Draining: health.Draining})
 }
--- a/internal/owner/machine_test.go
+++ b/internal/owner/machine_test.go
@@ -264,3 +264,17 @@
 	}
 	require.Equal(t, owner.PhaseRamp, d.m.State().Phase)
 }
+
+// Jobs behind one that waits to run alone count against the queue's length, also
+// while slots are free.
+func TestJobsBehindAnExclusiveOneAreBounded(t *testing.T) {
+	d := warmDriver(t)
+	d.submit(time.Second)
+	d.nextJob++
+	d.step(owner.Event{Kind: owner.EventSubmit, Job: d.nextJob, Deadline: d.now + time.Second, Exclusive: true})
+	for range threeSlots.Queue - 1 {
+		d.submit(time.Second)
+	}
+	require.Equal(t, threeSlots.Queue, d.m.State().Queued)
+	require.Equal(t, owner.ReasonQueueFull, d.refused[d.submit(time.Second)])
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -25,7 +25,7 @@
 	// syncInterval is the time between looks at the view and at the clock.
 	syncInterval = 20 * time.Millisecond
 	// healthInterval is the time between questions for the health of a target
-	// that drains.
+	// that drains or may have crashed.
 	healthInterval = time.Second
 	// handOverLifetime is how long a hand-over waits for its target to become
 	// owned.
@@ -136,7 +136,7 @@
 			o.follow()
 			o.closeRetired()
 		case <-health.C:
-			o.askDraining(ctx)
+			o.askHealth(ctx)
 		}
 	}
 }
@@ -253,10 +253,11 @@
 	return handlers
 }
 
-// askDraining asks the targets that said they drain whether they started anew.
-func (o *Owner) askDraining(ctx context.Context) {
+// askHealth asks the targets that said they drain whether they started anew, and
+// those whose connection broke whether they crashed.
+func (o *Owner) askHealth(ctx context.Context) {
 	for _, h := range o.all() {
-		if h.state().Draining {
+		if h.state().Draining || h.unsettledSince(time.Now()) {
 			go h.askHealth(ctx)
 		}
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -152,7 +152,7 @@
 	for range 2 {
 		wait.Go(func() { o.Dispatch(ctx, subRequest("a", 10*time.Second)) })
 	}
-	eventually(t, func() bool { return len(o.Targets()) == 1 && o.Targets()[0].Queued == 1 })
+	eventually(t, func() bool { return fake.running.Load() == 1 && o.Targets()[0].Queued == 1 })
 	reply := o.Dispatch(t.Context(), subRequest("a", 10*time.Second))
 	requireStatus(t, pb.SubStatus_SUB_STATUS_SHED, reply)
 	require.Equal(t, "queue_full", reply.Reason)
@@ -194,9 +194,9 @@
 		"answer lost after the effect": {func(context.Context, *pb.TargetApplyRequest) (*pb.TargetApplyResponse, error) {
 			panic(http.ErrAbortHandler)
 		}, pb.Outcome_OUTCOME_UNKNOWN},
-		"no answer in time": {func(ctx context.Context, r *pb.TargetApplyRequest) (*pb.TargetApplyResponse, error) {
+		"no answer in time": {func(ctx context.Context, _ *pb.TargetApplyRequest) (*pb.TargetApplyResponse, error) {
 			<-ctx.Done()
-			return status(pb.TargetStatus_TARGET_STATUS_OK)(ctx, r)
+			panic(http.ErrAbortHandler)
 		}, pb.Outcome_OUTCOME_UNKNOWN},
 		"answer to another token": {func(context.Context, *pb.TargetApplyRequest) (*pb.TargetApplyResponse, error) {
 			return &pb.TargetApplyResponse{Token: "other", Status: pb.TargetStatus_TARGET_STATUS_SHED}, nil
--- a/internal/owner/property_test.go
+++ b/internal/owner/property_test.go
@@ -221,7 +221,7 @@
 				w.step(owner.Event{Kind: owner.EventRelease})
 			})),
 			"": func(t *rapid.T) {
-				if state := w.m.State(); state.Queued > w.limits.Queue+state.Limit+1 {
+				if state := w.m.State(); state.Queued > w.limits.Queue {
 					t.Fatalf("%d jobs wait", state.Queued)
 				}
 			},
--- /dev/null
+++ b/internal/owner/replay_test.go
@@ -0,0 +1,144 @@
+package owner_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/owner"
+)
+
+const (
+	traces = "../../testdata/traces"
+	// recordVariable is the environment variable that makes the recording test
+	// renew the kept trace.
+	recordVariable = "CARAWAYREEL_RECORD"
+)
+
+// lockedBuffer is a buffer for concurrent writers.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// driveScenario lets an owner meet a cold start, load, a silent cold turn, a
+// broken connection, a drain, a take-out and a return.
+func driveScenario(t *testing.T, trace *lockedBuffer) {
+	fake := newFakeTarget(t)
+	var draining, cut atomic.Bool
+	fake.search = func(ctx context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
+		time.Sleep(2 * time.Millisecond)
+		if cut.Load() {
+			fake.server.CloseClientConnections()
+			<-ctx.Done()
+		}
+		reply := fake.reply(r)
+		if draining.Load() {
+			reply.Status = pb.TargetStatus_TARGET_STATUS_DRAINING
+		}
+		return reply, nil
+	}
+	d := newDeployment(fake)
+	o := d.owner(func(options *owner.Options) { options.Trace = trace })
+	digest := uint64(0)
+	serve := func(jobs int, limit time.Duration) {
+		var wait sync.WaitGroup
+		for range jobs {
+			r := subRequest("a", limit)
+			digest++
+			r.ContentDigest = digest
+			wait.Go(func() { o.Dispatch(t.Context(), r) })
+		}
+		wait.Wait()
+	}
+	for len(o.Targets()) == 0 || o.Targets()[0].Phase != pb.TargetPhase_TARGET_PHASE_WARM {
+		serve(3, time.Second)
+		time.Sleep(50 * time.Millisecond)
+	}
+	serve(12, 8*time.Millisecond)
+	fake.setBoot("boot-2")
+	serve(6, time.Second)
+	cut.Store(true)
+	serve(2, 50*time.Millisecond)
+	cut.Store(false)
+	serve(4, time.Second)
+	d.targets[0].State = pb.ServingState_SERVING_STATE_TAKEN_OUT
+	d.configure(2)
+	serve(1, time.Second)
+	d.targets[0].State = pb.ServingState_SERVING_STATE_IN_SERVICE
+	d.configure(3)
+	serve(3, time.Second)
+	draining.Store(true)
+	serve(2, time.Second)
+	eventually(t, func() bool { return o.Targets()[0].Running == 0 })
+}
+
+func TestARecordedTraceReplays(t *testing.T) {
+	trace := &lockedBuffer{}
+	driveScenario(t, trace)
+	events, err := owner.Replay(strings.NewReader(trace.String()))
+	require.NoError(t, err)
+	require.Greater(t, events, 100)
+	for _, phase := range []string{"ramp", "warm", "cold", "leaving"} {
+		require.Regexp(t, `"phase": ?"`+phase+`"`, trace.String())
+	}
+	if os.Getenv(recordVariable) != "" {
+		require.NoError(t, os.MkdirAll(traces, 0o755))
+		path := filepath.Join(traces, "owner-cold-turns-and-leaving.jsonl")
+		require.NoError(t, os.WriteFile(path, []byte(trace.String()), 0o644))
+	}
+}
+
+func TestKeptTracesReplay(t *testing.T) {
+	paths, err := filepath.Glob(filepath.Join(traces, "owner-*.jsonl"))
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			trace, err := os.Open(path)
+			require.NoError(t, err)
+			defer func() { _ = trace.Close() }()
+			events, err := owner.Replay(trace)
+			require.NoError(t, err)
+			require.Positive(t, events)
+		})
+	}
+}
+
+func TestReplayNamesTheFirstDivergingEvent(t *testing.T) {
+	trace := strings.Join([]string{
+		`{"target":"a","start":{"limits":{"slots":3,"cold":1,"queue":8,"inService":true}}}`,
+		`{"target":"a","event":{"kind":"OWNER_EVENT_KIND_SUBMIT","atNs":"1","job":"1","deadlineNs":"100"},"decisions":[{"kind":"OWNER_DECISION_KIND_START","job":"1"}]}`,
+		`{"target":"a","event":{"kind":"OWNER_EVENT_KIND_SUBMIT","atNs":"2","job":"2","deadlineNs":"100"},"decisions":[{"kind":"OWNER_DECISION_KIND_START","job":"2"}]}`,
+	}, "\n")
+	events, err := owner.Replay(strings.NewReader(trace))
+	var divergence *owner.Divergence
+	require.True(t, errors.As(err, &divergence), "%v", err)
+	require.Equal(t, 2, events)
+	require.Equal(t, 3, divergence.Line)
+	require.EqualValues(t, 2, divergence.Event.Job)
+	_, err = owner.Replay(strings.NewReader(`{"target":"b","event":{}}`))
+	require.ErrorIs(t, err, owner.ErrMalformedTrace)
+}
--- a/internal/owner/transition.go
+++ b/internal/owner/transition.go
@@ -33,8 +33,8 @@
 // time is renewed even when it was too high.
 func (m *Machine) overload(e Event) (Reason, bool) {
 	allowed := m.allowed(e.At)
-	free := allowed - len(m.running) - m.queue.len()
-	if free > 0 && !m.exclusive {
+	blocked := m.exclusive || (e.Exclusive && len(m.running) > 0)
+	if !blocked && m.queue.len() == 0 && len(m.running) < allowed {
 		return 0, false
 	}
 	if m.queue.len() >= m.limits.Queue {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -133,24 +133,28 @@
 	l.clear(digest, func(p Place) bool { return p == place })
 }
 
-// Clear notes that the content ran to success on a target of the service.
-func (l *List) Clear(digest uint64, service string) {
-	l.clear(digest, func(p Place) bool { return p.Service == service })
+// Clear notes that the content ran to success on a target of the service. It
+// reports whether that cleared a suspicion.
+func (l *List) Clear(digest uint64, service string) bool {
+	return l.clear(digest, func(p Place) bool { return p.Service == service })
 }
 
 // clear raises the epoch of the matching records, which stay until they expire
 // so that the news reaches the other VMs.
-func (l *List) clear(digest uint64, matches func(Place) bool) {
+func (l *List) clear(digest uint64, matches func(Place) bool) bool {
 	if l.size.Load() == 0 {
-		return
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	cleared := false
 	for place, r := range l.contents[digest] {
 		if matches(place) && r.crashes > 0 {
 			l.contents[digest][place] = record{epoch: r.epoch + 1, expires: r.expires}
+			cleared = true
 		}
 	}
+	return cleared
 }
 
 // Check returns the verdict on a content.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -161,8 +161,7 @@
 func TestPoisonCrashesAtMostTwoTargetsInEachConnectedGroup(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 8).Draw(t, "targets")
-		var vms []*vm
-		var targets []string
+		vms, targets := make([]*vm, 0, n), make([]string, 0, n)
 		for i := range n {
 			target := fmt.Sprintf("t%d", i)
 			targets = append(targets, target)
