--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -1,11 +1,13 @@
 package owner_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/owner"
+	"github.com/carawayreel/carawayreel/internal/target"
 )
 
 // BenchmarkDispatch measures one subrequest through the owner to an httptest
@@ -22,6 +24,23 @@
 	}
 }
 
+// BenchmarkCallWithoutOwner measures the same call by the client alone; the
+// difference from BenchmarkDispatch is what the owner adds.
+func BenchmarkCallWithoutOwner(b *testing.B) {
+	fake := newFakeTarget(b)
+	c := target.New(target.Options{Address: fake.address(), Connections: 4})
+	r := &pb.TargetSearchRequest{RequestId: "r", Attempt: 1, Service: "service", Snapshot: 7, RemainingUs: time.Minute.Microseconds()}
+	b.ReportAllocs()
+	for b.Loop() {
+		ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
+		_, err := c.Search(ctx, r, nil)
+		cancel()
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkRefuse measures one subrequest that is refused without being sent.
 func BenchmarkRefuse(b *testing.B) {
 	fake := newFakeTarget(b)
--- a/internal/owner/poison_test.go
+++ b/internal/owner/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -131,6 +132,23 @@
 	require.Equal(t, 3, alive, "clean requests run on the others")
 }
 
+// Once a crash is known, re-sends through all owners at the same time crash one
+// further target, not one each.
+func TestPoisonSentAtOnceAfterTheFirstCrashCrashesOneMore(t *testing.T) {
+	set := newReplicaSet(t, 6)
+	crashes := set.crashOnPoison(1)
+	set.send(t, 0, poison)
+	require.Equal(t, 1, crashes())
+	var wait sync.WaitGroup
+	for range 3 {
+		for i := 1; i < len(set.owners); i++ {
+			wait.Go(func() { set.send(t, i, poison) })
+		}
+	}
+	wait.Wait()
+	require.Equal(t, 2, crashes())
+}
+
 // A VM that is cut off cannot hear of crashes elsewhere, and so adds up to two
 // of its own group; here its group has one target.
 func TestPoisonAcrossACutCrashesAtMostTwoTargetsInEachGroup(t *testing.T) {
