--- a/internal/cli/caller.go
+++ b/internal/cli/caller.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"strings"
 
+	"buf.build/go/protovalidate"
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/language"
@@ -44,9 +46,20 @@
 		}
 		request.Conditions = append(request.Conditions, statement.Conditions(parsed)...)
 	}
+	if err := checkRequest(request); err != nil {
+		return err
+	}
 	return s.print(s.runner.Search(s.ctx, request))
 }
 
+// checkRequest checks a request against the schema before it is sent.
+func checkRequest(request proto.Message) error {
+	if err := protovalidate.Validate(request); err != nil {
+		return &UsageError{Reason: err.Error()}
+	}
+	return nil
+}
+
 // identity has the flags by which a change is idempotent.
 type identity struct {
 	Token string `help:"Token of the change; one is fetched and printed when neither it nor a key is given." xor:"identity"`
@@ -112,6 +125,9 @@
 // submit sends a change once. Without an identity it fetches a token first and
 // prints it, so that the outcome can be asked for whatever happens next.
 func (s *session) submit(by identity, change *pb.Change) error {
+	if err := checkRequest(change); err != nil {
+		return err
+	}
 	if by.Token == "" && by.Key == "" {
 		response, err := s.client.IssueToken(s.ctx, connect.NewRequest(&pb.IssueTokenRequest{}))
 		if err != nil {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"slices"
@@ -88,12 +89,14 @@
 type session struct {
 	Environment
 
-	ctx     context.Context
-	flags   globals
-	format  report.Format
-	client  *client
-	runner  *statement.Runner
-	options statement.Options
+	ctx    context.Context
+	flags  globals
+	format report.Format
+	// httpClient makes the calls of client and of clients for other addresses.
+	httpClient *http.Client
+	client     *client
+	runner     *statement.Runner
+	options    statement.Options
 	// exitCode is the tool's exit code when no error occurs.
 	exitCode statement.ExitCode
 }
@@ -183,6 +186,7 @@
 		ctx:         ctx,
 		flags:       flags,
 		format:      format,
+		httpClient:  httpClient,
 		client:      c,
 		runner:      statement.New(options),
 		options:     options,
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -43,7 +43,8 @@
 		{}, {"search"}, {"search", "f", "a ? 'b'"}, {"edit", "f", "s:1", "a"}, {"outcome"}, {"run"},
 		{"run", "TAKE OUT TARGET t; SERCH f"}, {"take-out"}, {"take-out", "--target=t", "--failure-domain=a"},
 		{"search", "f", "--time-limit=2m"}, {"edit", "f", "s:1", "a=b", "--token=x", "--key=y"},
-		{"config", "apply", "/nowhere"}, {"search", "f", "--key-file=/nowhere"}, {"access-token", "--subject=x"},
+		{"config", "apply", "/nowhere"}, {"search", "f", "--coverage=101"}, {"edit", "f", "s:1", strings.Repeat("x", 200)},
+		{"transfer", "f", strings.Repeat("c", 129), "--from=a", "--to=b"}, {"search", "f", "--key-file=/nowhere"}, {"access-token", "--subject=x"},
 	} {
 		got := tool(t, vm.address, "", arguments...)
 		require.Equal(t, 2, got.code, arguments)
@@ -77,7 +78,7 @@
 		first.hangUp = method
 		got := tool(t, both, "", arguments...)
 		require.Equal(t, 5, got.code, method)
-		require.Contains(t, strings.Join(strings.Fields(got.stdout), " "), "was sent, but no answer came")
+		require.Contains(t, strings.Join(strings.Fields(got.stdout), " "), "was sent, but no outcome came back")
 		require.Equal(t, 1, first.count(method))
 		require.Zero(t, second.count(method))
 
@@ -167,10 +168,12 @@
 	require.Contains(t, got.stdout, "default_row_limit")
 	require.Contains(t, tool(t, vm.address, "", "config", "history").stdout, "bea")
 
-	got = tool(t, vm.address+","+nobody(t), "", "config", "push", file)
+	got = tool(t, vm.address, "", "config", "push", "--to="+vm.address+","+nobody(t))
 	require.Equal(t, 3, got.code)
 	require.Len(t, vm.pushed, 1)
-	require.Contains(t, got.stdout, "not every server took the revision")
+	require.Contains(t, got.stdout, "not every VM took the revision")
+	require.Equal(t, 0, tool(t, nobody(t), "", "config", "push", "--file="+file, "--to="+vm.address).code)
+	require.Equal(t, uint32(60), vm.pushed[1].Configuration.Fronts[0].Limits.DefaultRowLimit)
 }
 
 func TestStatusAndExplain(t *testing.T) {
@@ -222,8 +225,8 @@
 func TestEveryCommandHasExamples(t *testing.T) {
 	for _, command := range []string{
 		"search", "edit", "transfer", "token", "outcome", "run", "prompt", "config", "config get", "config diff",
-		"config validate", "config apply", "config history", "config push", "take-out", "bring-back", "status",
-		"explain", "vms", "completion", "access-token", "load", "load-compare",
+		"config validate", "config apply", "config history", "config push", "config profile", "take-out", "bring-back", "status",
+		"explain", "vms", "completion", "access-token", "load", "load-compare", "load-plot",
 	} {
 		got := tool(t, "", "", append(strings.Fields(command), "--help")...)
 		require.Equal(t, 0, got.code, command)
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -28,7 +28,7 @@
 func (e *UnreachableError) Error() string {
 	state := "the request was not sent"
 	if e.Sent {
-		state = "the request was sent, but no answer came"
+		state = "the request was sent, but no outcome came back"
 	}
 	return fmt.Sprintf("no answer from %s: %s: %v", strings.Join(e.Servers, ", "), state, e.Err)
 }
--- a/internal/cli/config_push.go
+++ b/internal/cli/config_push.go
@@ -10,26 +10,29 @@
 )
 
 type configPushCommand struct {
-	File string `arg:"" help:"File with an accepted revision as \"config get\" prints it, or - for the standard input."`
+	To   []string `required:"" help:"Addresses of the VMs that are given the revision, separated by commas." placeholder:"HOST:PORT"`
+	File string   `help:"File with the accepted revision, as \"config get\" prints it; without, it is read from the platform's store through --server." placeholder:"FILE"`
 }
 
 // Help has the examples.
 func (*configPushCommand) Help() string {
-	return `Reaches VMs that are cut off from the platform and from the others. The revision
-must have been accepted before; every address of --server is given it.
+	return `Reaches VMs that are cut off from the platform and from the others. Give --file only
+where no VM reaches the store, and only a file that "config get" printed: a VM takes
+a newer revision as it is given.
 
 Examples:
-  carawayreel config get --from-store > accepted.json
-  carawayreel config push accepted.json --server 10.0.2.1:7100,10.0.2.2:7100`
+  carawayreel config push --server 10.0.0.1:7100 --to 10.0.2.1:7100,10.0.2.2:7100
+  carawayreel config push --file accepted.json --to 10.0.2.1:7100`
 }
 
-// Run pushes the revision to every server.
+// Run pushes the revision to every VM named.
 func (c *configPushCommand) Run(s *session) error {
 	start := s.Now()
-	accepted, err := s.readConfiguration(c.File)
+	accepted, err := c.accepted(s)
 	if err != nil {
 		return err
 	}
+	receivers := newClient(c.To, s.httpClient, s.client.timeout)
 	section := report.Section{
 		Key: "pushed", Title: "PUSHED TO", Unit: "VMS",
 		Columns: []report.Column{
@@ -38,9 +41,9 @@
 	}
 	var failed error
 	reached := 0
-	for i, target := range s.client.servers {
+	for i, target := range receivers.servers {
 		request := connect.NewRequest(&pb.PushConfigurationRequest{Configuration: accepted})
-		response, err := s.client.only(i).PushConfiguration(s.ctx, request)
+		response, err := receivers.only(i).PushConfiguration(s.ctx, request)
 		cells := []string{target.address, "", ""}
 		if err != nil {
 			failed = err
@@ -58,7 +61,20 @@
 		[]report.Section{section}, nil, s.Now().Sub(start), start)
 	if failed != nil {
 		result.Closing.Outcome = pb.Outcome_OUTCOME_PARTIAL
-		result.Closing.Reason = "not every server took the revision"
+		result.Closing.Reason = "not every VM took the revision"
 	}
 	return s.print(result, nil)
 }
+
+// accepted returns the revision to push.
+func (c *configPushCommand) accepted(s *session) (*pb.Configuration, error) {
+	if c.File != "" {
+		return s.readConfiguration(c.File)
+	}
+	request := connect.NewRequest(&pb.GetConfigurationRequest{FromStore: true})
+	response, err := s.client.GetConfiguration(s.ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg.Configuration, nil
+}
--- a/internal/cli/prompt.go
+++ b/internal/cli/prompt.go
@@ -143,6 +143,14 @@
 	return &UsageError{Reason: "the last statement does not end with a semicolon and was not run"}
 }
 
+// sameCase returns an ending in lower case when what was typed is.
+func sameCase(ending, typed string) string {
+	if typed != "" && typed == strings.ToLower(typed) {
+		return strings.ToLower(ending)
+	}
+	return ending
+}
+
 // completer completes keywords by what the grammar accepts next.
 type completer struct{}
 
@@ -155,7 +163,7 @@
 	for _, candidate := range language.Expected(typed[:start]) {
 		isKeyword := candidate[0] >= 'A' && candidate[0] <= 'Z'
 		if isKeyword && strings.HasPrefix(candidate, word) {
-			endings = append(endings, []rune(candidate[len(word):]+" "))
+			endings = append(endings, []rune(sameCase(candidate[len(word):], typed[start:])+" "))
 		}
 	}
 	return endings, len([]rune(word))
--- a/internal/language/parse.go
+++ b/internal/language/parse.go
@@ -1,6 +1,7 @@
 package language
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"unicode/utf8"
@@ -11,7 +12,7 @@
 )
 
 // MaxTextBytes bounds the text that is parsed at once.
-const MaxTextBytes = 1 << 20
+const MaxTextBytes = 256 << 10
 
 // keywords are reserved as names of fronts, targets and services, which can be
 // quoted instead; as names of fields they need no quotes.
@@ -177,7 +178,7 @@
 	if len(text) > MaxTextBytes {
 		return &SyntaxError{
 			Line: 1, Column: 1,
-			Expected: []string{"at most 1048576 bytes"}, Found: "a longer text",
+			Expected: []string{fmt.Sprintf("at most %d bytes", MaxTextBytes)}, Found: "a longer text",
 		}
 	}
 	if utf8.ValidString(text) {
--- a/internal/language/parse_test.go
+++ b/internal/language/parse_test.go
@@ -141,6 +141,14 @@
 	}
 }
 
+func TestTextsAreBounded(t *testing.T) {
+	long := "SEARCH f WHERE a = '" + strings.Repeat("x", language.MaxTextBytes) + "'"
+	_, err := language.Parse(long)
+	require.EqualError(t, err, "line 1, column 1: expected at most 262144 bytes, found a longer text")
+	_, err = language.Parse("SEARCH f WHERE " + strings.Repeat("a = 'b' AND ", 2000) + "c ! 'd'")
+	require.EqualError(t, err, `line 1, column 24018: expected something else, found "! 'd'"`)
+}
+
 func TestNoStatementIsReturnedWhenALaterOneIsWrong(t *testing.T) {
 	statements, err := language.ParseScript("TAKE OUT TARGET t-1; SERCH f")
 	require.ErrorContains(t, err, "column 22")
--- a/internal/language/syntax_error.go
+++ b/internal/language/syntax_error.go
@@ -14,7 +14,7 @@
 	endOfText = "the end of the statement"
 	// maxProbed bounds the tokens of a statement up to which what was expected
 	// is worked out; it keeps errors in very long statements cheap.
-	maxProbed = 2000
+	maxProbed = 500
 	// maxFound bounds the characters of the text that an error quotes.
 	maxFound = 40
 )
@@ -66,7 +66,7 @@
 		return badValue(tokens, err)
 	}
 	body := tokens[:len(tokens)-1]
-	wrong := sort.Search(len(body), func(i int) bool { return !c.canContinue(body[:i+1]) })
+	wrong := c.firstWrong(body, unexpected.Unexpected.Pos.Offset)
 	found := tokens[wrong]
 	return &SyntaxError{
 		Line: found.Pos.Line, Column: found.Pos.Column,
@@ -74,6 +74,18 @@
 	}
 }
 
+// firstWrong returns the index of the first token with which nothing right can
+// begin, or the number of tokens when there is none. The parser's own word on
+// the offset is checked first, because it spares a search in long texts.
+func (c check) firstWrong(body []lexer.Token, offset int) int {
+	likely := sort.Search(len(body), func(i int) bool { return body[i].Pos.Offset >= offset })
+	stops := likely == len(body) || !c.canContinue(body[:likely+1])
+	if stops && c.canContinue(body[:likely]) {
+		return likely
+	}
+	return sort.Search(len(body), func(i int) bool { return !c.canContinue(body[:i+1]) })
+}
+
 // badValue reports a token of the right kind whose value is not accepted.
 func badValue(tokens []lexer.Token, err error) *SyntaxError {
 	position := errorPosition(err)
--- a/internal/report/admin.go
+++ b/internal/report/admin.go
@@ -191,21 +191,29 @@
 	}
 }
 
-// History returns the section that lists accepted revisions.
+// History returns the section that lists accepted revisions with the lines by
+// which each differs from the one before.
 func History(response *pb.ListHistoryResponse) Section {
 	section := Section{
-		Key: "history", Title: "REVISIONS", Unit: "REVISIONS",
+		Key: "history", Unit: "LINES", Groups: []string{"revision"},
 		Columns: []Column{
-			{Head: "revision", Width: 8, Right: true}, {Head: "accepted (utc)", Width: 19}, {Head: "author", Width: 16},
-			{Head: "comment", Width: 32}, {Head: "difference", Width: 49},
+			{Head: "accepted (utc)", Width: 19, Once: true}, {Head: "author", Width: 16, Once: true},
+			{Head: "comment", Width: 28, Once: true}, {Head: "difference", Width: 63},
 		},
 	}
 	for _, entry := range response.Entries {
-		section.Rows = append(section.Rows, Row{Cells: []string{
-			strconv.FormatUint(entry.Revision, 10),
-			time.UnixMilli(entry.AcceptedUnixMs).UTC().Format(runDateLayout),
-			entry.Author, entry.Comment, strings.Join(entry.Difference, "; "),
-		}})
+		difference := entry.Difference
+		if len(difference) == 0 {
+			difference = []string{"no difference is recorded"}
+		}
+		for _, line := range difference {
+			section.Rows = append(section.Rows, Row{
+				Groups: []string{strconv.FormatUint(entry.Revision, 10)},
+				Cells: []string{
+					time.UnixMilli(entry.AcceptedUnixMs).UTC().Format(runDateLayout), entry.Author, entry.Comment, line,
+				},
+			})
+		}
 	}
 	return section
 }
--- a/internal/report/control_break.go
+++ b/internal/report/control_break.go
@@ -70,9 +70,8 @@
 		lines = b.subtotals(0)
 	}
 	lines = append(lines, b.countLine(len(b.section.Groups)+1, "TOTAL", b.total))
-	if b.section.Elsewhere > 0 {
-		lines = append(lines, fmt.Sprintf("%d %s BEYOND THE ROW LIMIT ARE NOT LISTED",
-			b.section.Elsewhere, b.section.Unit))
+	if b.section.Remark != "" {
+		lines = append(lines, printable(b.section.Remark))
 	}
 	return lines
 }
--- a/internal/report/export.go
+++ b/internal/report/export.go
@@ -20,10 +20,10 @@
 }
 
 type jsonSection struct {
-	Key       string              `json:"key"`
-	Rows      []map[string]string `json:"rows"`
-	Total     int                 `json:"total"`
-	Elsewhere uint64              `json:"beyondRowLimit"`
+	Key    string              `json:"key"`
+	Rows   []map[string]string `json:"rows"`
+	Total  int                 `json:"total"`
+	Remark string              `json:"remark"`
 }
 
 type jsonClosing struct {
@@ -69,10 +69,10 @@
 
 func sectionForJSON(s *Section) jsonSection {
 	result := jsonSection{
-		Key:       s.Key,
-		Rows:      make([]map[string]string, len(s.Rows)),
-		Total:     len(s.Rows),
-		Elsewhere: s.Elsewhere,
+		Key:    s.Key,
+		Rows:   make([]map[string]string, len(s.Rows)),
+		Total:  len(s.Rows),
+		Remark: s.Remark,
 	}
 	names := fieldNames(s)
 	for i, row := range s.Rows {
@@ -139,7 +139,7 @@
 }
 
 // writeCSV writes records of one length, whose first field tells what they are:
-// head, row, subject or closing.
+// title, run date, subject, head, row, remark or closing.
 func writeCSV(w io.Writer, r *Report) error {
 	closing := closingLines(&r.Closing)
 	records := make([][]string, 0, len(r.Subject)+len(closing)+2)
@@ -169,6 +169,9 @@
 		record := append([]string{"row", s.Key}, row.Groups...)
 		records = append(records, append(record, row.Cells...))
 	}
+	if s.Remark != "" {
+		records = append(records, []string{"remark", s.Key, s.Remark})
+	}
 	return records
 }
 
--- a/internal/report/printed.go
+++ b/internal/report/printed.go
@@ -115,10 +115,11 @@
 	p.columnHeads()
 	breaks := newControlBreaks(s)
 	for _, row := range s.Rows {
-		for _, text := range breaks.next(row) {
+		heads := breaks.next(row)
+		for _, text := range heads {
 			p.line(text)
 		}
-		p.detail(row)
+		p.detail(row, len(heads) > 0)
 	}
 	for _, text := range breaks.finish() {
 		p.line(text)
@@ -138,12 +139,15 @@
 }
 
 // detail writes a row; a long value continues on further lines of its column.
-func (p *printer) detail(row Row) {
+func (p *printer) detail(row Row, firstOfGroup bool) {
 	columns := p.section.Columns
 	wrapped := make([][]string, len(columns))
 	height := 1
 	for i, column := range columns {
-		wrapped[i] = wrap(printable(row.Cells[i]), column.Width)
+		if column.Once && !firstOfGroup {
+			continue
+		}
+		wrapped[i] = wrapWords(printable(row.Cells[i]), column.Width)
 		height = max(height, len(wrapped[i]))
 	}
 	for n := range height {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -77,8 +77,8 @@
 	Columns []Column
 	// Rows must be ordered by their groups.
 	Rows []Row
-	// Elsewhere is the number of rows that exist but are not listed.
-	Elsewhere uint64
+	// Remark is printed below the total and says what the rows leave out.
+	Remark string
 }
 
 // Column is one column of a section.
@@ -88,6 +88,8 @@
 	Width int
 	// Right aligns the column to the right.
 	Right bool
+	// Once prints the column only on the first row of each group.
+	Once bool
 }
 
 // Row is one line of a section.
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -168,9 +168,21 @@
 		"conflict": report.Applied("ALTER FRONT f", conflict, 11*time.Millisecond, runDate),
 		"accepted": report.Applied("TAKE OUT FAILURE DOMAIN b", accepted, 640*time.Millisecond, runDate),
 		"status":   status(),
+		"history":  history(),
 	}
 }
 
+func history() *report.Report {
+	section := report.History(&pb.ListHistoryResponse{Entries: []*pb.HistoryEntry{
+		{Revision: 12, Author: "bea", Comment: "two more searchers", AcceptedUnixMs: runDate.UnixMilli(), Difference: []string{
+			"+ front f service names target names-4: address=127.0.0.1:9004 failure_domain=a slots=2 connections=25",
+			"+ front f service names target names-5: address=127.0.0.1:9005 failure_domain=b slots=2 connections=25",
+		}},
+		{Revision: 11, Author: "ann", AcceptedUnixMs: runDate.UnixMilli() - 60000},
+	}})
+	return report.State("CONFIGURATION HISTORY", []report.Section{section}, nil, 0, runDate)
+}
+
 func status() *report.Report {
 	s := &pb.GetStatusResponse{
 		Vm: "vm-a-1", FailureDomain: "a", ConfigurationRevision: 15, ConfigurationAgeMs: 700,
@@ -246,6 +258,21 @@
 	})
 }
 
+// Targets stop at the row limit themselves, so a full answer may be cut short
+// without the coordinator knowing by how much.
+func TestReachedRowLimitIsStated(t *testing.T) {
+	asked, response := request(), full()
+	response.RowsBeyondLimit = 0
+	require.NotContains(t, render(t, report.Search(asked, response, runDate), report.FormatReport), "ROW LIMIT")
+	asked.RowLimit = 4
+	require.Contains(t, render(t, report.Search(asked, response, runDate), report.FormatReport),
+		"THE ROW LIMIT OF 4 IS REACHED; MORE RECORDS MAY EXIST")
+	response.RowsBeyondLimit = 3
+	for _, format := range []report.Format{report.FormatReport, report.FormatJSON, report.FormatCSV} {
+		require.Contains(t, render(t, report.Search(asked, response, runDate), format), "AT LEAST 3 RECORDS BEYOND THE ROW LIMIT")
+	}
+}
+
 func TestCoverageOfAnUnknownMapIsNeverComplete(t *testing.T) {
 	response := full()
 	response.Coverage = &pb.Coverage{Covered: 0, Total: 0, MapKnown: false}
--- a/internal/report/search.go
+++ b/internal/report/search.go
@@ -21,10 +21,10 @@
 // Search returns the report of a search's answer.
 func Search(request *pb.SearchRequest, response *pb.SearchResponse, runDate time.Time) *Report {
 	r := &Report{
-		Title:    "SEARCH OF " + strings.ToUpper(request.Front),
+		Title:    "SEARCH OF " + request.Front,
 		RunDate:  runDate,
 		Subject:  searchSubject(request, response),
-		Sections: []Section{searchRows(response)},
+		Sections: []Section{searchRows(request, response)},
 		Closing:  searchClosing(request, response),
 	}
 	if request.Explain {
@@ -71,18 +71,18 @@
 
 // searchRows lays out the rows by service and partition, with one column for
 // each field name in the order in which the rows bring them.
-func searchRows(response *pb.SearchResponse) Section {
+func searchRows(request *pb.SearchRequest, response *pb.SearchResponse) Section {
 	rows := slices.Clone(response.Rows)
 	slices.SortStableFunc(rows, func(a, b *pb.Row) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Partition, b.Partition))
 	})
 	fields := fieldOrder(rows)
 	section := Section{
-		Key:       "records",
-		Unit:      "RECORDS",
-		Groups:    []string{"service", "partition"},
-		Columns:   searchColumns(fields),
-		Elsewhere: response.RowsBeyondLimit,
+		Key:     "records",
+		Unit:    "RECORDS",
+		Groups:  []string{"service", "partition"},
+		Columns: searchColumns(fields),
+		Remark:  rowLimitRemark(request, response),
 	}
 	for _, row := range rows {
 		section.Rows = append(section.Rows, Row{
@@ -93,6 +93,20 @@
 	return section
 }
 
+// rowLimitRemark says what the row limit left out. Targets stop at the limit,
+// too, so the number of further rows is only a lower bound.
+func rowLimitRemark(request *pb.SearchRequest, response *pb.SearchResponse) string {
+	limit := request.RowLimit
+	switch {
+	case response.RowsBeyondLimit > 0:
+		return fmt.Sprintf("AT LEAST %d RECORDS BEYOND THE ROW LIMIT ARE NOT LISTED", response.RowsBeyondLimit)
+	case limit > 0 && len(response.Rows) >= int(limit):
+		return fmt.Sprintf("THE ROW LIMIT OF %d IS REACHED; MORE RECORDS MAY EXIST", limit)
+	default:
+		return ""
+	}
+}
+
 func fieldOrder(rows []*pb.Row) []string {
 	var order []string
 	seen := map[string]bool{}
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -220,7 +220,7 @@
 	for text, part := range map[string]string{
 		"TOKEN": "TOKEN             t", "SHOW FRONTS": "erfgenaam", "SHOW TARGETS": "elsewhere",
 		"SHOW TARGETS erfgenaam": "owned-1", "SHOW FAILURE DOMAINS": "IN SERVICE", "SHOW CONFIGURATION": "REVISION 1",
-		"SHOW HISTORY LIMIT 3": "REVISIONS", "SHOW VMS": "READY",
+		"SHOW HISTORY LIMIT 3": "CONFIGURATION HISTORY", "SHOW VMS": "READY",
 	} {
 		report, code := execute(t, store, text)
 		require.Zero(t, code, text)
