--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -186,3 +186,57 @@
 	}
 	require.Equal(t, before, s.owners("t-1-0"))
 }
+
+// Found by the property over faults: the only VM left of a failure domain was
+// leaving, did not watch, and its configuration grew stale.
+func TestTheLastVMOfADomainWatchesWhileItLeaves(t *testing.T) {
+	s := deployment(1, 2)
+	s.write(testConfiguration(1, "first"))
+	s.run(4 * time.Second)
+	s.kill("vm-0-000")
+	vm := s.vms["vm-0-001"]
+	s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_Leave{Leave: &pb.LeaveRequested{}}}, nil)
+	s.run(15 * time.Second)
+	require.Less(t, vm.machine.age(), 2*time.Second)
+}
+
+// A VM whose list does not name itself yet cannot conclude from it that it is
+// alone.
+func TestAListThatLagsBehindTheStartConfirmsNothing(t *testing.T) {
+	s := newSimulation()
+	s.write(testConfiguration(1, "first"))
+	a := s.startVM("vm-0-000", "domain-0", 1)
+	b := s.startVM("vm-0-001", "domain-0", 2)
+	s.run(2 * time.Second)
+	require.True(t, a.machine.published.paused)
+	require.True(t, b.machine.published.paused)
+	s.listVM("vm-0-000", "domain-0")
+	s.listVM("vm-0-001", "domain-0")
+	s.run(10 * time.Second)
+	require.False(t, a.machine.published.paused)
+	require.Len(t, s.owners("t-0-0"), 1)
+}
+
+// answer is the answer of a peer that holds the revision, to a heartbeat sent at
+// some time.
+func answer(peer *machine, vm string, sent, now time.Duration) *pb.ControlEvent {
+	return &pb.ControlEvent{OffsetUs: now.Microseconds(), Kind: &pb.ControlEvent_HeartbeatAnswered{HeartbeatAnswered: &pb.HeartbeatAnswered{
+		Vm: vm, SentOffsetUs: sent.Microseconds(),
+		Response: &pb.HeartbeatResponse{Responder: peer.table.Self(), MembersDigest: peer.table.Digest(), ConfigurationRevision: peer.revision()},
+	}}}
+}
+
+func TestOnlyAnAnswerThatConfirmsEndsAPause(t *testing.T) {
+	s := deployment(1, 2)
+	s.run(3 * time.Second)
+	m, peer := s.vms["vm-0-000"].machine, s.vms["vm-0-001"].machine
+	require.False(t, m.published.paused)
+	asked, woken := 3*time.Second, 4500*time.Millisecond
+	m.step(answer(peer, "vm-0-001", asked, woken))
+	require.True(t, m.published.paused, "the heartbeat was sent before the gap")
+	other := newMachine(simulatedHeader("vm-0-001", "domain-0", 0, 1))
+	m.step(answer(other, "vm-0-001", woken, woken+time.Millisecond))
+	require.True(t, m.published.paused, "the peer believes something else and did not say what")
+	m.step(answer(peer, "vm-0-001", woken, woken+2*time.Millisecond))
+	require.False(t, m.published.paused)
+}
--- a/internal/owner/crash.go
+++ b/internal/owner/crash.go
@@ -32,14 +32,16 @@
 	if !verdict.Suspect(w.service) {
 		return false, nil
 	}
-	designated := quarantine.Designate(w.digest, candidates(v, w.target), verdict.CrashedTargets(w.service))
+	designated := quarantine.Designate(
+		w.digest, candidates(v, w.target), verdict.CrashedTargets(w.service), verdict.Age)
 	if designated != w.target {
 		return false, &admissionError{pb.SubStatus_SUB_STATUS_UNAVAILABLE, reasonSuspect + designated}
 	}
 	return true, nil
 }
 
-// candidates returns the targets in service that serve the same as a target.
+// candidates returns the targets in service, and with an owner, that serve the
+// same as a target.
 func candidates(v *view.View, id string) []string {
 	found, ok := v.Target(id)
 	if !ok {
@@ -51,7 +53,7 @@
 	}
 	var ids []string
 	for _, replica := range front.Services[found.Service].GetTargets() {
-		if v.InService(replica.Id) {
+		if _, owned := v.Owner(replica.Id); owned && v.InService(replica.Id) {
 			ids = append(ids, replica.Id)
 		}
 	}
@@ -78,7 +80,7 @@
 
 // observeReply settles the last break: a reply to work sent after it with the
 // boot identity of before shows that the target did not crash.
-func (h *handler) observeReply(bootID string, began, now time.Time) {
+func (h *handler) observeReply(bootID string, began time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.crash.digests) == 0 || bootID == "" || !began.After(h.crash.at) {
@@ -86,7 +88,7 @@
 	}
 	if bootID == h.crash.bootID {
 		for _, digest := range h.crash.digests {
-			h.owner.quarantine.Retract(digest, h.place, now)
+			h.owner.quarantine.Retract(digest, h.place)
 		}
 	}
 	h.crash = crashWatch{}
