--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -169,10 +170,8 @@
 // nobody is an address where nothing listens.
 func nobody(t *testing.T) string {
 	t.Helper()
-	server, err := transport.Listen("127.0.0.1:0", http.NotFoundHandler())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	ctx, stop := context.WithCancel(context.Background())
-	stop()
-	require.NoError(t, server.Serve(ctx))
-	return server.Address()
+	require.NoError(t, listener.Close())
+	return listener.Addr().String()
 }
--- a/internal/language/parse_test.go
+++ b/internal/language/parse_test.go
@@ -208,6 +208,20 @@
 	}
 }
 
+func BenchmarkParse(b *testing.B) {
+	for b.Loop() {
+		_, err := language.Parse("SEARCH zoekportaal WHERE name LIKE PREFIX 'Jans' AND parish = 'Utrecht' WITHIN 140ms LIMIT 50")
+		require.NoError(b, err)
+	}
+}
+
+func BenchmarkParseWrong(b *testing.B) {
+	for b.Loop() {
+		_, err := language.Parse("SEARCH zoekportaal WHERE name LIKE 'Jans' AND parish = 'Utrecht' WITHIN 140ms LIMIT 50")
+		require.Error(b, err)
+	}
+}
+
 func FuzzParseScript(f *testing.F) {
 	for _, label := range []string{"carawayreel", "wrong"} {
 		for _, block := range blocks(f, label) {
