Changes leave time for another target; process tests run alone

Cause: an owner's refusal at the deadline was not heard, so that a change that certainly did not run was told as unknown (2 of 1740 in a rolling replacement). Now an attempt takes half of the remaining time and its answer is waited for a little longer.

--- a/internal/change/attempt.go
+++ b/internal/change/attempt.go
@@ -19,6 +19,13 @@
 	maxAttempts = 6
 	// retryPause is waited before the same targets are tried again.
 	retryPause = 20 * time.Millisecond
+	// attemptShare is the part of the remaining time that one attempt may take,
+	// so that a refusal after a wait leaves time for another target.
+	attemptShare = 2
+	// answerMargin is how much longer than the work itself its answer is waited
+	// for: an owner that refuses at the deadline must still be heard, or a change
+	// that certainly did not run would be reported as unknown.
+	answerMargin = 100 * time.Millisecond
 	// serviceSeparator ends the service's name in a record's identifier.
 	serviceSeparator = ":"
 )
@@ -119,13 +126,16 @@
 func (a *attempt) dispatch(ctx context.Context, target view.Target, owner view.VM) *pb.ChangeReply {
 	a.reached = target.Id
 	deadline, _ := ctx.Deadline()
+	remaining := time.Until(deadline) / attemptShare
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), remaining+answerMargin)
+	defer cancel()
 	message := &pb.ChangeDispatch{
 		Token:         a.token.String(),
 		Front:         target.Front,
 		Service:       target.Service,
 		Target:        target.Id,
 		Change:        a.request.Change,
-		RemainingUs:   time.Until(deadline).Microseconds(),
+		RemainingUs:   remaining.Microseconds(),
 		ContentDigest: Digest(a.request.Change),
 		Coordinator:   a.changes.self.VM,
 	}
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -14,6 +14,7 @@
 // record and leaves every answer whole.
 func TestRollingReplacementCutsNoRequest(t *testing.T) {
 	d := start(t, testkit.Options{Profile: "demo", VMsPerDomain: 2})
+	awaitGuard()
 	searches := startSearches(t, d, "archive", 4, 5*time.Millisecond)
 	changes := startChanges(t, d, 2, 5*time.Millisecond)
 	for _, vm := range d.VMs {
