Stand-in: tests of its promises, and the faults that they found

Cause: the stand-in's counters are the truth that other tests rely on, so its own limits, faults and counters need tests that fail when one is off.

The memory of executions is bounded to 20,000 request identities instead of 100,000, which at 30 executions each would have been some 170 MB (computed).

--- a/internal/gen/standin/v1/standinv1connect/admin.connect.go
+++ b/internal/gen/standin/v1/standinv1connect/admin.connect.go
@@ -61,8 +61,8 @@
 
 // AdminServiceClient is a client for the standin.v1.AdminService service.
 type AdminServiceClient interface {
-	// GetConfiguration returns the profile's configuration with the snapshots
-	// that the targets hold now.
+	// GetConfiguration returns the profile's configuration with the newest
+	// snapshots; targets may hold them later.
 	GetConfiguration(context.Context, *connect.Request[v1.GetConfigurationRequest]) (*connect.Response[v1.GetConfigurationResponse], error)
 	SetFault(context.Context, *connect.Request[v1.SetFaultRequest]) (*connect.Response[v1.SetFaultResponse], error)
 	SetStoreFault(context.Context, *connect.Request[v1.SetStoreFaultRequest]) (*connect.Response[v1.SetStoreFaultResponse], error)
@@ -204,8 +204,8 @@
 
 // AdminServiceHandler is an implementation of the standin.v1.AdminService service.
 type AdminServiceHandler interface {
-	// GetConfiguration returns the profile's configuration with the snapshots
-	// that the targets hold now.
+	// GetConfiguration returns the profile's configuration with the newest
+	// snapshots; targets may hold them later.
 	GetConfiguration(context.Context, *connect.Request[v1.GetConfigurationRequest]) (*connect.Response[v1.GetConfigurationResponse], error)
 	SetFault(context.Context, *connect.Request[v1.SetFaultRequest]) (*connect.Response[v1.SetFaultResponse], error)
 	SetStoreFault(context.Context, *connect.Request[v1.SetStoreFaultRequest]) (*connect.Response[v1.SetStoreFaultResponse], error)
--- a/internal/standin/admin.go
+++ b/internal/standin/admin.go
@@ -20,8 +20,8 @@
 	standin *Standin
 }
 
-// GetConfiguration returns the profile's configuration with the snapshots that
-// the targets hold now.
+// GetConfiguration returns the profile's configuration with the newest
+// snapshots.
 func (h *adminHandler) GetConfiguration(
 	context.Context, *connect.Request[standinv1.GetConfigurationRequest],
 ) (*connect.Response[standinv1.GetConfigurationResponse], error) {
--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -13,7 +13,7 @@
 	// rememberedSeconds bounds the seconds that a target's counters keep.
 	rememberedSeconds = 300
 	// rememberedRequests bounds the request identities that are remembered.
-	rememberedRequests = 100_000
+	rememberedRequests = 20_000
 )
 
 // countReceived counts an arrival. The caller holds the lock.
@@ -30,15 +30,15 @@
 // second returns the counts of the present second. The caller holds the lock.
 func (t *target) second() *standinv1.SecondCount {
 	now := time.Now().Unix()
-	seconds := t.counters.Seconds
-	if len(seconds) > 0 && seconds[len(seconds)-1].UnixS == now {
-		return seconds[len(seconds)-1]
+	c := &t.counters
+	if last := len(c.Seconds) - 1; last >= 0 && c.Seconds[last].UnixS == now {
+		return c.Seconds[last]
 	}
-	if len(seconds) >= rememberedSeconds {
-		seconds = seconds[1:]
+	if len(c.Seconds) >= rememberedSeconds {
+		c.Seconds = c.Seconds[1:]
 	}
 	count := &standinv1.SecondCount{UnixS: now}
-	t.counters.Seconds = append(seconds, count)
+	c.Seconds = append(c.Seconds, count)
 	return count
 }
 
@@ -100,7 +100,7 @@
 func (e *executions) find(id string) []*standinv1.Execution {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var found []*standinv1.Execution
+	found := make([]*standinv1.Execution, 0, len(e.byID[id]))
 	for _, x := range e.byID[id] {
 		found = append(found, &standinv1.Execution{
 			Target:   x.target,
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -57,7 +57,7 @@
 }
 
 func (t *target) results(r *pb.TargetSearchRequest) []*pb.PartitionResult {
-	var results []*pb.PartitionResult
+	results := make([]*pb.PartitionResult, 0, len(r.Partitions))
 	for _, partition := range r.Partitions {
 		rows := t.env.rows(t.front, t.service, partition, r.Snapshot)
 		matching := profile.Filter(rows, r.Conditions)
--- /dev/null
+++ b/internal/standin/platform_test.go
@@ -0,0 +1,277 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1/carawayreelv1connect"
+	standinv1 "github.com/carawayreel/carawayreel/internal/gen/standin/v1"
+)
+
+func (f *fixture) keyValues(domain string) carawayreelv1connect.KeyValueServiceClient {
+	return carawayreelv1connect.NewKeyValueServiceClient(httpClient(f.t, domain), "http://"+f.options.PlatformAddress)
+}
+
+func (f *fixture) storeFault(r *standinv1.SetStoreFaultRequest) {
+	f.t.Helper()
+	_, err := f.admin.SetStoreFault(f.t.Context(), connect.NewRequest(r))
+	require.NoError(f.t, err)
+}
+
+func (f *fixture) setLink(first, second string, cut bool) {
+	f.t.Helper()
+	_, err := f.admin.SetLink(f.t.Context(), connect.NewRequest(&standinv1.SetLinkRequest{First: first, Second: second, Cut: cut}))
+	require.NoError(f.t, err)
+}
+
+func put(value string, expected uint64) *connect.Request[pb.KeyValuePutRequest] {
+	return connect.NewRequest(&pb.KeyValuePutRequest{Key: "k", Value: []byte(value), ExpectedVersion: expected})
+}
+
+func get() *connect.Request[pb.KeyValueGetRequest] {
+	return connect.NewRequest(&pb.KeyValueGetRequest{Key: "k"})
+}
+
+func TestPutComparesTheVersion(t *testing.T) {
+	f := start(t, nil)
+	store := f.keyValues("")
+	first, err := store.Put(t.Context(), put("one", 0))
+	require.NoError(t, err)
+	require.True(t, first.Msg.Written)
+	conflict, err := store.Put(t.Context(), put("two", 0))
+	require.NoError(t, err)
+	require.False(t, conflict.Msg.Written)
+	require.Equal(t, "one", string(conflict.Msg.Value))
+	second, err := store.Put(t.Context(), put("two", conflict.Msg.Version))
+	require.NoError(t, err)
+	require.True(t, second.Msg.Written)
+	require.EqualValues(t, 1, f.standin.store.snapshotCounters().Conflicts)
+	require.EqualValues(t, 3, f.standin.store.snapshotCounters().Puts)
+}
+
+func TestLostAnswerLeavesTheWrite(t *testing.T) {
+	f := start(t, nil)
+	store := f.keyValues("")
+	f.storeFault(&standinv1.SetStoreFaultRequest{LosePutAnswers: 1})
+	_, err := store.Put(t.Context(), put("one", 0))
+	require.Error(t, err)
+	found, err := store.Get(t.Context(), get())
+	require.NoError(t, err)
+	require.Equal(t, "one", string(found.Msg.Value))
+	second, err := store.Put(t.Context(), put("two", found.Msg.Version))
+	require.NoError(t, err)
+	require.True(t, second.Msg.Written)
+}
+
+func TestOutageFailsCallsAndWaitingWatches(t *testing.T) {
+	f := start(t, nil)
+	store := f.keyValues("")
+	watch := make(chan error, 1)
+	go func() {
+		_, err := store.Watch(t.Context(), connect.NewRequest(&pb.KeyValueWatchRequest{Key: "k", WaitMs: uint32(time.Hour.Milliseconds())}))
+		watch <- err
+	}()
+	require.Eventually(t, func() bool { return f.standin.store.snapshotCounters().WatchesWaiting == 1 }, patience, poll)
+	f.storeFault(&standinv1.SetStoreFaultRequest{Outage: true})
+	require.Equal(t, connect.CodeUnavailable, connect.CodeOf(<-watch))
+	_, err := store.Get(t.Context(), get())
+	require.Equal(t, connect.CodeUnavailable, connect.CodeOf(err))
+	f.storeFault(&standinv1.SetStoreFaultRequest{})
+	_, err = store.Get(t.Context(), get())
+	require.NoError(t, err)
+	require.EqualValues(t, 1, f.standin.store.snapshotCounters().Watches)
+	require.Zero(t, f.standin.store.snapshotCounters().WatchesWaiting)
+}
+
+func TestStoreLimitsItsRates(t *testing.T) {
+	f := start(t, func(o *Options) { o.WritesPerSecond = 1 })
+	store := f.keyValues("")
+	var limited int
+	for range 20 {
+		_, err := store.Put(t.Context(), put("one", 0))
+		if connect.CodeOf(err) == connect.CodeResourceExhausted && err != nil {
+			limited++
+		}
+	}
+	require.Positive(t, limited)
+	require.EqualValues(t, limited, f.standin.store.snapshotCounters().RateLimited)
+}
+
+// These run without a network, in virtual time.
+
+func newTestStore() *store {
+	return newStore(1000, 1000)
+}
+
+func TestWatchSeesAWriteAndALapsedLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestStore()
+		granted, err := s.GrantLease(t.Context(), connect.NewRequest(&pb.GrantLeaseRequest{DurationMs: 1000}))
+		require.NoError(t, err)
+		watch := func(after uint64) *pb.KeyValueWatchResponse {
+			response, err := s.Watch(t.Context(), connect.NewRequest(&pb.KeyValueWatchRequest{Key: "k", AfterVersion: after, WaitMs: 10_000}))
+			require.NoError(t, err)
+			return response.Msg
+		}
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			_, _ = s.KeepAlive(t.Context(), connect.NewRequest(&pb.KeepAliveRequest{Lease: granted.Msg.Lease}))
+			request := put("one", 0)
+			request.Msg.Lease = granted.Msg.Lease
+			_, _ = s.Put(t.Context(), request)
+		}()
+		started := time.Now()
+		written := watch(0)
+		require.True(t, written.Changed)
+		require.Equal(t, 500*time.Millisecond, time.Since(started))
+		s.lapse(granted.Msg.Lease)
+		kept, err := s.Get(t.Context(), get())
+		require.NoError(t, err)
+		require.Equal(t, written.Version, kept.Msg.Version, "a late timer removed a lease that was kept alive")
+		removed := watch(written.Version)
+		require.True(t, removed.Changed)
+		require.Zero(t, removed.Version)
+		require.Equal(t, 1500*time.Millisecond, time.Since(started))
+		alive, err := s.KeepAlive(t.Context(), connect.NewRequest(&pb.KeepAliveRequest{Lease: granted.Msg.Lease}))
+		require.NoError(t, err)
+		require.False(t, alive.Msg.Alive)
+	})
+}
+
+func TestLostWatchReturnsNoChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestStore()
+		s.setFaults(&standinv1.SetStoreFaultRequest{LoseWatches: true, DelayMs: 100})
+		started := time.Now()
+		_, err := s.Put(t.Context(), put("one", 0))
+		require.NoError(t, err)
+		require.Equal(t, 100*time.Millisecond, time.Since(started))
+		response, err := s.Watch(t.Context(), connect.NewRequest(&pb.KeyValueWatchRequest{Key: "k", WaitMs: 1000}))
+		require.NoError(t, err)
+		require.False(t, response.Msg.Changed)
+	})
+}
+
+func TestListOfVmsLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &vmList{store: newTestStore(), lag: time.Second}
+		list.set([]*pb.ListedVm{{Vm: "v1"}})
+		require.Empty(t, list.shown(time.Now()))
+		time.Sleep(time.Second)
+		require.Len(t, list.shown(time.Now()), 1)
+		list.set([]*pb.ListedVm{{Vm: "v1"}, {Vm: "v2"}})
+		require.Len(t, list.shown(time.Now()), 1)
+		time.Sleep(time.Second)
+		require.Len(t, list.shown(time.Now()), 2)
+	})
+}
+
+func TestReportsLag(t *testing.T) {
+	var reported sampled[int]
+	present := 1
+	read := func() int { return present }
+	now := time.Now()
+	require.Equal(t, 1, reported.get(now, time.Second, read))
+	present = 2
+	require.Equal(t, 1, reported.get(now.Add(time.Second-1), time.Second, read))
+	require.Equal(t, 2, reported.get(now.Add(time.Second), time.Second, read))
+}
+
+// echoServer returns the address of a server that sends back what it reads.
+func echoServer(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestCutRelayStallsBytesAndRefusesConnections(t *testing.T) {
+	peer := echoServer(t)
+	f := start(t, func(o *Options) {
+		free, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listen := free.Addr().String()
+		require.NoError(t, free.Close())
+		o.Relays = []Relay{{FailureDomain: "b", ListenAddress: listen, PeerAddress: peer}}
+	})
+	relay := f.options.Relays[0].ListenAddress
+	dial := func(domain string) net.Conn {
+		conn, err := dialer(domain).Dial("tcp", relay)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	echoes := func(conn net.Conn) error {
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(conn, make([]byte, 1))
+		return err
+	}
+	fromA := dial("a")
+	require.NoError(t, echoes(fromA))
+	f.setLink("a", "b", true)
+	_, err := fromA.Write([]byte("y"))
+	require.NoError(t, err)
+	require.NoError(t, fromA.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = fromA.Read(make([]byte, 1))
+	require.ErrorContains(t, err, "timeout")
+	requireReset(t, dialer("a"), relay)
+	require.NoError(t, echoes(dial("c")))
+	f.setLink("b", "a", false)
+	require.NoError(t, fromA.SetReadDeadline(time.Time{}))
+	_, err = io.ReadFull(fromA, make([]byte, 1))
+	require.NoError(t, err)
+	require.NoError(t, echoes(dial("a")))
+	counters := f.standin.relays[0].snapshotCounters()
+	require.EqualValues(t, 1, counters.Refused)
+	require.EqualValues(t, 3, counters.Accepted)
+}
+
+func TestCutKeepsADomainFromThePlatformAndFromTargets(t *testing.T) {
+	f := start(t, nil)
+	f.setLink("b", Platform, true)
+	_, err := f.keyValues("b").Get(t.Context(), get())
+	require.Error(t, err)
+	_, err = f.keyValues("a").Get(t.Context(), get())
+	require.NoError(t, err)
+	f.setLink("a", "b", true)
+	target := func(domain string) error {
+		client := carawayreelv1connect.NewTargetServiceClient(httpClient(t, domain), "http://"+f.address(archive))
+		_, err := client.Search(t.Context(), connect.NewRequest(searchRequest("q")))
+		return err
+	}
+	require.Error(t, target("b"))
+	require.NoError(t, target("a"))
+	f.setLink("a", "b", false)
+	require.NoError(t, target("b"))
+}
+
+func TestRelayIsWrittenInThreeParts(t *testing.T) {
+	relay, err := ParseRelay("a=127.0.0.1:1=127.0.0.1:2")
+	require.NoError(t, err)
+	require.Equal(t, Relay{FailureDomain: "a", ListenAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2"}, relay)
+	_, err = ParseRelay("a=127.0.0.1:1")
+	require.ErrorIs(t, err, ErrBadRelay)
+}
+
+func TestStartReportsAnAddressInUse(t *testing.T) {
+	f := start(t, nil)
+	require.ErrorIs(t, New(f.options).Start(t.Context()), ErrListen)
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -173,23 +173,24 @@
 	listeners := &listenerSet{}
 	platform := listeners.add(s.options.PlatformAddress)
 	admin := listeners.add(s.options.AdminAddress)
-	var targets, relays []net.Listener
-	for _, t := range s.targets {
-		targets = append(targets, listeners.add(t.config.Address))
+	targets := make([]net.Listener, len(s.targets))
+	for i, t := range s.targets {
+		targets[i] = listeners.add(t.config.Address)
 	}
-	for _, r := range s.relays {
-		relays = append(relays, listeners.add(r.ListenAddress))
+	relays := make([]net.Listener, len(s.relays))
+	for i, r := range s.relays {
+		relays[i] = listeners.add(r.ListenAddress)
 	}
 	if listeners.err != nil {
 		listeners.close()
 		return listeners.err
 	}
-	s.running.Go(func() {
-		s.serveHTTP(ctx, &linkListener{Listener: platform, links: s.env.links, place: Platform}, s.platformMux())
-	})
+	gated := &linkListener{Listener: platform, links: s.env.links, place: Platform}
+	s.running.Go(func() { s.serveHTTP(ctx, gated, s.platformMux()) })
 	s.running.Go(func() { s.serveHTTP(ctx, admin, s.adminMux()) })
 	for i, t := range s.targets {
-		s.running.Go(func() { t.serve(ctx, targets[i]) })
+		running := t.startBoot(ctx)
+		s.running.Go(func() { t.serve(ctx, targets[i], running) })
 	}
 	if s.options.FaultInterval > 0 {
 		s.running.Go(func() { s.switchRandomFaults(ctx) })
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -35,6 +35,7 @@
 // lease removes its keys when its timer fires.
 type lease struct {
 	duration time.Duration
+	expires  time.Time
 	timer    *time.Timer
 }
 
@@ -240,14 +241,18 @@
 	id := s.lastLease
 	duration := time.Duration(request.Msg.DurationMs) * time.Millisecond
 	timer := time.AfterFunc(duration, func() { s.lapse(id) })
-	s.leases[id] = &lease{duration: duration, timer: timer}
+	s.leases[id] = &lease{duration: duration, expires: time.Now().Add(duration), timer: timer}
 	return connect.NewResponse(&pb.GrantLeaseResponse{Lease: id}), nil
 }
 
-// lapse ends a lease and removes its keys.
+// lapse ends a lease, unless it was kept alive, and removes its keys.
 func (s *store) lapse(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	granted, alive := s.leases[id]
+	if !alive || time.Now().Before(granted.expires) {
+		return
+	}
 	delete(s.leases, id)
 	for key, e := range s.entries {
 		if e.lease == id {
@@ -268,6 +273,7 @@
 	defer s.mu.Unlock()
 	granted, alive := s.leases[request.Msg.Lease]
 	if alive {
+		granted.expires = time.Now().Add(granted.duration)
 		granted.timer.Reset(granted.duration)
 	}
 	return connect.NewResponse(&pb.KeepAliveResponse{Alive: alive}), nil
--- /dev/null
+++ b/internal/standin/target_test.go
@@ -0,0 +1,350 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	standinv1 "github.com/carawayreel/carawayreel/internal/gen/standin/v1"
+	"github.com/carawayreel/carawayreel/internal/profile"
+)
+
+func TestSearchReturnsTheRowsOfTheProfile(t *testing.T) {
+	f := start(t, nil)
+	r := searchRequest("q")
+	r.Conditions = []*pb.Condition{{Field: "name", Operator: pb.Operator_OPERATOR_PREFIX, Value: "de "}}
+	response, err := f.search(t.Context(), r)
+	require.NoError(t, err)
+	var rows []*pb.Row
+	for _, result := range response.Results {
+		require.Len(t, result.Rows, int(result.RowCount))
+		rows = append(rows, result.Rows...)
+	}
+	want := f.options.Profile.Search("archive", &pb.Snapshot{
+		Version:  profile.NewestVersion,
+		Services: []*pb.ServicePartitions{{Service: "archive-01", Partitions: r.Partitions}},
+	}, r.Conditions)
+	require.NotEmpty(t, want)
+	require.Len(t, rows, len(want))
+	for i := range want {
+		require.True(t, proto.Equal(want[i], rows[i]))
+	}
+	executions, err := f.admin.GetExecutions(t.Context(), connect.NewRequest(&standinv1.GetExecutionsRequest{RequestId: "q"}))
+	require.NoError(t, err)
+	require.Len(t, executions.Msg.Executions, 1)
+	require.True(t, executions.Msg.Executions[0].Finished)
+}
+
+func TestColdTargetFallsOverBeyondItsLimit(t *testing.T) {
+	f := start(t, nil)
+	first := f.counters(archive).BootId
+	f.fault(archive, &standinv1.Fault{Kind: standinv1.FaultKind_FAULT_KIND_TURN_COLD, DropConnections: true})
+	f.fault(archive, stuck())
+	running := f.background(t.Context(), "q1")
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.StartedCold == 1 })
+	_, err := f.search(t.Context(), searchRequest("q2"))
+	require.Error(t, err)
+	require.Error(t, <-running)
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return !c.Down && c.BootId != first })
+	c := f.counters(archive)
+	require.EqualValues(t, 1, c.ColdViolations)
+	require.EqualValues(t, 1, c.Crashes)
+	require.True(t, c.Cold)
+	require.Zero(t, c.SearchesRan)
+}
+
+func TestColdStartThatNothingHasShownIsCountedApart(t *testing.T) {
+	f := start(t, nil)
+	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_TURN_COLD))
+	f.fault(archive, stuck())
+	running := f.background(t.Context(), "q1")
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.StartedCold == 1 })
+	_, err := f.search(t.Context(), searchRequest("q2"))
+	require.Error(t, err)
+	require.Error(t, <-running)
+	c := f.counters(archive)
+	require.Zero(t, c.ColdViolations)
+	require.EqualValues(t, 1, c.UnannouncedColdViolations)
+}
+
+func TestColdTargetWarmsUp(t *testing.T) {
+	f := start(t, func(o *Options) {
+		o.StartCold = true
+		o.WarmRequests = 2
+		o.WarmTime = 0
+	})
+	require.True(t, f.counters(archive).Cold)
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, f.searchStatus(searchRequest("q1")))
+	require.True(t, f.counters(archive).Cold)
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, f.searchStatus(searchRequest("q2")))
+	require.False(t, f.counters(archive).Cold)
+	require.EqualValues(t, 2, f.counters(archive).StartedCold)
+}
+
+func TestSlotsQueueAndShedding(t *testing.T) {
+	f := start(t, func(o *Options) { o.QueueLength = 1 })
+	f.fault(archive, stuck())
+	results := []<-chan error{f.background(t.Context(), "q1"), f.background(t.Context(), "q2"), f.background(t.Context(), "q3")}
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.Received == 3 })
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_SHED, f.searchStatus(searchRequest("q4")))
+	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_CLEAR))
+	for _, result := range results {
+		require.NoError(t, <-result)
+	}
+	c := f.counters(archive)
+	require.EqualValues(t, 1, c.Shed)
+	require.EqualValues(t, 3, c.SearchesRan)
+	require.EqualValues(t, 2, c.RunningPeak)
+}
+
+func TestCancelledWorkFreesItsSlot(t *testing.T) {
+	f := start(t, nil)
+	f.fault(archive, stuck())
+	ctx, cancel := context.WithCancel(t.Context())
+	results := []<-chan error{f.background(ctx, "q1"), f.background(ctx, "q2"), f.background(ctx, "q3")}
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.Received == 3 })
+	cancel()
+	for _, result := range results {
+		require.Error(t, <-result)
+	}
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.Cancelled == 3 })
+	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_CLEAR))
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, f.searchStatus(searchRequest("q4")))
+	require.EqualValues(t, 1, f.counters(archive).SearchesRan)
+	require.Eventually(t, func() bool {
+		target := f.standin.targets[0]
+		target.mu.Lock()
+		defer target.mu.Unlock()
+		return target.running == 0 && len(target.waiting) == 0
+	}, patience, poll)
+}
+
+func TestWorkBeyondItsDeadlineDoesNotRun(t *testing.T) {
+	f := start(t, nil)
+	r := searchRequest("q1")
+	r.RemainingUs = 0
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_EXPIRED, f.searchStatus(r))
+	executions, err := f.admin.GetExecutions(t.Context(), connect.NewRequest(&standinv1.GetExecutionsRequest{RequestId: "q1"}))
+	require.NoError(t, err)
+	require.Empty(t, executions.Msg.Executions)
+	f.fault(archive, stuck())
+	r.RemainingUs = 1000
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_EXPIRED, f.searchStatus(r))
+	c := f.counters(archive)
+	require.EqualValues(t, 2, c.Expired)
+	require.Zero(t, c.SearchesRan)
+}
+
+func TestConnectionsBeyondTheLimitAreClosed(t *testing.T) {
+	f := start(t, nil)
+	limit := int(f.standin.targets[0].config.Connections)
+	for range limit {
+		conn, err := net.Dial("tcp", f.address(archive))
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return int(c.ConnectionsOpen) == limit })
+	requireReset(t, dialer(""), f.address(archive))
+	c := f.counters(archive)
+	require.EqualValues(t, 1, c.ConnectionViolations)
+	require.EqualValues(t, limit, c.ConnectionsPeak)
+}
+
+func TestDrainingTargetRefusesAndCountsWork(t *testing.T) {
+	f := start(t, nil)
+	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_DRAIN))
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_DRAINING, f.searchStatus(searchRequest("q1")))
+	health, err := f.target(archive).Health(t.Context(), connect.NewRequest(&pb.TargetHealthRequest{}))
+	require.NoError(t, err)
+	require.True(t, health.Msg.Draining)
+	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_CLEAR))
+	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_MARK_LEAVING))
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, f.searchStatus(searchRequest("q2")))
+	c := f.counters(archive)
+	require.EqualValues(t, 1, c.DrainingRefused)
+	require.EqualValues(t, 2, c.ReceivedAfterLeaving)
+}
+
+func TestHealthAndLoadLie(t *testing.T) {
+	f := start(t, nil)
+	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_REFUSE))
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_SHED, f.searchStatus(searchRequest("q1")))
+	f.fault(archive, &standinv1.Fault{Kind: standinv1.FaultKind_FAULT_KIND_LIE_HEALTH, Healthy: true})
+	f.fault(archive, &standinv1.Fault{Kind: standinv1.FaultKind_FAULT_KIND_LIE_LOAD, Count: 9})
+	health, err := f.target(archive).Health(t.Context(), connect.NewRequest(&pb.TargetHealthRequest{}))
+	require.NoError(t, err)
+	require.True(t, health.Msg.Healthy)
+	load, err := f.target(archive).Load(t.Context(), connect.NewRequest(&pb.TargetLoadRequest{}))
+	require.NoError(t, err)
+	require.EqualValues(t, 9, load.Msg.Running)
+}
+
+func TestSnapshotsAdvanceAndAreLost(t *testing.T) {
+	f := start(t, nil)
+	r := searchRequest("q")
+	for range profile.SplitVersion - profile.NewestVersion {
+		_, err := f.admin.AdvanceSnapshot(t.Context(), connect.NewRequest(&standinv1.AdvanceSnapshotRequest{Front: "archive"}))
+		require.NoError(t, err)
+	}
+	response, err := f.search(t.Context(), r)
+	require.NoError(t, err)
+	require.Equal(t, []uint64{3, 4, 5}, response.HeldSnapshots)
+	f.fault(archive, &standinv1.Fault{Kind: standinv1.FaultKind_FAULT_KIND_LOSE_SNAPSHOT, Snapshot: 3})
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_SNAPSHOT_GONE, f.searchStatus(r))
+	configuration, err := f.admin.GetConfiguration(t.Context(), connect.NewRequest(&standinv1.GetConfigurationRequest{}))
+	require.NoError(t, err)
+	snapshots := configuration.Msg.Configuration.Fronts[0].Snapshots
+	require.Equal(t, []string{"p0a", "p0b", "p1"}, snapshots[len(snapshots)-1].Services[0].Partitions)
+}
+
+func TestPoisonRequestCrashesTheTarget(t *testing.T) {
+	f := start(t, nil)
+	f.fault(archive, &standinv1.Fault{Kind: standinv1.FaultKind_FAULT_KIND_POISON, Value: "crash me"})
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, f.searchStatus(searchRequest("q1")))
+	r := searchRequest("q2")
+	r.Conditions = []*pb.Condition{{Field: "name", Operator: pb.Operator_OPERATOR_EQUAL, Value: "crash me"}}
+	_, err := f.search(t.Context(), r)
+	require.Error(t, err)
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return !c.Down && c.Crashes == 1 })
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, f.searchStatus(searchRequest("q3")))
+}
+
+func TestCrashedTargetRefusesConnections(t *testing.T) {
+	f := start(t, nil)
+	f.fault(archive, &standinv1.Fault{Kind: standinv1.FaultKind_FAULT_KIND_CRASH, DurationMs: uint32(time.Hour.Milliseconds())})
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", f.address(archive))
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	}, patience, poll)
+	require.True(t, f.counters(archive).Down)
+}
+
+func TestFrozenTargetGoesOnWhenItThaws(t *testing.T) {
+	f := start(t, nil)
+	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_FREEZE))
+	running := f.background(t.Context(), "q1")
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.ConnectionsOpen == 1 })
+	require.Zero(t, f.counters(archive).SearchesRan)
+	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_CLEAR))
+	require.NoError(t, <-running)
+	require.EqualValues(t, 1, f.counters(archive).SearchesRan)
+}
+
+func edit(token string) *connect.Request[pb.TargetApplyRequest] {
+	return connect.NewRequest(&pb.TargetApplyRequest{
+		Token:       token,
+		Service:     "register",
+		RemainingUs: time.Minute.Microseconds(),
+		Change: &pb.Change{Front: "register", Kind: &pb.Change_Edit{Edit: &pb.RecordEdit{
+			RecordId: "register:0",
+			Fields:   []*pb.Field{{Name: "litres", Value: "200"}},
+		}}},
+	})
+}
+
+func TestDroppedAnswerLeavesTheEffect(t *testing.T) {
+	for _, hang := range []bool{false, true} {
+		f := start(t, nil)
+		f.fault(register, &standinv1.Fault{Kind: standinv1.FaultKind_FAULT_KIND_DROP_ANSWER, Count: 1, Hang: hang})
+		request := edit("t1")
+		if hang {
+			request.Msg.RemainingUs = (200 * time.Millisecond).Microseconds()
+		}
+		_, err := f.target(register).Apply(t.Context(), request)
+		require.Error(t, err)
+		require.EqualValues(t, 1, f.effects("t1"))
+		response, err := f.target("register-2").Apply(t.Context(), edit("t1"))
+		require.NoError(t, err)
+		require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, response.Msg.Status)
+		require.EqualValues(t, 2, f.effects("t1"))
+		counters, err := f.admin.GetCounters(t.Context(), connect.NewRequest(&standinv1.GetCountersRequest{}))
+		require.NoError(t, err)
+		require.EqualValues(t, 2, counters.Msg.ChangesApplied)
+		require.EqualValues(t, 1, counters.Msg.ChangesDoubled)
+		require.EqualValues(t, 1, f.counters(register).AnswersDropped)
+	}
+}
+
+func (f *fixture) effects(token string) uint32 {
+	f.t.Helper()
+	response, err := f.admin.GetEffects(f.t.Context(), connect.NewRequest(&standinv1.GetEffectsRequest{Token: token}))
+	require.NoError(f.t, err)
+	var count uint32
+	for _, e := range response.Msg.Effects {
+		count += e.Count
+	}
+	return count
+}
+
+func TestTransferMovesTheHolder(t *testing.T) {
+	f := start(t, nil)
+	cask, found := f.options.Profile.Record("register", "register:1", profile.NewestVersion)
+	require.True(t, found)
+	holder, _ := profile.FieldValue(cask, "holder")
+	transfer := func(token, from, to string) *pb.TargetApplyResponse {
+		request := edit(token)
+		request.Msg.Change.Kind = &pb.Change_Transfer{Transfer: &pb.TitleTransfer{CaskId: "register:1", FromHolder: from, ToHolder: to}}
+		response, err := f.target(register).Apply(t.Context(), request)
+		require.NoError(t, err)
+		return response.Msg
+	}
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, transfer("t1", holder, "Buyer").Status)
+	rejected := transfer("t2", holder, "Other")
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_REJECTED, rejected.Status)
+	require.Contains(t, rejected.Reason, "Buyer")
+	require.Zero(t, f.effects("t2"))
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, transfer("t3", "Buyer", "Other").Status)
+}
+
+func TestChangesThatDoNotApplyAreRejected(t *testing.T) {
+	log := newChangeLog(start(t, nil).options.Profile)
+	for _, id := range []string{"", "register:", "register:x", "register:-1", "register:100000", "archive-01:1"} {
+		request := edit("t").Msg
+		request.Change.GetEdit().RecordId = id
+		require.NotEmpty(t, log.apply("register", "register", register, request), id)
+	}
+	request := edit("t").Msg
+	request.Change.GetEdit().Fields[0].Name = "parish"
+	require.NotEmpty(t, log.apply("register", "register", register, request))
+	applied, _ := log.totals()
+	require.Zero(t, applied)
+}
+
+func TestRandomFaultsDependOnTheSeed(t *testing.T) {
+	f := start(t, nil)
+	draw := func(seed uint64) []string {
+		random := rand.New(rand.NewPCG(seed, randomFaultSeed))
+		const draws = 20
+		drawn := make([]string, 0, draws)
+		for range draws {
+			target, fault, _ := randomFault(random, f.standin.targets)
+			drawn = append(drawn, target.config.Id+" "+fault.Kind.String())
+		}
+		return drawn
+	}
+	require.Equal(t, draw(1), draw(1))
+	require.NotEqual(t, draw(1), draw(2))
+}
+
+func BenchmarkSearch(b *testing.B) {
+	f := start(b, func(o *Options) { o.QueueLength = 1000 })
+	b.RunParallel(func(p *testing.PB) {
+		client := f.target(archive)
+		for p.Next() {
+			if _, err := client.Search(b.Context(), connect.NewRequest(searchRequest("q"))); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
--- a/internal/standin/targetserver.go
+++ b/internal/standin/targetserver.go
@@ -13,10 +13,10 @@
 const listenRetry = 20 * time.Millisecond
 
 // serve runs the target until the context ends, starting it anew after each
-// crash. The listener serves the first boot.
-func (t *target) serve(ctx context.Context, listener net.Listener) {
-	for ctx.Err() == nil {
-		t.serveBoot(ctx, listener)
+// crash. The listener serves the first boot, which startBoot has returned.
+func (t *target) serve(ctx context.Context, listener net.Listener, running *boot) {
+	for {
+		t.serveBoot(running, listener)
 		t.dropConns()
 		if !t.awaitRestart(ctx) {
 			return
@@ -25,38 +25,40 @@
 		if listener, ok = t.listenAgain(ctx); !ok {
 			return
 		}
+		running = t.startBoot(ctx)
 	}
 }
 
-// serveBoot serves one boot until it crashes or the context ends.
-func (t *target) serveBoot(ctx context.Context, listener net.Listener) {
-	bootCtx, stop := context.WithCancel(ctx)
-	defer stop()
-	t.startBoot(bootCtx, stop)
+// serveBoot serves one boot until it ends.
+func (t *target) serveBoot(running *boot, listener net.Listener) {
+	defer running.stop()
 	mux := http.NewServeMux()
 	mux.Handle(carawayreelv1connect.NewTargetServiceHandler(&targetHandler{target: t}))
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: time.Minute,
-		BaseContext:       func(net.Listener) context.Context { return bootCtx },
+		BaseContext:       func(net.Listener) context.Context { return running.ctx },
 		ErrorLog:          t.env.silent,
 	}
-	context.AfterFunc(bootCtx, func() { _ = server.Close() })
+	context.AfterFunc(running.ctx, func() { _ = server.Close() })
 	_ = server.Serve(&targetListener{Listener: listener, target: t})
-	stop()
 }
 
-func (t *target) startBoot(ctx context.Context, stop context.CancelFunc) {
+// startBoot starts a boot, which ends with a crash or with the context. Every
+// boot but the first is cold.
+func (t *target) startBoot(ctx context.Context) *boot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	restarted := t.boot != nil
-	t.boot = &boot{ctx: ctx, stop: stop}
+	t.boot = &boot{}
+	t.boot.ctx, t.boot.stop = context.WithCancel(ctx)
 	if restarted {
 		t.turnCold(true)
 	} else {
 		t.boot.id = t.nextBootID()
 	}
 	t.down = false
+	return t.boot
 }
 
 // awaitRestart waits until the target may start again. It reports false when
