--- a/internal/standin/target_test.go
+++ b/internal/standin/target_test.go
@@ -108,10 +108,16 @@
 	f := start(t, nil)
 	f.fault(archive, stuck())
 	ctx, cancel := context.WithCancel(t.Context())
-	results := []<-chan error{f.background(ctx, "q1"), f.background(ctx, "q2"), f.background(ctx, "q3")}
+	running := []<-chan error{f.background(ctx, "q1"), f.background(ctx, "q2")}
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.RunningPeak == 2 })
+	waitingCtx, cancelWaiting := context.WithCancel(t.Context())
+	waiting := f.background(waitingCtx, "q3")
 	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.Received == 3 })
+	cancelWaiting()
+	require.Error(t, <-waiting)
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.Cancelled == 1 })
 	cancel()
-	for _, result := range results {
+	for _, result := range running {
 		require.Error(t, <-result)
 	}
 	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.Cancelled == 3 })
