--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -208,8 +208,8 @@
 
 func (s *Standin) platformMux() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(carawayreelv1connect.NewKeyValueServiceHandler(s.store))
-	mux.Handle(carawayreelv1connect.NewVmListServiceHandler(s.vms))
+	mux.Handle(carawayreelv1connect.NewKeyValueServiceHandler(s.store, uncompressed()))
+	mux.Handle(carawayreelv1connect.NewVmListServiceHandler(s.vms, uncompressed()))
 	return mux
 }
 
--- a/internal/standin/targetserver.go
+++ b/internal/standin/targetserver.go
@@ -2,13 +2,22 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1/carawayreelv1connect"
 )
 
+// uncompressed keeps a server from compressing its answers, which would cost
+// more processor time than the work of the fakes.
+func uncompressed() connect.HandlerOption {
+	return connect.WithCompressMinBytes(math.MaxInt)
+}
+
 // listenRetry is the pause between attempts to listen again after a crash.
 const listenRetry = 20 * time.Millisecond
 
@@ -33,7 +42,7 @@
 func (t *target) serveBoot(running *boot, listener net.Listener) {
 	defer running.stop()
 	mux := http.NewServeMux()
-	mux.Handle(carawayreelv1connect.NewTargetServiceHandler(&targetHandler{target: t}))
+	mux.Handle(carawayreelv1connect.NewTargetServiceHandler(&targetHandler{target: t}, uncompressed()))
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: time.Minute,
