--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -96,7 +96,6 @@
 	httpClient *http.Client
 	client     *client
 	runner     *statement.Runner
-	options    statement.Options
 	// exitCode is the tool's exit code when no error occurs.
 	exitCode statement.ExitCode
 }
@@ -189,7 +188,6 @@
 		httpClient:  httpClient,
 		client:      c,
 		runner:      statement.New(options),
-		options:     options,
 	}, nil
 }
 
