--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -187,7 +187,9 @@
 	}
 	err := d.stop()
 	cancel()
-	<-ended
+	if ended := <-ended; ended != nil && !errors.Is(ended, context.Canceled) {
+		d.logger.Warn().Err(ended).Msg("supervisor ended")
+	}
 	d.traces.close()
 	return err
 }
--- a/internal/e2e/configuration_test.go
+++ b/internal/e2e/configuration_test.go
@@ -57,7 +57,7 @@
 func TestOperatorsRace(t *testing.T) {
 	d := start(t, testkit.Options{Profile: "demo", VMsPerDomain: 1})
 	for round := range uint32(5) {
-		var requests []*pb.ApplyConfigurationRequest
+		requests := make([]*pb.ApplyConfigurationRequest, 0, len(d.VMs))
 		for i, vm := range d.VMs {
 			requests = append(requests, edited(t, vm, 100+10*round+uint32(i)))
 		}
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -129,9 +129,8 @@
 	stop context.CancelFunc
 	done sync.WaitGroup
 
-	mu    sync.Mutex
-	told  []toldOutcome
-	wrong []string
+	mu   sync.Mutex
+	told []toldOutcome
 }
 
 type toldOutcome struct {
