--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -218,7 +218,9 @@
 	require.NoError(t, os.WriteFile(tokenFile, []byte(got.stdout), 0o600))
 	require.Equal(t, 0, tool(t, vm.address, "", "search", "f", "--access-token-file="+tokenFile).code)
 	require.Equal(t, 4, tool(t, vm.address, "", "status", "--access-token-file="+tokenFile).code)
-	require.Equal(t, 4, tool(t, vm.address, "", "take-out", "--target=t", "--access-token-file="+tokenFile).code)
+	got = tool(t, vm.address, "", "take-out", "--target=t", "--access-token-file="+tokenFile)
+	require.Equal(t, 4, got.code)
+	require.Contains(t, got.stderr, "refused this request and did not run it: permission_denied")
 	require.Empty(t, vm.served)
 }
 
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -96,7 +96,10 @@
 		if err == nil {
 			return response, nil
 		}
-		if refused(err) || (repeatable && answered(err)) {
+		if refused(err) {
+			return nil, errors.Wrapf(err, "server %s refused this request and did not run it", s.address)
+		}
+		if repeatable && answered(err) {
 			return nil, errors.Wrapf(err, "server %s", s.address)
 		}
 		unreachable.Servers = append(unreachable.Servers, s.address)
