Process test of authentication: roles, wrong keys, old revisions, malformed messages

Seen on the way: a VM with a wrong key reads the store and, being alone, would own its failure domain's targets; not mended yet.

--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -19,6 +19,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/carawayreel/carawayreel/internal/auth"
 	"github.com/carawayreel/carawayreel/internal/profile"
 	"github.com/carawayreel/carawayreel/internal/transport"
 )
@@ -48,6 +49,8 @@
 	Settings []Setting
 	// Standin are further arguments of the stand-in.
 	Standin []string
+	// Key, when set, is the shared key of VMs and operators.
+	Key string
 	// WithoutConfiguration leaves the platform's store empty.
 	WithoutConfiguration bool
 }
@@ -81,9 +84,9 @@
 // Start starts a deployment, loads its profile's configuration and waits until
 // every VM is ready. The caller must Close it, also after an error.
 func Start(ctx context.Context, options Options) (*Deployment, error) {
-	d := &Deployment{
-		options: options,
-		http:    transport.NewClient(transport.ClientOptions{}),
+	d := &Deployment{options: options}
+	if err := d.useKey(); err != nil {
+		return d, err
 	}
 	base, err := freePorts(portsPerProfile)
 	if err != nil {
@@ -107,6 +110,26 @@
 	return d, d.load(ctx)
 }
 
+// useKey writes the shared key, if there is one, and makes the client sign with
+// it as an operator.
+func (d *Deployment) useKey() error {
+	client := transport.ClientOptions{Identity: auth.Identity{Subject: "testkit", Role: auth.RoleOperator}}
+	if d.options.Key != "" {
+		file := filepath.Join(d.options.Dir, "key")
+		if err := os.WriteFile(file, []byte(d.options.Key), 0o600); err != nil {
+			return errors.Wrap(err, "key")
+		}
+		key, err := auth.LoadKey(file)
+		if err != nil {
+			return err
+		}
+		client.Key = key
+		d.options.Settings = append(d.options.Settings, Setting{"peers", "shared_key_file", file})
+	}
+	d.http = transport.NewClient(client)
+	return nil
+}
+
 // prepare chooses addresses, writes settings and starts the stand-in.
 func (d *Deployment) prepare(base int) error {
 	const own, perVM = 2, 3
@@ -127,7 +150,7 @@
 		arguments = append(arguments, "--relay", domain+"="+vm.RelayAddress+"="+vm.PeerAddress)
 	}
 	for _, vm := range d.VMs {
-		if err := d.writeSettings(vm); err != nil {
+		if err := d.writeSettings(vm, d.options.Settings); err != nil {
 			return err
 		}
 	}
@@ -151,7 +174,7 @@
 	}
 }
 
-func (d *Deployment) writeSettings(vm *VM) error {
+func (d *Deployment) writeSettings(vm *VM, further []Setting) error {
 	settings := append([]Setting{
 		{"vm", "id", vm.ID},
 		{"vm", "failure_domain", vm.FailureDomain},
@@ -161,7 +184,7 @@
 		{"listen", "source_address", profile.SourceAddress(vm.FailureDomain)},
 		{"platform", "address", d.platformAddress},
 		{"peers", "seeds", d.seeds()},
-	}, d.options.Settings...)
+	}, further...)
 	sections := map[string][]string{}
 	var order []string
 	for _, s := range settings {
@@ -250,6 +273,18 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// ReplaceSetting writes the VM's settings file anew with another value of a key.
+// It takes effect at the VM's next start.
+func (d *Deployment) ReplaceSetting(vm *VM, changed Setting) error {
+	own := make([]Setting, 0, len(d.options.Settings)+1)
+	for _, s := range d.options.Settings {
+		if s.Section != changed.Section || s.Key != changed.Key {
+			own = append(own, s)
+		}
+	}
+	return d.writeSettings(vm, append(own, changed))
+}
+
 // StartVM starts a VM's process; a VM that ended is started anew.
 func (d *Deployment) StartVM(vm *VM) error {
 	process, err := start(d.options.Dir, vm.ID, daemonBinary, "run", vm.settings)
