Change records: parts of a hand-over, and clocks that are set back

Cause: (1) 200,000 records of about 150 bytes exceed the 1 MiB that a peer accepts, so that a busy VM's hand-over would have failed whole. (2) Found by the rapid model: after a record was dropped, a clock set back by a minute made the expired token look never used, and the answer was a false NOT_RUN. (3) By the same reasoning a successor whose clock is behind. Change: records travel in parts and the issuer is served with the last; time never runs backwards for the records; only the issuer itself, not a successor, says NOT_RUN of an expired token without a record.

--- a/internal/change/handover.go
+++ b/internal/change/handover.go
@@ -7,6 +7,22 @@
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
+// recordsPerMessage bounds a message of a hand-over well below the least size
+// that peers accept by default.
+const recordsPerMessage = 2000
+
+// Parts returns the records in parts that fit into one message each; there is at
+// least one part.
+func (e Estate) Parts() []Estate {
+	var parts []Estate
+	left := e.Records
+	for len(left) > recordsPerMessage {
+		parts = append(parts, Estate{Issuer: e.Issuer, Records: left[:recordsPerMessage]})
+		left = left[recordsPerMessage:]
+	}
+	return append(parts, Estate{Issuer: e.Issuer, Records: left})
+}
+
 // drainPoll is the interval at which a planned stop looks for running changes.
 const drainPoll = 10 * time.Millisecond
 
@@ -34,14 +50,15 @@
 	return c.records.Running()
 }
 
-// Accept takes over an issuer and its records from a VM that has stopped running
-// changes. It reports false when this VM cannot serve them.
-func (c *Changes) Accept(issuer *pb.ChangeIssuer, records []*pb.ChangeRecord) bool {
+// Accept takes over records of an issuer from a VM that has stopped running
+// changes, and with the last of them the issuer. It reports false when this VM
+// cannot serve them.
+func (c *Changes) Accept(issuer *pb.ChangeIssuer, records []*pb.ChangeRecord, last bool) bool {
 	estate := Estate{
 		Issuer:  Issuer{VM: issuer.Vm, FailureDomain: issuer.FailureDomain, Incarnation: issuer.Incarnation},
 		Records: records,
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.records.Adopt(estate)
+	return c.records.Adopt(estate, last)
 }
--- a/internal/change/records.go
+++ b/internal/change/records.go
@@ -53,6 +53,7 @@
 // closes the token, because a delayed duplicate could otherwise run after the
 // caller was told that nothing did.
 type Records struct {
+	own     Issuer
 	issuers map[Issuer]struct{}
 	// capacity is the number of records kept at most.
 	capacity int
@@ -63,6 +64,10 @@
 	records  map[string]*record
 	byExpiry *list.List
 	stopped  bool
+	// latest is the latest time seen. Time never runs backwards for the records:
+	// a clock that was set back must not make a dropped record look as if it had
+	// never been.
+	latest time.Time
 }
 
 type record struct {
@@ -77,6 +82,7 @@
 // validity are refused; records are kept for validity beyond the expiry.
 func NewRecords(issuer Issuer, capacity int, validity time.Duration) *Records {
 	return &Records{
+		own:       issuer,
 		issuers:   map[Issuer]struct{}{issuer: {}},
 		capacity:  capacity,
 		retention: validity,
@@ -99,6 +105,7 @@
 
 // Submit decides on a submission of content with the digest.
 func (r *Records) Submit(token Token, digest uint64, now time.Time) (Verdict, Result) {
+	now = r.advance(now)
 	r.expire(now)
 	if !r.Serves(token.Issuer) {
 		return VerdictRefuse, unknown(reasonForeign)
@@ -125,6 +132,9 @@
 	switch {
 	case !now.Before(token.Expires.Add(r.retention)):
 		return unknown(reasonExpired), true
+	case !now.Before(token.Expires) && token.Issuer != r.own:
+		// The predecessor's clock may have been ahead and the record dropped.
+		return unknown(reasonExpired), true
 	case token.Expires.After(now.Add(r.longest)):
 		return unknown(reasonTooFar), true
 	case r.stopped:
@@ -220,10 +230,11 @@
 	}
 }
 
-// Adopt takes over an issuer and its records from a process that has stopped.
-// It reports false, and changes nothing, when a record cannot be read or is
-// another issuer's: running under the issuer's tokens would then not be safe.
-func (r *Records) Adopt(estate Estate) bool {
+// Adopt takes records over from a process that has stopped, and with the last
+// of them the issuer. It reports false, and changes nothing, when a record
+// cannot be read or is another issuer's: running under the issuer's tokens would
+// then not be safe. Adopting twice changes nothing more.
+func (r *Records) Adopt(estate Estate, last bool) bool {
 	if r.stopped {
 		return false
 	}
@@ -243,7 +254,9 @@
 			Outcome: exported.Outcome, Reason: exported.Reason, Target: exported.Target,
 		})
 	}
-	r.issuers[estate.Issuer] = struct{}{}
+	if last {
+		r.issuers[estate.Issuer] = struct{}{}
+	}
 	return true
 }
 
@@ -253,6 +266,14 @@
 	r.records[token.String()] = added
 }
 
+// advance returns the time, or the latest one seen if that is later.
+func (r *Records) advance(now time.Time) time.Time {
+	if now.After(r.latest) {
+		r.latest = now
+	}
+	return r.latest
+}
+
 // expire drops records whose retention is over, oldest first. Records stand in
 // the order of insertion, so that a record may stay longer than its retention
 // when an older one has a later expiry; the capacity bounds them all.
--- a/internal/change/records_test.go
+++ b/internal/change/records_test.go
@@ -114,7 +114,7 @@
 	p.records.Stop()
 	for _, estate := range p.records.Export(p.clock) {
 		if rapid.Bool().Draw(t, "delivered") {
-			m.processes[to].records.Adopt(estate)
+			m.processes[to].records.Adopt(estate, true)
 		}
 	}
 }
@@ -174,6 +174,55 @@
 	require.Equal(t, 1, records.Len())
 }
 
+// A successor whose clock is behind must not take a record that its predecessor
+// has dropped for a change that never ran.
+func TestSuccessorDoesNotDenyDroppedRecords(t *testing.T) {
+	issuer := change.Issuer{VM: "vm-a-1", Incarnation: 1}
+	used := token(t, issuer, 1, epoch.Add(time.Minute))
+	predecessor := change.NewRecords(issuer, 10, validity)
+	predecessor.Submit(used, 1, epoch)
+	predecessor.Finish(used, change.Result{Outcome: pb.Outcome_OUTCOME_SUCCESS})
+	dropped := epoch.Add(time.Minute + validity)
+	predecessor.Submit(token(t, issuer, 2, dropped.Add(time.Minute)), 1, dropped)
+	predecessor.Stop()
+	successor := change.NewRecords(change.Issuer{VM: "vm-a-2", Incarnation: 2}, 10, validity)
+	require.True(t, successor.Adopt(predecessor.Export(dropped)[0], true))
+	_, result := successor.Submit(used, 1, dropped.Add(-time.Second))
+	require.Equal(t, pb.Outcome_OUTCOME_UNKNOWN, result.Outcome)
+}
+
+// Until the last part of the records has come, the issuer is not served.
+func TestIssuerIsServedOnlyWithAllRecords(t *testing.T) {
+	issuer := change.Issuer{VM: "vm-a-1", Incarnation: 1}
+	predecessor := change.NewRecords(issuer, 10, validity)
+	used := token(t, issuer, 1, epoch.Add(time.Minute))
+	predecessor.Submit(used, 1, epoch)
+	predecessor.Finish(used, change.Result{Outcome: pb.Outcome_OUTCOME_SUCCESS})
+	predecessor.Stop()
+	estate := predecessor.Export(epoch)[0]
+	successor := change.NewRecords(change.Issuer{VM: "vm-a-2", Incarnation: 2}, 10, validity)
+	require.True(t, successor.Adopt(change.Estate{Issuer: issuer}, false))
+	require.False(t, successor.Serves(issuer))
+	require.True(t, successor.Adopt(estate, true))
+	verdict, result := successor.Submit(used, 1, epoch)
+	require.Equal(t, change.VerdictAnswer, verdict)
+	require.Equal(t, pb.Outcome_OUTCOME_SUCCESS, result.Outcome)
+}
+
+// A clock that is set back must not make a dropped record look as if the change
+// had never run.
+func TestClockSetBackDoesNotForget(t *testing.T) {
+	issuer := change.Issuer{VM: "vm-a-1", Incarnation: 1}
+	records := change.NewRecords(issuer, 10, validity)
+	used := token(t, issuer, 1, epoch.Add(time.Minute))
+	records.Submit(used, 1, epoch)
+	records.Finish(used, change.Result{Outcome: pb.Outcome_OUTCOME_SUCCESS})
+	dropped := epoch.Add(time.Minute + validity)
+	records.Submit(token(t, issuer, 2, dropped.Add(time.Minute)), 1, dropped)
+	_, result := records.Submit(used, 1, dropped.Add(-time.Second))
+	require.Equal(t, pb.Outcome_OUTCOME_UNKNOWN, result.Outcome)
+}
+
 func FuzzParseToken(f *testing.F) {
 	f.Add("vm-a-1~a~1~1~000000000000000000000001")
 	f.Add("")
@@ -209,7 +258,7 @@
 	require.Equal(t, pb.Outcome_OUTCOME_NOT_RUN, result.Outcome)
 	predecessor.Stop()
 	successor := change.NewRecords(change.Issuer{VM: "vm-a-2", Incarnation: 2}, 10, validity)
-	require.True(t, successor.Adopt(predecessor.Export(epoch.Add(time.Minute))[0]))
+	require.True(t, successor.Adopt(predecessor.Export(epoch.Add(time.Minute))[0], true))
 	verdict, _ := successor.Submit(expired, 1, epoch)
 	require.Equal(t, change.VerdictAnswer, verdict)
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -81,19 +81,12 @@
 // of a VM that may have accepted is lost, no other VM is asked: two VMs must
 // never serve the same tokens.
 func (d *Daemon) handOverEstate(ctx context.Context, estate change.Estate) {
-	request := &pb.HandOverRequest{
-		Sender: d.member(),
-		Issuer: &pb.ChangeIssuer{
-			Vm: estate.Issuer.VM, FailureDomain: estate.Issuer.FailureDomain, Incarnation: estate.Issuer.Incarnation,
-		},
-		Records: estate.Records,
-	}
 	current := d.control.Current()
 	for _, candidate := range change.Successors(current, estate.Issuer) {
 		if candidate.ID == current.Self.ID {
 			continue
 		}
-		err := d.sendChanges(ctx, candidate, request)
+		err := d.sendEstate(ctx, candidate, estate)
 		if err == nil {
 			d.logger.Info().Str("issuer", estate.Issuer.VM).Str("to", candidate.ID).
 				Int("records", len(estate.Records)).Msg("change records handed over")
@@ -106,6 +99,30 @@
 	}
 }
 
+// sendEstate sends an estate in parts. Before the last part the receiver serves
+// nothing of it.
+func (d *Daemon) sendEstate(ctx context.Context, to view.VM, estate change.Estate) error {
+	parts := estate.Parts()
+	for i, part := range parts {
+		more := i < len(parts)-1
+		err := d.sendChanges(ctx, to, &pb.HandOverRequest{
+			Sender: d.member(),
+			Issuer: &pb.ChangeIssuer{
+				Vm: part.Issuer.VM, FailureDomain: part.Issuer.FailureDomain, Incarnation: part.Issuer.Incarnation,
+			},
+			Records: part.Records,
+			More:    more,
+		})
+		if err != nil && more {
+			return errors.Wrap(errRefused, err.Error())
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // member describes this VM in messages.
 func (d *Daemon) member() *pb.Member {
 	self := d.control.Current().Self
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -48,7 +48,7 @@
 	s.roles.Owner.AcceptHandOver(r.Msg.Targets)
 	accepted := true
 	if r.Msg.Issuer != nil {
-		accepted = s.roles.Changes.Accept(r.Msg.Issuer, r.Msg.Records)
+		accepted = s.roles.Changes.Accept(r.Msg.Issuer, r.Msg.Records, !r.Msg.More)
 	}
 	return connect.NewResponse(&pb.HandOverResponse{Accepted: accepted}), nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,7 +31,7 @@
 	SubmitForwarded(ctx context.Context, r *pb.SubmitChangeRequest) *pb.ForwardChangeResponse
 	Outcome(ctx context.Context, r *pb.GetOutcomeRequest) *pb.GetOutcomeResponse
 	OutcomeForwarded(r *pb.GetOutcomeRequest) *pb.ForwardOutcomeResponse
-	Accept(issuer *pb.ChangeIssuer, records []*pb.ChangeRecord) bool
+	Accept(issuer *pb.ChangeIssuer, records []*pb.ChangeRecord, last bool) bool
 }
 
 // Owner dispatches to the targets that this VM owns.
