Owner: a cold start lasts at least a stated time and 100 successes

Cause of the cold violation in TestColdTargetsAreNotOverloaded, read from the logs of the processes: two dispatches 0.2 ms apart, 2.5 s after the target turned cold; the ramp had raised the limit after 1 s and 32 successes, while the target stays cold for 3 s and 60 requests. Ruled out: a slot freed early by a cancelled call, two owners at once (one VM sent all of it). An owner cannot see that a target is warm, so the least time is stated in the configuration (Target.cold_duration_ms, default 5 s).

--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -95,6 +95,8 @@
 	Slots int
 	// Cold is the number of jobs at once in cold start.
 	Cold int
+	// ColdDuration is the least time that a cold start lasts.
+	ColdDuration time.Duration
 	// Queue is the number of jobs that may wait.
 	Queue int
 	// InService is the configuration's serving state.
--- a/internal/owner/handler.go
+++ b/internal/owner/handler.go
@@ -67,11 +67,16 @@
 }
 
 func (o *Owner) limitsOf(found view.Target, inService bool) Limits {
+	coldDuration := time.Duration(found.ColdDurationMs) * time.Millisecond
+	if coldDuration == 0 {
+		coldDuration = defaultColdDuration
+	}
 	return Limits{
-		Slots:     int(found.Slots),
-		Cold:      int(min(found.ColdLimit, found.Slots)),
-		Queue:     int(o.limits.GetTargetQueueLength()),
-		InService: inService,
+		Slots:        int(found.Slots),
+		Cold:         int(min(found.ColdLimit, found.Slots)),
+		ColdDuration: coldDuration,
+		Queue:        int(o.limits.GetTargetQueueLength()),
+		InService:    inService,
 	}
 }
 
--- a/internal/owner/machine_test.go
+++ b/internal/owner/machine_test.go
@@ -75,7 +75,7 @@
 	}
 }
 
-var threeSlots = owner.Limits{Slots: 3, Cold: 1, Queue: 8, InService: true}
+var threeSlots = owner.Limits{Slots: 3, Cold: 1, ColdDuration: time.Second, Queue: 8, InService: true}
 
 func warmDriver(t *testing.T) *driver {
 	d := newDriver(threeSlots, 0)
@@ -259,7 +259,7 @@
 // the cold limit until there were enough.
 func TestColdLimitIsRaisedOnlyAfterEnoughSuccesses(t *testing.T) {
 	d := newDriver(threeSlots, 0)
-	for i := range 32 {
+	for i := range 100 {
 		require.Equal(t, owner.PhaseCold, d.m.State().Phase, "after %d successes", i)
 		job := d.submit(time.Second)
 		d.now += 100 * time.Millisecond
--- a/internal/owner/property_test.go
+++ b/internal/owner/property_test.go
@@ -39,6 +39,7 @@
 		Queue:     rapid.IntRange(0, 6).Draw(t, "queue"),
 		InService: rapid.IntRange(0, 4).Draw(t, "in service") > 0,
 	}
+	limits.ColdDuration = time.Duration(rapid.IntRange(0, 3).Draw(t, "cold seconds")) * time.Second
 	limits.Cold = rapid.IntRange(1, limits.Slots).Draw(t, "cold")
 	guard := time.Duration(rapid.IntRange(0, 2).Draw(t, "guard")) * 500 * time.Millisecond
 	w := &world{
@@ -54,7 +55,7 @@
 
 func (w *world) checkStart(job owner.JobID) {
 	most := w.limits.Slots
-	cold := w.successes < 32 || w.now-w.coldSince < time.Second
+	cold := w.successes < 100 || w.now-w.coldSince < w.limits.ColdDuration
 	if cold || w.unvouched {
 		most = w.limits.Cold
 	}
--- a/internal/owner/ramp.go
+++ b/internal/owner/ramp.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// coldDuration and coldSuccesses are the least time and number of successes
-	// at the cold limit before it is raised.
-	coldDuration  = time.Second
-	coldSuccesses = 32
+	// defaultColdDuration is the least time at the cold limit when none is
+	// configured, and coldSuccesses the least number of successes.
+	defaultColdDuration = 5 * time.Second
+	coldSuccesses       = 100
 	// growInterval is the shortest time between two raises of the limit.
 	growInterval = 200 * time.Millisecond
 	// roundsPerRaise is the number of successes per unit of the limit that one
--- a/internal/owner/replay_test.go
+++ b/internal/owner/replay_test.go
@@ -61,6 +61,8 @@
 		return reply, nil
 	}
 	d := newDeployment(fake)
+	d.targets[0].ColdDurationMs = 500
+	d.configure(1)
 	o := d.owner(func(options *owner.Options) { options.Trace = trace })
 	digest := uint64(0)
 	serve := func(jobs int, limit time.Duration) {
--- a/internal/owner/transition.go
+++ b/internal/owner/transition.go
@@ -138,7 +138,7 @@
 	successes, least := m.limit*roundsPerRaise, growInterval
 	switch m.phase {
 	case PhaseCold:
-		successes, least = max(successes, coldSuccesses), coldDuration
+		successes, least = max(successes, coldSuccesses), m.limits.ColdDuration
 	case PhaseRamp:
 	default:
 		return
