--- a/internal/target/budget.go
+++ b/internal/target/budget.go
@@ -3,6 +3,16 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+var (
+	// openConnections is the number of connections to all targets that are open,
+	// being opened or not yet closed by the target.
+	openConnections = metrics.NewGauge("carawayreel_target_connections", nil)
+	// openedConnections counts the connections set up, successfully or not.
+	openedConnections = metrics.NewCounter("carawayreel_target_connections_opened_total")
 )
 
 // budget counts the connections of one target against a limit that may change.
@@ -39,6 +49,8 @@
 	defer b.mu.Unlock()
 	if b.used < b.limit {
 		b.used++
+		openConnections.Inc()
+		openedConnections.Inc()
 		return true, nil
 	}
 	return false, b.freed
@@ -48,6 +60,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.used--
+	openConnections.Dec()
 	b.wake()
 }
 
