Quarantine: coincidence alone quarantines for a minute, a crash while alone for ten

Cause: when all targets of a front drop their connections at once, each content in flight coincides with several crashes and was refused for ten minutes, though none was at fault. A content that was tried alone and crashed its target is a different matter. After the minute the content may be tried alone once; success clears it.

--- a/internal/owner/conclude.go
+++ b/internal/owner/conclude.go
@@ -61,12 +61,12 @@
 		o.announce(ctx, w.service, suspects...)
 		return result{status: pb.SubStatus_SUB_STATUS_FAILED, reason: ReasonBroken, sent: true}
 	}
-	return h.unanswered(ctx, w, id, event, failure.Settled)
+	return h.unanswered(ctx, id, event, failure.Settled)
 }
 
 // unanswered keeps the slot until the target has closed the connection, which
 // shows that it no longer runs the job.
-func (h *handler) unanswered(ctx context.Context, w *work, id JobID, event Event, settled <-chan struct{}) result {
+func (h *handler) unanswered(ctx context.Context, id JobID, event Event, settled <-chan struct{}) result {
 	event.Result = ResultCancelled
 	res := result{status: pb.SubStatus_SUB_STATUS_FAILED, reason: "cancelled", sent: true}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -80,7 +80,7 @@
 		case <-settled:
 		case <-limit.C:
 		}
-		h.forget(id, w.digest, time.Now())
+		h.forget(id, time.Now())
 		h.end(id, event)
 	}()
 	return res
--- a/internal/owner/crash.go
+++ b/internal/owner/crash.go
@@ -37,32 +37,39 @@
 	at      time.Time
 }
 
-type unansweredContent struct {
+// runningContent is the content of a job, which may have run alone.
+type runningContent struct {
 	digest uint64
-	at     time.Time
+	alone  bool
+}
+
+type unansweredContent struct {
+	runningContent
+	at time.Time
 }
 
 // unanswered notes work that ended without an answer.
-func (c *crashWatch) unanswered(digest uint64, now time.Time) {
-	if digest == 0 {
+func (c *crashWatch) unanswered(content runningContent, now time.Time) {
+	if content.digest == 0 {
 		return
 	}
 	if len(c.recent) >= maxUnanswered {
 		c.recent = append(c.recent[:0], c.recent[1:]...)
 	}
-	c.recent = append(c.recent, unansweredContent{digest: digest, at: now})
+	c.recent = append(c.recent, unansweredContent{runningContent: content, at: now})
 }
 
 // takeRecent removes and returns the distinct contents that are still recent.
-func (c *crashWatch) takeRecent(now time.Time) []uint64 {
-	var digests []uint64
+func (c *crashWatch) takeRecent(now time.Time) []runningContent {
+	var contents []runningContent
 	for _, content := range c.recent {
-		if now.Sub(content.at) <= unansweredLifetime && !slices.Contains(digests, content.digest) {
-			digests = append(digests, content.digest)
+		same := func(other runningContent) bool { return other.digest == content.digest }
+		if now.Sub(content.at) <= unansweredLifetime && !slices.ContainsFunc(contents, same) {
+			contents = append(contents, content.runningContent)
 		}
 	}
 	c.recent = nil
-	return digests
+	return contents
 }
 
 // checkContent tells whether the content may be sent to the target, and whether
@@ -109,9 +116,9 @@
 func (h *handler) suspectRunning(now time.Time) []uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for id, digest := range h.contents {
+	for id, content := range h.contents {
 		delete(h.contents, id)
-		h.crash.unanswered(digest, now)
+		h.crash.unanswered(content, now)
 	}
 	return h.suspectUnanswered(now)
 }
@@ -119,9 +126,15 @@
 // suspectUnanswered holds the contents suspect that lately ended without an
 // answer. The caller holds the lock.
 func (h *handler) suspectUnanswered(now time.Time) []uint64 {
-	digests := h.crash.takeRecent(now)
-	for _, digest := range digests {
-		h.owner.quarantine.Suspect(digest, h.place, now)
+	contents := h.crash.takeRecent(now)
+	digests := make([]uint64, 0, len(contents))
+	for _, content := range contents {
+		digests = append(digests, content.digest)
+		if content.alone {
+			h.owner.quarantine.SuspectAlone(content.digest, h.place, now)
+			continue
+		}
+		h.owner.quarantine.Suspect(content.digest, h.place, now)
 	}
 	h.crash.digests = append(h.crash.digests, digests...)
 	h.crash.bootID, h.crash.at = h.machine.State().BootID, now
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -141,7 +141,7 @@
 		case d.Kind == DecideRefuse:
 			return o.refuse(w, h, refusalOf(d.Reason))
 		case exclusive || !o.becameSuspect(w):
-			return o.call(ctx, w, h, id)
+			return o.call(ctx, w, h, id, exclusive)
 		}
 		h.end(id, Event{Result: ResultWithheld})
 	}
@@ -202,7 +202,7 @@
 }
 
 // call sends started work to the target and frees its slot afterwards.
-func (o *Owner) call(ctx context.Context, w *work, h *handler, id JobID) result {
+func (o *Owner) call(ctx context.Context, w *work, h *handler, id JobID, alone bool) result {
 	check := func() error {
 		if refusal := o.check(o.views.Current(), w); refusal != nil {
 			return refusal
@@ -213,7 +213,7 @@
 		h.end(id, Event{Result: ResultWithheld})
 		return o.withheld(w, h, err)
 	}
-	h.begin(id, w.digest)
+	h.begin(id, runningContent{digest: w.digest, alone: alone})
 	o.record(w, pb.DecisionKind_DECISION_KIND_DISPATCH, "")
 	began := time.Now()
 	got, err := w.send(ctx, h, check)
--- a/internal/owner/handler.go
+++ b/internal/owner/handler.go
@@ -33,8 +33,8 @@
 	nextJob JobID
 	// waiting holds the jobs that were submitted and not yet decided on.
 	waiting map[JobID]chan Decision
-	// contents holds the content digests of the running jobs.
-	contents map[JobID]uint64
+	// contents holds the contents of the running jobs.
+	contents map[JobID]runningContent
 	crash    crashWatch
 	timer    *time.Timer
 }
@@ -48,7 +48,7 @@
 		address:  found.Address,
 		start:    time.Now(),
 		waiting:  map[JobID]chan Decision{},
-		contents: map[JobID]uint64{},
+		contents: map[JobID]runningContent{},
 	}
 	limits := o.limitsOf(found, inService)
 	h.machine = NewMachine(limits, guard)
@@ -157,21 +157,21 @@
 }
 
 // begin notes the content of a started job.
-func (h *handler) begin(id JobID, digest uint64) {
+func (h *handler) begin(id JobID, content runningContent) {
 	h.dispatched.Add(1)
 	dispatched.Inc()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.contents[id] = digest
+	h.contents[id] = content
 }
 
 // forget notes that a job ended without an answer, unless its content was made
 // suspect already.
-func (h *handler) forget(id JobID, digest uint64, now time.Time) {
+func (h *handler) forget(id JobID, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, noted := h.contents[id]; noted {
-		h.crash.unanswered(digest, now)
+	if content, ok := h.contents[id]; ok {
+		h.crash.unanswered(content, now)
 	}
 }
 
--- a/internal/owner/poison_test.go
+++ b/internal/owner/poison_test.go
@@ -147,6 +147,9 @@
 	}
 	wait.Wait()
 	require.Equal(t, 2, crashes())
+	for _, list := range set.lists {
+		require.True(t, list.Check(poison, time.Now().Add(2*time.Minute)).Quarantined, "it crashed a target that ran it alone")
+	}
 }
 
 // A VM that is cut off cannot hear of crashes elsewhere, and so adds up to two
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -3,8 +3,10 @@
 //
 // A content that coincided with one crash is suspect: it may run alone, on one
 // designated target of the service at a time. A success in the service clears
-// the suspicion. A second coincidence, on another target or again on the one
-// that ran it alone, quarantines the content until the suspicion expires.
+// the suspicion. A crash while it ran alone quarantines the content until the
+// suspicion expires. So does coincidence with the crashes of two targets, but
+// only for a shorter time, because targets also crash together for reasons of
+// their own; after that the content is suspect again and may be tried alone.
 //
 // Lists of several VMs converge by exchanging entries: Merge is commutative,
 // associative and idempotent. The package has no clock; callers pass the time.
@@ -21,8 +23,11 @@
 )
 
 const (
-	// crashesToQuarantine is the number of coincidences that quarantine.
+	// crashesToQuarantine is the number of coincidences that quarantine; a crash
+	// of a target that ran the content alone counts as that many.
 	crashesToQuarantine = 2
+	// coincidenceLifetime is how long coincidences alone quarantine.
+	coincidenceLifetime = time.Minute
 	// DefaultCapacity is the default number of contents remembered.
 	DefaultCapacity = 4096
 	// DefaultLifetime is the default time that a suspicion stands.
@@ -119,13 +124,25 @@
 	return &List{limits: limits, contents: map[uint64]map[Place]record{}}
 }
 
-// Suspect notes that the target crashed while it ran the content.
+// Suspect notes that the target crashed while it ran the content beside others.
 func (l *List) Suspect(digest uint64, place Place, now time.Time) {
+	l.suspect(digest, place, 1, now)
+}
+
+// SuspectAlone notes that the target crashed while it ran nothing but the
+// content.
+func (l *List) SuspectAlone(digest uint64, place Place, now time.Time) {
+	l.suspect(digest, place, crashesToQuarantine, now)
+}
+
+func (l *List) suspect(digest uint64, place Place, crashes uint32, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
 	old := l.contents[digest][place]
-	l.put(digest, place, record{epoch: old.epoch, crashes: old.crashes + 1, expires: now.Add(l.limits.Lifetime)})
+	l.put(digest, place, record{
+		epoch: old.epoch, crashes: old.crashes + crashes, expires: now.Add(l.limits.Lifetime),
+	})
 }
 
 // Retract takes a coincidence back: the target did not crash after all.
@@ -165,12 +182,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var verdict Verdict
-	var crashes uint32
+	var crashes, most uint32
 	var expires time.Time
 	for place, r := range l.contents[digest] {
 		if r.crashes > 0 && now.Before(r.expires) {
 			verdict.Crashed = append(verdict.Crashed, place)
 			crashes += r.crashes
+			most = max(most, r.crashes)
 			expires = maxTime(expires, r.expires)
 		}
 	}
@@ -178,7 +196,8 @@
 		verdict.Age = l.limits.Lifetime - expires.Sub(now)
 	}
 	slices.SortFunc(verdict.Crashed, comparePlaces)
-	verdict.Quarantined = crashes >= crashesToQuarantine
+	verdict.Quarantined = most >= crashesToQuarantine ||
+		(crashes >= crashesToQuarantine && verdict.Age < coincidenceLifetime)
 	return verdict
 }
 
