--- a/internal/owner/conclude.go
+++ b/internal/owner/conclude.go
@@ -14,6 +14,11 @@
 // has not closed the connection.
 const settleLimit = 2 * time.Second
 
+// breakHold is how long a job keeps its slot after its connection broke: a
+// target that did not crash takes a moment to notice, and runs the job until
+// then.
+const breakHold = 100 * time.Millisecond
+
 // callOutcome is a finished call to a target.
 type callOutcome struct {
 	answer
@@ -50,17 +55,18 @@
 		return result{status: pb.SubStatus_SUB_STATUS_FAILED, reason: failure.Kind.String(), sent: true}
 	case target.Broken:
 		suspects := h.suspectRunning(time.Now())
+		h.step(Event{Kind: EventBreak, Job: id})
 		event.Result = ResultBroken
-		h.end(id, event)
+		time.AfterFunc(breakHold, func() { h.end(id, event) })
 		o.announce(ctx, w.service, suspects...)
 		return result{status: pb.SubStatus_SUB_STATUS_FAILED, reason: ReasonBroken, sent: true}
 	}
-	return h.unanswered(ctx, w, id, event, failure.Settled)
+	return h.unanswered(ctx, id, event, failure.Settled)
 }
 
 // unanswered keeps the slot until the target has closed the connection, which
 // shows that it no longer runs the job.
-func (h *handler) unanswered(ctx context.Context, w *work, id JobID, event Event, settled <-chan struct{}) result {
+func (h *handler) unanswered(ctx context.Context, id JobID, event Event, settled <-chan struct{}) result {
 	event.Result = ResultCancelled
 	res := result{status: pb.SubStatus_SUB_STATUS_FAILED, reason: "cancelled", sent: true}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -74,7 +80,7 @@
 		case <-settled:
 		case <-limit.C:
 		}
-		h.forget(id, w.digest, time.Now())
+		h.forget(id, time.Now())
 		h.end(id, event)
 	}()
 	return res
--- a/internal/owner/property_test.go
+++ b/internal/owner/property_test.go
@@ -39,6 +39,7 @@
 		Queue:     rapid.IntRange(0, 6).Draw(t, "queue"),
 		InService: rapid.IntRange(0, 4).Draw(t, "in service") > 0,
 	}
+	limits.ColdDuration = time.Duration(rapid.IntRange(0, 3).Draw(t, "cold seconds")) * time.Second
 	limits.Cold = rapid.IntRange(1, limits.Slots).Draw(t, "cold")
 	guard := time.Duration(rapid.IntRange(0, 2).Draw(t, "guard")) * 500 * time.Millisecond
 	w := &world{
@@ -54,7 +55,7 @@
 
 func (w *world) checkStart(job owner.JobID) {
 	most := w.limits.Slots
-	cold := w.successes < 32 || w.now-w.coldSince < time.Second
+	cold := w.successes < 100 || w.now-w.coldSince < w.limits.ColdDuration
 	if cold || w.unvouched {
 		most = w.limits.Cold
 	}
@@ -209,6 +210,11 @@
 			"configure": seldom(w.configureAny),
 			"health":    w.healthAny,
 			"cold turn": seldom(func(*rapid.T) { w.boot++ }),
+			"resume": seldom(func(*rapid.T) {
+				w.guard = w.now + 300*time.Millisecond
+				w.unvouched = true
+				w.step(owner.Event{Kind: owner.EventResume, Guard: 300 * time.Millisecond})
+			}),
 			"lost": seldom(func(*rapid.T) {
 				w.unvouched = true
 				w.step(owner.Event{Kind: owner.EventLost})
--- a/internal/owner/trace.go
+++ b/internal/owner/trace.go
@@ -52,12 +52,14 @@
 func limitsMessage(l Limits) *pb.OwnerTraceLimits {
 	return &pb.OwnerTraceLimits{
 		Slots: uint32(l.Slots), Cold: uint32(l.Cold), Queue: uint32(l.Queue), InService: l.InService,
+		ColdDurationNs: int64(l.ColdDuration),
 	}
 }
 
 func limitsFrom(m *pb.OwnerTraceLimits) Limits {
 	return Limits{
 		Slots: int(m.GetSlots()), Cold: int(m.GetCold()), Queue: int(m.GetQueue()), InService: m.GetInService(),
+		ColdDuration: time.Duration(m.GetColdDurationNs()),
 	}
 }
 
@@ -76,6 +78,7 @@
 		Limit:      uint32(e.Limit),
 		Running:    uint32(e.Running),
 		Draining:   e.Draining,
+		GuardNs:    int64(e.Guard),
 	}
 	if e.Kind == EventConfigure {
 		m.Limits = limitsMessage(e.Limits)
@@ -97,6 +100,7 @@
 		Limit:     int(m.Limit),
 		Running:   int(m.Running),
 		Draining:  m.Draining,
+		Guard:     time.Duration(m.GuardNs),
 	}
 }
 
