--- a/internal/control/budget_test.go
+++ b/internal/control/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -145,6 +146,43 @@
 	}
 	s.introduceAll()
 	requireWithinBudget(t, "333 VMs in one of 9 failure domains", s, 9, 3*time.Second)
+	oldest := time.Duration(0)
+	for _, name := range s.names {
+		oldest = max(oldest, s.vms[name].machine.age())
+	}
+	leaving := s.vms["vm-0-100"]
+	s.give(leaving, &pb.ControlEvent{Kind: &pb.ControlEvent_Leave{Leave: &pb.LeaveRequested{}}}, nil)
+	left := s.untilAll(t, "vm-0-100", pb.MemberState_MEMBER_STATE_LEAVING)
+	s.kill("vm-0-200")
+	died := s.untilAll(t, "vm-0-200", pb.MemberState_MEMBER_STATE_DEAD)
+	s.startVM("vm-0-200", "domain-0", 5000)
+	joined := s.untilAll(t, "vm-0-200", pb.MemberState_MEMBER_STATE_ALIVE)
+	t.Logf("333 VMs: oldest confirmation %v; known to all VMs of the failure domain: a leave after %v, a death after %v, a join after %v", oldest, left, died, joined)
+	require.Less(t, joined, leaving.machine.config.guard, "a VM that joins is known before it dispatches")
+	for _, name := range s.names {
+		require.Zero(t, s.vms[name].machine.table.Stats().Refuted, "no suspicion was false")
+	}
+}
+
+// untilAll runs until all VMs of the first failure domain hold a VM for being in
+// a state, and returns how long that took.
+func (s *simulation) untilAll(t *testing.T, vm string, state pb.MemberState) time.Duration {
+	t.Helper()
+	begun := s.now
+	for s.now-begun < 20*time.Second {
+		s.run(50 * time.Millisecond)
+		agreed := true
+		for _, name := range s.names {
+			if other := s.vms[name]; other.up && name != vm && other.domain == "domain-0" {
+				agreed = agreed && other.machine.table.State(vm) == state
+			}
+		}
+		if agreed {
+			return s.now - begun
+		}
+	}
+	require.Fail(t, "VMs do not agree", "%s should be %v", vm, state)
+	return 0
 }
 
 // introduceAll lets every VM know every other, with no news left to tell, as
@@ -163,6 +201,25 @@
 	}
 }
 
+// One heartbeat in fifty is lost, for a minute: suspicions are rare, and none
+// becomes a death.
+func TestLostHeartbeatsKillNobody(t *testing.T) {
+	for _, size := range []struct{ domains, perDomain int }{{3, 3}, {3, 10}, {9, 10}} {
+		s := deployment(size.domains, size.perDomain)
+		random := rand.New(rand.NewPCG(1, 1))
+		s.lost = func() bool { return random.IntN(50) == 0 }
+		s.write(manyFronts(size.domains, 1))
+		s.run(time.Minute)
+		suspicions, deaths := uint64(0), uint64(0)
+		for _, name := range s.names {
+			suspicions += s.vms[name].machine.table.Stats().Suspicions
+			deaths += s.vms[name].machine.table.Stats().Deaths
+		}
+		t.Logf("%d VMs, 2 %% of heartbeats lost, 60 s: %d false suspicions, %d false deaths", len(s.names), suspicions, deaths)
+		require.Zero(t, deaths)
+	}
+}
+
 // Each VM that watches for itself is the baseline: its calls grow with the
 // fleet, those of a few watchers do not.
 func TestStoreCallsGrowWithFailureDomainsNotWithVMs(t *testing.T) {
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -25,12 +25,14 @@
 	// platform is the failure domain "platform".
 	cut       func(a, b string) bool
 	storeDown bool
-	store     *pb.Configuration
-	version   uint64
-	calls     int
-	list      []*pb.ListedVm
-	waiters   map[int]func()
-	latency   time.Duration
+	// lost reports whether the next heartbeat is lost.
+	lost    func() bool
+	store   *pb.Configuration
+	version uint64
+	calls   int
+	list    []*pb.ListedVm
+	waiters map[int]func()
+	latency time.Duration
 }
 
 type simulatedVM struct {
@@ -82,6 +84,7 @@
 		vms:       map[string]*simulatedVM{},
 		byAddress: map[string]*simulatedVM{},
 		cut:       func(_, _ string) bool { return false },
+		lost:      func() bool { return false },
 		waiters:   map[int]func(){},
 		latency:   500 * time.Microsecond,
 	}
@@ -248,7 +251,7 @@
 			s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatFailed{HeartbeatFailed: &pb.HeartbeatFailed{Vm: send.Vm, SentOffsetUs: sent}}}, nil)
 		}
 	})
-	if other == nil {
+	if other == nil || s.lost() {
 		return
 	}
 	s.exchange(vm, other, send.Request)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -197,6 +197,14 @@
 	return ""
 }
 
+// State returns what is believed of another VM.
+func (t *Table) State(vm string) pb.MemberState {
+	if e, ok := t.entries[vm]; ok {
+		return e.member.State
+	}
+	return pb.MemberState_MEMBER_STATE_UNSPECIFIED
+}
+
 // FailureDomain returns the failure domain of a VM; empty when it is unknown.
 func (t *Table) FailureDomain(vm string) string {
 	if vm == t.self.Vm {
