--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -52,6 +52,7 @@
 		c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatFailed{HeartbeatFailed: failed}})
 		return
 	}
+	c.traffic.count(request, response)
 	if c.options.Quarantine != nil {
 		c.options.Quarantine.Merge(response.GetQuarantine(), time.Now())
 	}
@@ -95,6 +96,7 @@
 		c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_FetchFailed{FetchFailed: failed}})
 		return
 	}
+	c.traffic.count(request, response)
 	received := &pb.DeltaReceived{From: from.Vm, Delta: response.Delta, Fetched: true, HopsLeft: maxHops}
 	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_DeltaReceived{DeltaReceived: received}})
 }
@@ -119,7 +121,8 @@
 		HopsLeft: to.HopsLeft,
 		From:     c.options.Self.ID,
 	}
-	_, err := c.options.Peers.OfferConfiguration(ctx, to.Address, request)
+	response, err := c.options.Peers.OfferConfiguration(ctx, to.Address, request)
+	c.traffic.count(request, response)
 	if err != nil {
 		c.options.Logger.Debug().Str("vm", to.Vm).Uint64("revision", offered.Revision).Err(err).Msg("configuration not handed on")
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -84,6 +84,7 @@
 	current  atomic.Pointer[view.View]
 	status   atomic.Pointer[status]
 	lastTick atomic.Int64
+	traffic  traffic
 	trace    *recorder
 	machine  *machine
 	// built is what the newest view was built from, and membersShown the version
@@ -98,6 +99,7 @@
 	reason   string
 	leftTold bool
 	members  []*pb.Member
+	counts   counts
 }
 
 // New returns the Control of a VM. It fails with ErrSettings when the settings
@@ -209,6 +211,7 @@
 func (c *Control) setStatus() {
 	next := &status{leftTold: c.machine.leftTold}
 	next.ready, next.reason = c.machine.ready()
+	next.counts = counts{machine: c.machine.stats, table: c.machine.table.Stats()}
 	before := c.status.Load()
 	if before != nil {
 		next.members = before.members
@@ -295,6 +298,7 @@
 		answer, _ = proto.Clone(answer).(*pb.HeartbeatResponse)
 		answer.Quarantine = c.options.Quarantine.News(now)
 	}
+	c.traffic.count(answer, r)
 	return answer
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -43,6 +43,10 @@
 		require.Equal(t, uint32(4), response.ConfirmedVms)
 		require.Empty(t, response.UnconfirmedVms)
 		s.requireRevision(1)
+		var exposed bytes.Buffer
+		s.controls[0].Metrics().WritePrometheus(&exposed)
+		require.Contains(t, exposed.String(), "carawayreel_configuration_revision 1\n")
+		require.Contains(t, exposed.String(), `carawayreel_members{state="alive"} 4`)
 		// The store goes down as soon as the command is accepted; a VM is cut off.
 		s.network.cut["1b"] = true
 		take := s.controls[1].SetServingState(s.ctx, &pb.SetServingStateRequest{FailureDomain: "domain-0", State: takenOut, Author: "bert"})
