--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -25,12 +25,14 @@
 	// platform is the failure domain "platform".
 	cut       func(a, b string) bool
 	storeDown bool
-	store     *pb.Configuration
-	version   uint64
-	calls     int
-	list      []*pb.ListedVm
-	waiters   map[int]func()
-	latency   time.Duration
+	// lost reports whether the next heartbeat is lost.
+	lost    func() bool
+	store   *pb.Configuration
+	version uint64
+	calls   int
+	list    []*pb.ListedVm
+	waiters map[int]func()
+	latency time.Duration
 }
 
 type simulatedVM struct {
@@ -42,6 +44,7 @@
 	backlog      []*pb.ControlEvent
 	backlogDone  []func([]*pb.ControlDecision)
 	bytes        int
+	remoteBytes  int
 	messages     int
 	adoptedAt    map[uint64]time.Duration
 	reverted     bool
@@ -81,6 +84,7 @@
 		vms:       map[string]*simulatedVM{},
 		byAddress: map[string]*simulatedVM{},
 		cut:       func(_, _ string) bool { return false },
+		lost:      func() bool { return false },
 		waiters:   map[int]func(){},
 		latency:   500 * time.Microsecond,
 	}
@@ -229,6 +233,10 @@
 	size := proto.Size(m)
 	a.bytes += size
 	b.bytes += size
+	if a.domain != b.domain {
+		a.remoteBytes += size
+		b.remoteBytes += size
+	}
 	a.messages++
 	b.messages++
 }
@@ -243,7 +251,7 @@
 			s.give(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatFailed{HeartbeatFailed: &pb.HeartbeatFailed{Vm: send.Vm, SentOffsetUs: sent}}}, nil)
 		}
 	})
-	if other == nil {
+	if other == nil || s.lost() {
 		return
 	}
 	s.exchange(vm, other, send.Request)
