--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -16,10 +16,10 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/search"
 	"github.com/carawayreel/carawayreel/internal/coordinator/trace"
 	"github.com/carawayreel/carawayreel/internal/decision"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
--- a/internal/coordinator/fixture_test.go
+++ b/internal/coordinator/fixture_test.go
@@ -82,7 +82,7 @@
 
 // vms returns three VMs in each of three failure domains.
 func vms() []view.VM {
-	var members []view.VM
+	members := make([]view.VM, 0, 9)
 	for i := range 9 {
 		members = append(members, view.VM{
 			ID:            fmt.Sprintf("vm-%d", i),
--- a/internal/coordinator/latency/latency.go
+++ b/internal/coordinator/latency/latency.go
@@ -16,7 +16,7 @@
 	buckets = subBuckets * octaves
 	// halveAfter is the number of samples after which all counts are halved, so
 	// that old samples lose their weight.
-	halveAfter = 1024
+	halveAfter = 256
 	// refreshAfter is the number of samples after which cached quantiles are
 	// computed again.
 	refreshAfter = 32
@@ -42,7 +42,7 @@
 }
 
 // TailQuantile is the quantile that Summary.Tail gives.
-const TailQuantile = 0.97
+const TailQuantile = 0.98
 
 const medianQuantile = 0.5
 
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -7,8 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/search"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 var (
--- a/internal/coordinator/plan/plan.go
+++ b/internal/coordinator/plan/plan.go
@@ -5,8 +5,8 @@
 import (
 	"sync"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
--- a/internal/coordinator/replica/group.go
+++ b/internal/coordinator/replica/group.go
@@ -68,7 +68,8 @@
 	Snapshot uint64
 	// Held lists the snapshots that the target holds; empty when not told.
 	Held []uint64
-	// Slow is set when the attempt was reported by Group.Slow before.
+	// Slow is set when the attempt was reported by Group.Slow before, or when
+	// its time does not speak against the target.
 	Slow bool
 }
 
@@ -112,11 +113,16 @@
 	return max(time.Duration(delay), minimumHedgeDelay)
 }
 
-// Sent counts an attempt at a target as running.
-func (g *Group) Sent(target string) {
+// Sent counts an attempt at a target as running. It reports whether the target
+// was known to be loaded beyond its slots: a late reply is then explained by the
+// load, which is counted already, and does not speak against the target.
+func (g *Group) Sent(c Candidate, now time.Time) (loaded bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.replica(target).inFlight++
+	r := g.replica(c.Target)
+	loaded = r.load(c.Slots, now) >= loadedPerSlot
+	r.inFlight++
+	return loaded
 }
 
 // Slow reports an attempt that has run for longer than the hedge delay and is
@@ -173,7 +179,8 @@
 	}
 	if r.probing {
 		r.probing = false
-		r.nextProbe = now.Add(probeAgainAfter)
+		r.pause = min(2*r.pause, max(inconclusivePause, r.pause))
+		r.nextProbe = now.Add(r.pause)
 	}
 }
 
@@ -183,21 +190,38 @@
 		r.postpone(slowPause, now)
 		return
 	}
-	if r.slowShare > slowLimit && g.mayBeSlow() {
+	if r.slowShare > slowLimit && g.makeRoom(r) {
 		r.putAside(slowPause, now)
 	}
 }
 
-// mayBeSlow reports whether one more replica may be set aside for being slow:
-// at most half of them, since slowness is a comparison between replicas.
-func (g *Group) mayBeSlow() bool {
+// makeRoom reports whether a replica may be set aside for being slow. At most
+// half of the replicas may, since slowness is a comparison between them. A
+// replica that is slower than one of those takes its place, unless a probe has
+// confirmed that one to be slow.
+func (g *Group) makeRoom(slow *state) bool {
 	aside := 0
+	var least *state
 	for _, r := range g.replicas {
-		if r.setAside && r.failures == 0 {
-			aside++
+		if !r.setAside || r.failures > 0 {
+			continue
 		}
+		aside++
+		if r.confirmed {
+			continue
+		}
+		if least == nil || r.slowShare < least.slowShare {
+			least = r
+		}
+	}
+	if 2*(aside+1) <= len(g.replicas) {
+		return true
+	}
+	if least == nil || least.slowShare >= slow.slowShare {
+		return false
 	}
-	return 2*(aside+1) <= len(g.replicas)
+	least.restore()
+	return true
 }
 
 // Lacks reports whether the target was recently found not to hold the snapshot.
--- a/internal/coordinator/replica/state.go
+++ b/internal/coordinator/replica/state.go
@@ -9,18 +9,22 @@
 // Rules for setting replicas aside.
 const (
 	// slowWeight is the weight of the newest attempt in the share of slow ones.
-	slowWeight = 0.25
+	slowWeight = 0.4
 	// slowLimit is the share of slow attempts above which a replica is set
-	// aside; three slow attempts in a row exceed it.
-	slowLimit = 0.5
+	// aside; two slow attempts in a row exceed it.
+	slowLimit = 0.6
+	// loadedPerSlot is the work per slot from which on slowness is put down to
+	// the load.
+	loadedPerSlot = 1.5
 
 	// Pauses until the first probe; each further failure doubles the pause.
 	slowPause    = 250 * time.Millisecond
 	failurePause = 200 * time.Millisecond
 	refusalPause = 50 * time.Millisecond
 	longestPause = 4 * time.Second
-	// probeAgainAfter follows a probe that showed nothing.
-	probeAgainAfter = 50 * time.Millisecond
+	// inconclusivePause bounds the pause after probes that were cancelled
+	// before they showed anything.
+	inconclusivePause = time.Second
 	// probeOverdue is how long a probe may stay impossible for want of budget
 	// before an ordinary first attempt is used instead.
 	probeOverdue = time.Second
@@ -54,6 +58,8 @@
 	failures  int
 	setAside  bool
 	probing   bool
+	// confirmed is set when a probe was slow or failed too.
+	confirmed bool
 	pause     time.Duration
 	nextProbe time.Time
 }
@@ -110,6 +116,7 @@
 
 func (r *state) putAside(pause time.Duration, now time.Time) {
 	r.setAside = true
+	r.confirmed = false
 	r.probing = false
 	r.pause = pause
 	r.nextProbe = now.Add(pause)
@@ -122,6 +129,7 @@
 		return
 	}
 	r.probing = false
+	r.confirmed = true
 	r.pause = min(max(2*r.pause, pause), longestPause)
 	r.nextProbe = now.Add(r.pause)
 }
@@ -134,8 +142,13 @@
 func (r *state) quick() {
 	r.slowShare -= slowWeight * r.slowShare
 	if r.setAside {
-		r.setAside = false
-		r.probing = false
-		r.slowShare = slowWeight
+		r.restore()
 	}
 }
+
+// restore ends setting aside; one slow attempt more does not resume it.
+func (r *state) restore() {
+	r.setAside = false
+	r.probing = false
+	r.slowShare = 0
+}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/search"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 // run is one running search. Its fields belong to the goroutine of the caller.
--- a/internal/coordinator/run_test.go
+++ b/internal/coordinator/run_test.go
@@ -12,9 +12,9 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator"
 	"github.com/carawayreel/carawayreel/internal/coordinator/trace"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
--- a/internal/coordinator/search/leg.go
+++ b/internal/coordinator/search/leg.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/plan"
 	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 const (
@@ -79,10 +79,10 @@
 
 // due returns the next time that the leg has something to do, or zero.
 func (l *leg) due() time.Time {
-	if l.closed {
+	if l.closed && l.running == 0 {
 		return time.Time{}
 	}
-	if l.retryAt.IsZero() || !l.hedgeAt.IsZero() && l.hedgeAt.Before(l.retryAt) {
+	if l.closed || l.retryAt.IsZero() || !l.hedgeAt.IsZero() && l.hedgeAt.Before(l.retryAt) {
 		return l.hedgeAt
 	}
 	return l.retryAt
@@ -115,8 +115,10 @@
 	sentAt time.Time
 	// suspect is set when the content was under suspicion at the send.
 	suspect bool
-	slow    bool
-	closed  bool
+	// loaded is set when the target was loaded beyond its slots at the send.
+	loaded bool
+	slow   bool
+	closed bool
 }
 
 // attemptOf returns an attempt by its identifier, or nil.
--- a/internal/coordinator/search/machine.go
+++ b/internal/coordinator/search/machine.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/budget"
 	"github.com/carawayreel/carawayreel/internal/coordinator/plan"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 // Machine decides one search. It is used by one goroutine.
@@ -33,9 +33,12 @@
 
 	trial trial
 
-	ctx      Context
-	actions  Actions
+	ctx     Context
+	actions Actions
+	// wakeAt is when the next Timer event is due; rescan asks to look at all
+	// legs for it.
 	wakeAt   time.Time
+	rescan   bool
 	finished bool
 
 	subrequests uint32
@@ -72,6 +75,7 @@
 
 // start pins a snapshot and sends the first attempts.
 func (m *Machine) start() {
+	m.rescan = true
 	m.knowledge.Refresh(m.ctx.View)
 	if reason := m.refusal(); reason != "" {
 		m.refuse(reason)
@@ -82,7 +86,10 @@
 		m.refuse("front " + m.in.Request.Front + " is not configured")
 		return
 	}
-	m.budget = m.knowledge.Budgets.Front(m.front.Name, m.front.GetLimits().GetExtraLoadPercent())
+	m.budget = m.knowledge.Budgets.Front(m.front.Name, budget.Terms{
+		Percent:  m.front.GetLimits().GetExtraLoadPercent(),
+		Services: len(m.front.Services),
+	})
 	pinned := m.knowledge.Snapshots.Pin(m.front, m.ctx.Now)
 	if pinned == nil {
 		m.refuse("front " + m.front.Name + " has no snapshot; its partition map is not known")
@@ -95,6 +102,7 @@
 // timer does what is due.
 func (m *Machine) timer() {
 	m.wakeAt = time.Time{}
+	m.rescan = true
 	if !m.ctx.Now.Before(m.in.Deadline) {
 		m.finish()
 		return
@@ -138,9 +146,10 @@
 // arm sets the timer to the earliest time that something is due. The legs are
 // scanned only after a Timer event; between them wakeBy keeps the time.
 func (m *Machine) arm() {
-	if !m.wakeAt.IsZero() {
+	if !m.wakeAt.IsZero() && !m.rescan {
 		return
 	}
+	m.rescan = false
 	m.wakeBy(m.in.Deadline)
 	for i := range m.legs {
 		m.wakeBy(m.legs[i].due())
@@ -204,21 +213,59 @@
 func (m *Machine) legTimer(l *leg) {
 	now := m.ctx.Now
 	if l.closed {
+		m.probeTimer(l)
 		return
 	}
 	if !l.hedgeAt.IsZero() && !now.Before(l.hedgeAt) {
 		l.hedgeAt = time.Time{}
 		m.markSlow(l)
-		m.hedge(l)
-		if l.running > 0 && l.hedgeAt.IsZero() {
-			l.hedgeAt = now.Add(l.group.HedgeDelay())
-		}
+		m.hedgeOrWait(l)
 	}
 	if !l.retryAt.IsZero() && !now.Before(l.retryAt) {
 		m.retry(l)
 	}
 }
 
+// hedgeOrWait hedges a leg whose newest attempt is slow. The emptier the budget,
+// the slower the attempt has to be, so that attempts that are only a little slow
+// do not use up what those that are stuck will need.
+func (m *Machine) hedgeOrWait(l *leg) {
+	if l.running == 0 {
+		return
+	}
+	now := m.ctx.Now
+	delay := l.group.HedgeDelay()
+	patience := time.Duration(float64(delay) * (1 + scarcityFactor*(1-m.budget.Fullness())))
+	if at := m.lastSent(l).Add(patience); now.Before(at) {
+		l.hedgeAt = at
+		return
+	}
+	m.hedge(l)
+	if l.hedgeAt.IsZero() {
+		l.hedgeAt = now.Add(delay)
+	}
+}
+
+// lastSent returns when the newest running attempt of the leg was sent.
+func (m *Machine) lastSent(l *leg) time.Time {
+	var newest time.Time
+	for _, id := range l.runningIDs[:l.running] {
+		if sentAt := m.attemptOf(id).sentAt; sentAt.After(newest) {
+			newest = sentAt
+		}
+	}
+	return newest
+}
+
+// probeTimer reports probes that are slow, after another attempt has answered.
+func (m *Machine) probeTimer(l *leg) {
+	if l.hedgeAt.IsZero() || m.ctx.Now.Before(l.hedgeAt) {
+		return
+	}
+	l.hedgeAt = time.Time{}
+	m.markSlow(l)
+}
+
 // markSlow reports the running attempts that have outlasted the hedge delay.
 func (m *Machine) markSlow(l *leg) {
 	now := m.ctx.Now
@@ -229,7 +276,9 @@
 			continue
 		}
 		a.slow = true
-		l.group.Slow(a.target, now)
+		if !a.loaded {
+			l.group.Slow(a.target, now)
+		}
 		m.knowledge.Replicas.Owners().Slow(a.owner, now)
 	}
 }
--- a/internal/coordinator/search/record.go
+++ b/internal/coordinator/search/record.go
@@ -4,8 +4,8 @@
 	"strings"
 	"time"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/decision"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 // decide records a decision. Usual decisions are recorded only on request, since
--- a/internal/coordinator/search/reply.go
+++ b/internal/coordinator/search/reply.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 // takeReply ends an attempt by its reply or error.
@@ -212,7 +212,7 @@
 		InFlight: reply.GetInFlight(),
 		Snapshot: m.pinned.Version,
 		Held:     reply.GetHeldSnapshots(),
-		Slow:     a.slow,
+		Slow:     a.slow || a.loaded,
 	}, m.ctx.Now)
 }
 
--- a/internal/coordinator/search/send.go
+++ b/internal/coordinator/search/send.go
@@ -4,10 +4,10 @@
 	"slices"
 	"time"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/budget"
 	"github.com/carawayreel/carawayreel/internal/coordinator/plan"
 	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
@@ -22,6 +22,9 @@
 	// retryWaitShare is the part of the remaining time that a retry waits for
 	// budget.
 	retryWaitShare = 4
+	// scarcityFactor is how many hedge delays more an attempt is waited for when
+	// the budget is empty.
+	scarcityFactor = 1.5
 	// hedgesPerLeg bounds the hedges of one service in one search.
 	hedgesPerLeg = 2
 	// failuresPerLeg is the number of targets of one service that may fail while
@@ -119,13 +122,22 @@
 	if choice.Index == replica.None || choice.SetAside || m.knownToLack(l, routes, choice) {
 		return
 	}
-	if !m.budget.Spend(budget.Hedge) {
+	if !m.budget.Spend(m.hedgeUse()) {
 		return
 	}
 	choice.Reason = "slow attempt; " + choice.Reason
 	m.send(l, routes, choice, Hedge)
 }
 
+// hedgeUse values a hedge as highly as a retry when half of the time has passed,
+// since by then the partitions themselves are at stake.
+func (m *Machine) hedgeUse() budget.Use {
+	if m.in.Deadline.Sub(m.ctx.Now) < m.ctx.Now.Sub(m.in.Received) {
+		return budget.Retry
+	}
+	return budget.Hedge
+}
+
 // retry replaces attempts that failed, once none of the leg is running.
 func (m *Machine) retry(l *leg) {
 	l.retryAt = time.Time{}
@@ -150,7 +162,7 @@
 		return
 	}
 	if !m.budget.Spend(budget.Retry) {
-		m.awaitBudget(l)
+		m.awaitBudget(l, choice)
 		return
 	}
 	m.send(l, routes, choice, Retry)
@@ -169,13 +181,18 @@
 	m.giveUp(l, l.reason)
 }
 
-// awaitBudget asks again for budget for a part of the remaining time.
-func (m *Machine) awaitBudget(l *leg) {
+// awaitBudget asks again for budget for a part of the remaining time, when a
+// replica that is in order is left to ask.
+func (m *Machine) awaitBudget(l *leg, choice replica.Choice) {
 	now := m.ctx.Now
 	if l.reason == pb.MissingReason_MISSING_REASON_SNAPSHOT_GONE {
 		m.snapshotGone(l)
 		return
 	}
+	if choice.SetAside {
+		m.giveUp(l, l.reason)
+		return
+	}
 	if l.giveUpAt.IsZero() {
 		l.giveUpAt = now.Add(m.in.Deadline.Sub(now) / retryWaitShare)
 	}
@@ -214,11 +231,11 @@
 	m.attempts = append(m.attempts, attempt{
 		id: id, leg: l.index, kind: kind, target: c.Target, owner: owner.ID, domain: c.FailureDomain,
 		asked: l.uncovered, sentAt: now, suspect: m.caution() == Suspect,
+		loaded: l.group.Sent(c, now),
 	})
 	l.shared = true
 	l.started(id)
 	m.running++
-	l.group.Sent(c.Target)
 	l.hedgeAt = now.Add(l.group.HedgeDelay())
 	m.wakeBy(l.hedgeAt)
 	m.count(kind)
--- a/internal/coordinator/search/types.go
+++ b/internal/coordinator/search/types.go
@@ -11,11 +11,11 @@
 	"sync/atomic"
 	"time"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/budget"
 	"github.com/carawayreel/carawayreel/internal/coordinator/plan"
 	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
 	"github.com/carawayreel/carawayreel/internal/coordinator/snapshot"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
--- a/internal/coordinator/trace/replay.go
+++ b/internal/coordinator/trace/replay.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/search"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
--- a/internal/coordinator/trace/writer.go
+++ b/internal/coordinator/trace/writer.go
@@ -9,8 +9,8 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/coordinator/search"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
