--- a/internal/coordinator/fixture_test.go
+++ b/internal/coordinator/fixture_test.go
@@ -114,6 +114,10 @@
 	}
 }
 
+// requestField is the field of each made-up row that names the request it was
+// made for.
+const requestField = "request"
+
 // goodReply answers a subrequest with two rows of each partition.
 func goodReply(r *pb.SubRequest) *pb.SubReply {
 	const rowsPerPartition = 2
@@ -127,6 +131,7 @@
 			result.Rows = append(result.Rows, &pb.Row{
 				RecordId: fmt.Sprintf("%s:%s-%d", r.Service, partition, n),
 				Service:  r.Service, Partition: partition, Snapshot: r.Snapshot,
+				Fields: []*pb.Field{{Name: requestField, Value: r.RequestId}},
 			})
 		}
 		reply.Results = append(reply.Results, result)
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -61,15 +61,15 @@
 
 // perform does what the machine decided.
 func (r *run) perform(ctx context.Context, actions search.Actions) {
-	for _, attempt := range actions.Cancel {
-		r.cancels[attempt-1]()
-	}
 	if r.results == nil {
 		r.results = make(chan search.Event, len(actions.Sends))
 	}
 	for i := range actions.Sends {
 		r.send(ctx, &actions.Sends[i])
 	}
+	for _, attempt := range actions.Cancel {
+		r.cancels[attempt-1]()
+	}
 	if !actions.WakeAt.IsZero() {
 		r.timer.Reset(max(actions.WakeAt.Sub(r.c.clock.now()), 0))
 	}
--- /dev/null
+++ b/internal/coordinator/script_test.go
@@ -0,0 +1,119 @@
+package coordinator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayreel/carawayreel/internal/coordinator"
+	"github.com/carawayreel/carawayreel/internal/coordinator/search"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/view"
+)
+
+// script drives one machine step by step.
+type script struct {
+	t       *testing.T
+	know    *search.Knowledge
+	machine *search.Machine
+	now     time.Time
+	view    *view.View
+	verdict search.Verdict
+	// open holds the sends that were neither answered nor cancelled.
+	open   []search.Send
+	counts search.Counts
+	sends  int
+	wakeAt time.Time
+	answer *pb.SearchResponse
+}
+
+func newScript(t *testing.T, s shape) *script {
+	return &script{t: t, know: search.NewKnowledge(), now: simStart, view: viewOf(configuration(s), 0)}
+}
+
+// start begins a search; knowledge of earlier searches is kept.
+func (s *script) start(r *pb.SearchRequest) {
+	s.machine = search.New(s.know, search.Input{
+		Request: r, Digest: coordinator.Digest(r), Received: s.now, Deadline: s.now.Add(140 * time.Millisecond),
+		Policy: search.Policy{Hedging: true},
+	})
+	s.open, s.answer, s.wakeAt, s.sends, s.counts = nil, nil, time.Time{}, 0, search.Counts{}
+	s.apply(search.Event{Kind: search.Started})
+}
+
+func (s *script) apply(e search.Event) {
+	require.Nil(s.t, s.answer, "an event after the answer")
+	actions := s.machine.Apply(search.Context{Now: s.now, View: s.view, Verdict: s.verdict}, e)
+	s.open = append(s.open, actions.Sends...)
+	for _, id := range actions.Cancel {
+		s.remove(id)
+	}
+	s.sends += len(actions.Sends)
+	s.counts.Discarded += actions.Counts.Discarded
+	s.counts.Restarts += actions.Counts.Restarts
+	s.counts.Hedges += actions.Counts.Hedges
+	s.counts.Retries += actions.Counts.Retries
+	if !actions.WakeAt.IsZero() {
+		s.wakeAt = actions.WakeAt
+	}
+	s.answer = actions.Answer
+}
+
+func (s *script) remove(id uint64) {
+	for i, send := range s.open {
+		if send.Request.Attempt == id {
+			s.open = append(s.open[:i], s.open[i+1:]...)
+			return
+		}
+	}
+}
+
+// reply answers an open send.
+func (s *script) reply(send search.Send, reply *pb.SubReply) {
+	s.remove(send.Request.Attempt)
+	s.apply(search.Event{Kind: search.Replied, Attempt: send.Request.Attempt, Reply: reply})
+}
+
+func (s *script) fail(send search.Send, err error) {
+	s.remove(send.Request.Attempt)
+	s.apply(search.Event{Kind: search.Replied, Attempt: send.Request.Attempt, Err: err})
+}
+
+// finish answers open sends by answer until the search has ended.
+func (s *script) finish(answer func(r *pb.SubRequest) *pb.SubReply) {
+	for s.answer == nil && len(s.open) > 0 {
+		s.now = s.now.Add(100 * time.Microsecond)
+		send := s.open[0]
+		s.reply(send, answer(send.Request))
+	}
+	require.NotNil(s.t, s.answer)
+}
+
+// expire lets timers fire until the search has ended.
+func (s *script) expire() {
+	for s.answer == nil {
+		s.now = s.wakeAt
+		s.apply(search.Event{Kind: search.TimerFired})
+	}
+}
+
+// sent returns the open send for a service.
+func (s *script) sent(service string) search.Send {
+	for _, send := range s.open {
+		if send.Request.Service == service {
+			return send
+		}
+	}
+	require.Fail(s.t, "nothing is sent to "+service)
+	return search.Send{}
+}
+
+// reasons counts the missing partitions of the answer by reason.
+func (s *script) reasons() map[pb.MissingReason]int {
+	counts := map[pb.MissingReason]int{}
+	for _, missing := range s.answer.Coverage.Missing {
+		counts[missing.Reason]++
+	}
+	return counts
+}
--- a/internal/coordinator/search/machine.go
+++ b/internal/coordinator/search/machine.go
@@ -174,7 +174,7 @@
 	m.results = nil
 	m.legs = make([]leg, len(pinned.Services))
 	m.attempts = slices.Grow(m.attempts, len(pinned.Services))
-	m.actions.Sends = make([]Send, 0, len(pinned.Services))
+	m.actions.Sends = slices.Grow(m.actions.Sends, len(pinned.Services))
 	m.open = len(m.legs)
 	for i := range m.legs {
 		m.legs[i].init(m, i, &pinned.Services[i])
--- a/internal/coordinator/search/types.go
+++ b/internal/coordinator/search/types.go
@@ -184,9 +184,10 @@
 // Actions is what the runtime has to do after an event, in the order of the
 // fields.
 type Actions struct {
-	// Cancel lists attempts whose results are no longer wanted.
+	Sends []Send
+	// Cancel lists attempts whose results are no longer wanted; one of them may
+	// stand among Sends.
 	Cancel []uint64
-	Sends  []Send
 	// WakeAt replaces the time of the next Timer event, unless it is zero.
 	WakeAt time.Time
 	// Decisions are to be recorded.
--- a/internal/coordinator/sim_test.go
+++ b/internal/coordinator/sim_test.go
@@ -170,13 +170,13 @@
 		return
 	}
 	actions := run.machine.Apply(search.Context{Now: s.now, View: s.views[run.vm]}, e)
+	for _, send := range actions.Sends {
+		s.dispatch(run, send)
+	}
 	for _, id := range actions.Cancel {
 		job := run.jobs[id]
 		s.after(s.delay(run.vm, job.target.domain), func() { s.cancel(job) })
 	}
-	for _, send := range actions.Sends {
-		s.dispatch(run, send)
-	}
 	if !actions.WakeAt.IsZero() {
 		run.wake++
 		generation := run.wake
--- /dev/null
+++ b/internal/coordinator/trial_test.go
@@ -0,0 +1,91 @@
+package coordinator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayreel/carawayreel/internal/coordinator/search"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+func crash(r *pb.SubRequest) *pb.SubReply {
+	return statusReply(r, pb.SubStatus_SUB_STATUS_FAILED)
+}
+
+// crashes runs a search whose content crashes each target and returns how many
+// targets ran it.
+func crashes(t *testing.T, verdict search.Verdict) int {
+	s := newScript(t, typical())
+	s.verdict = verdict
+	s.start(request("r1"))
+	ran := 0
+	s.finish(func(r *pb.SubRequest) *pb.SubReply {
+		ran++
+		return crash(r)
+	})
+	require.Zero(t, s.answer.Coverage.Covered)
+	return ran
+}
+
+func TestSuspectContentCrashesOneMoreTarget(t *testing.T) {
+	require.Equal(t, 1, crashes(t, search.Suspect))
+}
+
+func TestUnprovenContentCrashesTwoTargets(t *testing.T) {
+	require.Equal(t, 2, crashes(t, search.Unproven))
+}
+
+// Without the proof, content that was never seen reaches one target of each
+// service at once, and one more on the retry.
+func TestClearContentCrashesOneTargetOfEachServiceAndOneMore(t *testing.T) {
+	require.Equal(t, 11, crashes(t, search.Clear))
+}
+
+func TestSuspectContentRunsInFullOnceATargetAnswered(t *testing.T) {
+	s := newScript(t, typical())
+	s.verdict = search.Suspect
+	s.start(request("r1"))
+	require.Len(t, s.open, 1)
+	s.reply(s.open[0], goodReply(s.open[0].Request))
+	require.Len(t, s.open, 9)
+	s.finish(goodReply)
+	require.Equal(t, pb.Outcome_OUTCOME_SUCCESS, s.answer.Outcome)
+}
+
+func TestSuspectContentIsNeverHedged(t *testing.T) {
+	s := newScript(t, typical())
+	s.verdict = search.Suspect
+	s.start(request("r1"))
+	s.expire()
+	require.Equal(t, 1, s.sends)
+	require.Equal(t, pb.MissingReason_MISSING_REASON_QUARANTINED, s.answer.Coverage.Missing[19].Reason)
+}
+
+func TestUnprovenContentIsNotHeldForLong(t *testing.T) {
+	s := newScript(t, typical())
+	s.verdict = search.Unproven
+	s.start(request("r1"))
+	require.Len(t, s.open, 1)
+	began := s.now
+	for len(s.open) < 10 {
+		s.now = s.wakeAt
+		s.apply(search.Event{Kind: search.TimerFired})
+	}
+	require.LessOrEqual(t, s.now.Sub(began), 40*time.Millisecond)
+}
+
+// A failure domain that dies fails many services at once; clean content is still
+// covered from the other domains.
+func TestCleanContentSurvivesTheLossOfADomain(t *testing.T) {
+	s := newScript(t, typical())
+	s.start(request("r1"))
+	s.finish(func(r *pb.SubRequest) *pb.SubReply {
+		if r.Target[len(r.Target)-1] == '0' {
+			return crash(r)
+		}
+		return goodReply(r)
+	})
+	require.Equal(t, pb.Outcome_OUTCOME_SUCCESS, s.answer.Outcome)
+}
