--- /dev/null
+++ b/internal/coordinator/bench_test.go
@@ -0,0 +1,89 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/carawayreel/carawayreel/internal/coordinator"
+	"github.com/carawayreel/carawayreel/internal/coordinator/search"
+	"github.com/carawayreel/carawayreel/internal/decision"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/view"
+)
+
+func wide(services int) shape {
+	return shape{services: services, replicas: 3, partitions: 1, slots: 2, snapshots: []uint64{1}}
+}
+
+// quiet records nothing and asks for unusual decisions only.
+type quiet struct{ decision.Discard }
+
+func (quiet) Verbose() bool { return false }
+
+// emptyReply answers without rows, so that only the coordinator is measured.
+func emptyReply(r *pb.SubRequest, results []*pb.PartitionResult) *pb.SubReply {
+	return &pb.SubReply{
+		RequestId: r.RequestId, Attempt: r.Attempt, Target: r.Target, Status: pb.SubStatus_SUB_STATUS_OK,
+		Snapshot: r.Snapshot, Results: results,
+	}
+}
+
+// BenchmarkSearch measures the runtime and the machine with an instant
+// dispatcher; divide by the services for the cost of one subrequest.
+func BenchmarkSearch(b *testing.B) {
+	for _, services := range []int{30, 680} {
+		for name, recorder := range map[string]decision.Recorder{"all-decisions": decision.Discard{}, "unusual-only": quiet{}} {
+			b.Run(fmt.Sprintf("services=%d/%s", services, name), func(b *testing.B) {
+				results := []*pb.PartitionResult{{Partition: partitionName(0)}}
+				c := coordinator.New(coordinator.Options{
+					Views:     &source{v: viewOf(configuration(wide(services)), 0)},
+					Decisions: recorder,
+					Dispatcher: dispatcherFunc(func(_ context.Context, _ view.VM, r *pb.SubRequest) (*pb.SubReply, error) {
+						return emptyReply(r, results), nil
+					}),
+				})
+				r := request("benchmark")
+				r.TimeLimitMs = 10_000
+				b.ReportAllocs()
+				for b.Loop() {
+					answer, err := c.Search(b.Context(), r)
+					if err != nil || answer.Outcome != pb.Outcome_OUTCOME_SUCCESS {
+						b.Fatal(answer, err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkMachine measures the decisions alone.
+func BenchmarkMachine(b *testing.B) {
+	for _, services := range []int{30, 680} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			know := search.NewKnowledge()
+			c := search.Context{Now: simStart, View: viewOf(configuration(wide(services)), 0)}
+			r := request("benchmark")
+			in := search.Input{
+				Request: r, Digest: coordinator.Digest(r), Received: c.Now, Deadline: c.Now.Add(time.Second),
+				Policy: search.Policy{Hedging: true},
+			}
+			results := []*pb.PartitionResult{{Partition: partitionName(0)}}
+			b.ReportAllocs()
+			for b.Loop() {
+				machine := search.New(know, in)
+				actions := machine.Apply(c, search.Event{Kind: search.Started})
+				var last search.Actions
+				for _, send := range actions.Sends {
+					last = machine.Apply(c, search.Event{
+						Kind: search.Replied, Attempt: send.Request.Attempt, Reply: emptyReply(send.Request, results),
+					})
+				}
+				if last.Answer.GetOutcome() != pb.Outcome_OUTCOME_SUCCESS {
+					b.Fatal(last.Answer)
+				}
+			}
+		})
+	}
+}
--- a/internal/coordinator/trace/replay.go
+++ b/internal/coordinator/trace/replay.go
@@ -40,6 +40,9 @@
 	Events   int
 	Searches int
 	Answers  int
+	// Outcomes counts the answers by outcome.
+	Outcomes map[pb.Outcome]int
+	Restarts int
 }
 
 // Replay decides all events of a trace anew. It returns the first divergence, or
@@ -47,6 +50,7 @@
 // read.
 func Replay(in io.Reader) (Summary, *Divergence, error) {
 	p := &player{knowledge: search.NewKnowledge(), machines: map[uint64]*search.Machine{}}
+	p.summary.Outcomes = map[pb.Outcome]int{}
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, longestLine)
 	for lines.Scan() {
@@ -113,8 +117,10 @@
 		View:    p.view,
 		Verdict: search.Verdict(m.Verdict - 1),
 	}, event(m))
+	p.summary.Restarts += actions.Counts.Restarts
 	if actions.Answer != nil {
 		p.summary.Answers++
+		p.summary.Outcomes[actions.Answer.Outcome]++
 		delete(p.machines, m.Search)
 	}
 	got := decidedMessage(actions)
