--- a/internal/gen/carawayreel/v1/carawayreelv1connect/peer.connect.go
+++ b/internal/gen/carawayreel/v1/carawayreelv1connect/peer.connect.go
@@ -55,6 +55,8 @@
 	PeerServiceOfferConfigurationProcedure = "/carawayreel.v1.PeerService/OfferConfiguration"
 	// PeerServiceHandOverProcedure is the fully-qualified name of the PeerService's HandOver RPC.
 	PeerServiceHandOverProcedure = "/carawayreel.v1.PeerService/HandOver"
+	// PeerServiceAnnounceProcedure is the fully-qualified name of the PeerService's Announce RPC.
+	PeerServiceAnnounceProcedure = "/carawayreel.v1.PeerService/Announce"
 	// PeerServiceGetTargetsProcedure is the fully-qualified name of the PeerService's GetTargets RPC.
 	PeerServiceGetTargetsProcedure = "/carawayreel.v1.PeerService/GetTargets"
 )
@@ -66,9 +68,9 @@
 	// DispatchChange runs one change on a target that this VM owns.
 	DispatchChange(context.Context, *connect.Request[v1.ChangeDispatch]) (*connect.Response[v1.ChangeReply], error)
 	// ForwardChange runs a change on the VM that issued its token.
-	ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.SubmitChangeResponse], error)
+	ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.ForwardChangeResponse], error)
 	// ForwardOutcome asks the VM that issued a token for its outcome.
-	ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.GetOutcomeResponse], error)
+	ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.ForwardOutcomeResponse], error)
 	// Heartbeat proves liveness and exchanges news.
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
 	// FetchConfiguration returns what changed since a revision.
@@ -77,6 +79,8 @@
 	OfferConfiguration(context.Context, *connect.Request[v1.OfferConfigurationRequest]) (*connect.Response[v1.OfferConfigurationResponse], error)
 	// HandOver passes target states and change records before a planned stop.
 	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
+	// Announce spreads new suspicions against a request's content.
+	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	// GetTargets returns the states of the targets that this VM owns.
 	GetTargets(context.Context, *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error)
 }
@@ -104,13 +108,13 @@
 			connect.WithSchema(peerServiceMethods.ByName("DispatchChange")),
 			connect.WithClientOptions(opts...),
 		),
-		forwardChange: connect.NewClient[v1.SubmitChangeRequest, v1.SubmitChangeResponse](
+		forwardChange: connect.NewClient[v1.SubmitChangeRequest, v1.ForwardChangeResponse](
 			httpClient,
 			baseURL+PeerServiceForwardChangeProcedure,
 			connect.WithSchema(peerServiceMethods.ByName("ForwardChange")),
 			connect.WithClientOptions(opts...),
 		),
-		forwardOutcome: connect.NewClient[v1.GetOutcomeRequest, v1.GetOutcomeResponse](
+		forwardOutcome: connect.NewClient[v1.GetOutcomeRequest, v1.ForwardOutcomeResponse](
 			httpClient,
 			baseURL+PeerServiceForwardOutcomeProcedure,
 			connect.WithSchema(peerServiceMethods.ByName("ForwardOutcome")),
@@ -140,6 +144,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("HandOver")),
 			connect.WithClientOptions(opts...),
 		),
+		announce: connect.NewClient[v1.AnnounceRequest, v1.AnnounceResponse](
+			httpClient,
+			baseURL+PeerServiceAnnounceProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Announce")),
+			connect.WithClientOptions(opts...),
+		),
 		getTargets: connect.NewClient[v1.GetTargetsRequest, v1.GetTargetsResponse](
 			httpClient,
 			baseURL+PeerServiceGetTargetsProcedure,
@@ -153,12 +163,13 @@
 type peerServiceClient struct {
 	dispatch           *connect.Client[v1.SubRequest, v1.SubReply]
 	dispatchChange     *connect.Client[v1.ChangeDispatch, v1.ChangeReply]
-	forwardChange      *connect.Client[v1.SubmitChangeRequest, v1.SubmitChangeResponse]
-	forwardOutcome     *connect.Client[v1.GetOutcomeRequest, v1.GetOutcomeResponse]
+	forwardChange      *connect.Client[v1.SubmitChangeRequest, v1.ForwardChangeResponse]
+	forwardOutcome     *connect.Client[v1.GetOutcomeRequest, v1.ForwardOutcomeResponse]
 	heartbeat          *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
 	fetchConfiguration *connect.Client[v1.FetchConfigurationRequest, v1.FetchConfigurationResponse]
 	offerConfiguration *connect.Client[v1.OfferConfigurationRequest, v1.OfferConfigurationResponse]
 	handOver           *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
+	announce           *connect.Client[v1.AnnounceRequest, v1.AnnounceResponse]
 	getTargets         *connect.Client[v1.GetTargetsRequest, v1.GetTargetsResponse]
 }
 
@@ -173,12 +184,12 @@
 }
 
 // ForwardChange calls carawayreel.v1.PeerService.ForwardChange.
-func (c *peerServiceClient) ForwardChange(ctx context.Context, req *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.SubmitChangeResponse], error) {
+func (c *peerServiceClient) ForwardChange(ctx context.Context, req *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.ForwardChangeResponse], error) {
 	return c.forwardChange.CallUnary(ctx, req)
 }
 
 // ForwardOutcome calls carawayreel.v1.PeerService.ForwardOutcome.
-func (c *peerServiceClient) ForwardOutcome(ctx context.Context, req *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.GetOutcomeResponse], error) {
+func (c *peerServiceClient) ForwardOutcome(ctx context.Context, req *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.ForwardOutcomeResponse], error) {
 	return c.forwardOutcome.CallUnary(ctx, req)
 }
 
@@ -202,6 +213,11 @@
 	return c.handOver.CallUnary(ctx, req)
 }
 
+// Announce calls carawayreel.v1.PeerService.Announce.
+func (c *peerServiceClient) Announce(ctx context.Context, req *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error) {
+	return c.announce.CallUnary(ctx, req)
+}
+
 // GetTargets calls carawayreel.v1.PeerService.GetTargets.
 func (c *peerServiceClient) GetTargets(ctx context.Context, req *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error) {
 	return c.getTargets.CallUnary(ctx, req)
@@ -214,9 +230,9 @@
 	// DispatchChange runs one change on a target that this VM owns.
 	DispatchChange(context.Context, *connect.Request[v1.ChangeDispatch]) (*connect.Response[v1.ChangeReply], error)
 	// ForwardChange runs a change on the VM that issued its token.
-	ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.SubmitChangeResponse], error)
+	ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.ForwardChangeResponse], error)
 	// ForwardOutcome asks the VM that issued a token for its outcome.
-	ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.GetOutcomeResponse], error)
+	ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.ForwardOutcomeResponse], error)
 	// Heartbeat proves liveness and exchanges news.
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
 	// FetchConfiguration returns what changed since a revision.
@@ -225,6 +241,8 @@
 	OfferConfiguration(context.Context, *connect.Request[v1.OfferConfigurationRequest]) (*connect.Response[v1.OfferConfigurationResponse], error)
 	// HandOver passes target states and change records before a planned stop.
 	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
+	// Announce spreads new suspicions against a request's content.
+	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	// GetTargets returns the states of the targets that this VM owns.
 	GetTargets(context.Context, *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error)
 }
@@ -284,6 +302,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("HandOver")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceAnnounceHandler := connect.NewUnaryHandler(
+		PeerServiceAnnounceProcedure,
+		svc.Announce,
+		connect.WithSchema(peerServiceMethods.ByName("Announce")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceGetTargetsHandler := connect.NewUnaryHandler(
 		PeerServiceGetTargetsProcedure,
 		svc.GetTargets,
@@ -308,6 +332,8 @@
 			peerServiceOfferConfigurationHandler.ServeHTTP(w, r)
 		case PeerServiceHandOverProcedure:
 			peerServiceHandOverHandler.ServeHTTP(w, r)
+		case PeerServiceAnnounceProcedure:
+			peerServiceAnnounceHandler.ServeHTTP(w, r)
 		case PeerServiceGetTargetsProcedure:
 			peerServiceGetTargetsHandler.ServeHTTP(w, r)
 		default:
@@ -327,11 +353,11 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.DispatchChange is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.SubmitChangeResponse], error) {
+func (UnimplementedPeerServiceHandler) ForwardChange(context.Context, *connect.Request[v1.SubmitChangeRequest]) (*connect.Response[v1.ForwardChangeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.ForwardChange is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.GetOutcomeResponse], error) {
+func (UnimplementedPeerServiceHandler) ForwardOutcome(context.Context, *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.ForwardOutcomeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.ForwardOutcome is not implemented"))
 }
 
@@ -351,6 +377,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.HandOver is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.Announce is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) GetTargets(context.Context, *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.GetTargets is not implemented"))
 }
