Coordinator: designated targets for suspect content, matched rows, trial of avoided VMs

An owner refused suspect content on all targets but one as UNAVAILABLE, which set a healthy target aside and cost retries; NOT_DESIGNATED with the target's name costs neither. Rows that a target left out for the row limit are counted by PartitionResult.matched; before, rows_beyond_limit missed them. After its pause an avoided VM gets one attempt instead of all.

--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -20,7 +20,7 @@
 // quiet records nothing and asks for unusual decisions only.
 type quiet struct{ decision.Discard }
 
-func (quiet) Verbose() bool { return false }
+func (quiet) Wants(string) bool { return false }
 
 // emptyReply answers without rows, so that only the coordinator is measured.
 func emptyReply(r *pb.SubRequest, results []*pb.PartitionResult) *pb.SubReply {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -40,6 +40,12 @@
 	Check(digest uint64) search.Verdict
 }
 
+// Selector is a decision.Recorder that wants the usual decisions of some requests
+// only. Unusual decisions are recorded of every request.
+type Selector interface {
+	Wants(requestID string) bool
+}
+
 // Options are the parts that a Coordinator works with.
 type Options struct {
 	Views      view.Source
@@ -96,8 +102,8 @@
 
 func policy(options Options) search.Policy {
 	p := search.Policy{Hedging: true, Verbose: true, LoadReport: options.LoadReport}
-	if filter, ok := options.Decisions.(interface{ Verbose() bool }); ok {
-		p.Verbose = filter.Verbose()
+	if p.LoadReport == nil {
+		p.LoadReport = func(string, time.Time) uint32 { return 0 }
 	}
 	if options.Experiment == nil {
 		return p
@@ -139,13 +145,23 @@
 		Digest:   Digest(request),
 		Received: received,
 		Deadline: deadline,
-		Policy:   c.policy,
+		Policy:   c.policyFor(request.RequestId),
 	})
 	answer, err := run.answer(ctx)
 	observe(answer, c.clock.now().Sub(received))
 	return answer, err
 }
 
+// policyFor leaves out the usual decisions of requests that the recorder does not
+// want them of, which spares their cost.
+func (c *Coordinator) policyFor(requestID string) search.Policy {
+	p := c.policy
+	if selector, ok := c.options.Decisions.(Selector); ok {
+		p.Verbose = selector.Wants(requestID)
+	}
+	return p
+}
+
 // BudgetLeft returns the hedges and retries that the fullest front's budget
 // allows at this moment.
 func (c *Coordinator) BudgetLeft() uint64 {
--- a/internal/coordinator/machine_test.go
+++ b/internal/coordinator/machine_test.go
@@ -330,3 +330,15 @@
 	b.Conditions[0] = &pb.Condition{Field: "x1", Operator: pb.Operator_OPERATOR_EQUAL, Value: ""}
 	require.NotEqual(t, coordinator.Digest(a), coordinator.Digest(b))
 }
+
+func TestRowsThatTargetsLeftOutAreCounted(t *testing.T) {
+	s := newScript(t, small())
+	s.start(request("r1"))
+	s.finish(func(r *pb.SubRequest) *pb.SubReply {
+		reply := goodReply(r)
+		reply.Results[0].Matched = 100
+		return reply
+	})
+	require.Len(t, s.answer.Rows, 12)
+	require.EqualValues(t, 3*98, s.answer.RowsBeyondLimit)
+}
--- a/internal/coordinator/replica/owner.go
+++ b/internal/coordinator/replica/owner.go
@@ -36,6 +36,23 @@
 	return &Owners{states: map[string]*ownerState{}}
 }
 
+// Sent notes an attempt through the VM. The first one after a pause is a trial:
+// further ones avoid the VM until it is heard of.
+func (o *Owners) Sent(vm string, now time.Time) {
+	avoided := o.avoided.Load()
+	if avoided == nil {
+		return
+	}
+	if _, ok := (*avoided)[vm]; !ok {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if state, ok := o.states[vm]; ok {
+		o.avoid(state, now)
+	}
+}
+
 // Avoided reports whether the VM is avoided.
 func (o *Owners) Avoided(vm string, now time.Time) bool {
 	avoided := o.avoided.Load()
--- a/internal/coordinator/run_test.go
+++ b/internal/coordinator/run_test.go
@@ -183,3 +183,60 @@
 		require.NotNil(t, divergence)
 	})
 }
+
+// A hedge answers for a stuck replica in another failure domain, and the loser is
+// cancelled.
+func TestLoserOfAHedgeIsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		var cancelled, hedges []string
+		c := coordinator.New(coordinator.Options{
+			Views: &source{v: viewOf(configuration(typical()), 0)},
+			Dispatcher: dispatcherFunc(func(ctx context.Context, vm view.VM, r *pb.SubRequest) (*pb.SubReply, error) {
+				if r.Extra {
+					mu.Lock()
+					hedges = append(hedges, vm.FailureDomain)
+					mu.Unlock()
+				}
+				if r.Target != "s5-r0" {
+					return after(ctx, 5*time.Millisecond, r)
+				}
+				<-ctx.Done()
+				mu.Lock()
+				defer mu.Unlock()
+				cancelled = append(cancelled, r.Target)
+				return nil, ctx.Err()
+			}),
+		})
+		answer, err := c.Search(t.Context(), request("r1"))
+		require.NoError(t, err)
+		require.Equal(t, pb.Outcome_OUTCOME_SUCCESS, answer.Outcome)
+		require.EqualValues(t, 1, answer.ExtraSubrequests)
+		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		require.Equal(t, []string{"s5-r0"}, cancelled)
+		require.Len(t, hedges, 1)
+		require.NotEqual(t, "a", hedges[0])
+	})
+}
+
+// The deadline of the caller's context counts when it is earlier.
+func TestCallersDeadlineIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := coordinator.New(coordinator.Options{
+			Views: &source{v: viewOf(configuration(typical()), 0)},
+			Dispatcher: dispatcherFunc(func(ctx context.Context, _ view.VM, r *pb.SubRequest) (*pb.SubReply, error) {
+				return after(ctx, time.Second, r)
+			}),
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		answer, err := c.Search(ctx, request("r1"))
+		require.NoError(t, err)
+		require.Equal(t, 30*time.Millisecond, time.Since(start))
+		require.Equal(t, pb.Outcome_OUTCOME_PARTIAL, answer.Outcome)
+		require.Zero(t, answer.Coverage.Covered)
+	})
+}
--- a/internal/coordinator/search/answer.go
+++ b/internal/coordinator/search/answer.go
@@ -116,8 +116,10 @@
 // setRows sorts the rows by record identifier and cuts them at the row limit.
 func (m *Machine) setRows(answer *pb.SearchResponse) {
 	count := 0
+	var matched uint64
 	for _, result := range m.results {
 		count += len(result.Rows)
+		matched += max(result.Matched, uint64(len(result.Rows)))
 	}
 	rows := make([]*pb.Row, 0, count)
 	for _, result := range m.results {
@@ -132,10 +134,10 @@
 	})
 	limit := int(m.in.Request.RowLimit)
 	if limit > 0 && len(rows) > limit {
-		answer.RowsBeyondLimit = uint64(len(rows) - limit)
 		rows = rows[:limit]
 	}
 	answer.Rows = rows
+	answer.RowsBeyondLimit = matched - uint64(len(rows))
 }
 
 func (m *Machine) setOutcome(answer *pb.SearchResponse) {
--- a/internal/coordinator/search/reply.go
+++ b/internal/coordinator/search/reply.go
@@ -62,6 +62,9 @@
 	case pb.SubStatus_SUB_STATUS_NOT_OWNER:
 		m.observe(a, l, reply, replica.Neutral)
 		m.redirect(a, l, reply)
+	case pb.SubStatus_SUB_STATUS_NOT_DESIGNATED:
+		m.observe(a, l, reply, replica.Neutral)
+		m.sendToDesignated(a, l, reply.DesignatedTarget)
 	case pb.SubStatus_SUB_STATUS_SHED:
 		m.observe(a, l, reply, replica.Refused)
 		m.failed(a, l, pb.MissingReason_MISSING_REASON_REFUSED)
@@ -148,6 +151,19 @@
 	m.dispatch(l, target, owner, Redirect, "the VM asked before is not the owner")
 }
 
+// sendToDesignated sends a suspect content to the one target that may run it.
+// Nothing ran before, so this is no extra load.
+func (m *Machine) sendToDesignated(a *attempt, l *leg, target string) {
+	m.trial.suspected = true
+	routes := m.routes(l)
+	at := slices.IndexFunc(routes.Candidates, func(c replica.Candidate) bool { return c.Target == target })
+	if at < 0 || l.closed || a.kind == Redirect || slices.Contains(l.tried, target) || !m.maySend() || !m.mayRun(l) {
+		m.failed(a, l, pb.MissingReason_MISSING_REASON_QUARANTINED)
+		return
+	}
+	m.send(l, routes, replica.Choice{Index: at, Reason: "the one target that may run the suspect content"}, Redirect)
+}
+
 // defect returns why a reply does not belong to the attempt or is not whole, or
 // nothing.
 func (m *Machine) defect(a *attempt, l *leg, reply *pb.SubReply) string {
@@ -180,6 +196,9 @@
 	if int(result.RowCount) != len(result.Rows) {
 		return "the reply is truncated"
 	}
+	if result.Matched != 0 && result.Matched < uint64(len(result.Rows)) {
+		return "the reply holds more rows than matched"
+	}
 	for _, other := range before {
 		if other.Partition == result.Partition {
 			return "the reply holds a partition twice"
--- a/internal/coordinator/search/send.go
+++ b/internal/coordinator/search/send.go
@@ -233,6 +233,7 @@
 		asked: l.uncovered, sentAt: now, suspect: m.caution() == Suspect,
 		loaded: l.group.Sent(c, now),
 	})
+	m.knowledge.Replicas.Owners().Sent(owner.ID, now)
 	l.shared = true
 	l.started(id)
 	m.running++
--- a/internal/coordinator/search/trial.go
+++ b/internal/coordinator/search/trial.go
@@ -12,6 +12,8 @@
 	proven bool
 	// crashes counts targets that failed while they ran the content.
 	crashes int
+	// suspected is set when an owner holds the content suspect.
+	suspected bool
 	// refused is set when the content must not run on any further target.
 	refused bool
 	// held is the number of legs that wait for the trial.
@@ -32,7 +34,7 @@
 	switch {
 	case m.ctx.Verdict == Quarantined || t.refused:
 		return Quarantined
-	case m.ctx.Verdict == Suspect:
+	case m.ctx.Verdict == Suspect || t.suspected:
 		return Suspect
 	case t.crashes > 0 && !t.proven:
 		return Suspect
--- a/internal/coordinator/straggler_test.go
+++ b/internal/coordinator/straggler_test.go
@@ -99,6 +99,29 @@
 	require.Greater(t, share, 0.5)
 }
 
+// Targets whose owner is frozen stay silent together; the silence of the VM is
+// noticed before that of each target.
+func TestFrozenOwnerKeepsCoverage(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		s := newSimulation(t, seed, typical(), search.Policy{Hedging: true})
+		s.measureFrom = s.now.Add(warmUp)
+		frozen := 0
+		s.after(warmUp, func() {
+			for id, target := range s.targets {
+				if owner, _ := s.views[0].Owner(id); owner.ID == "vm-4" {
+					stuck(target)
+					frozen++
+				}
+			}
+		})
+		end := s.now.Add(6 * time.Second)
+		s.arrivals(searchesPerSecond/2, end)
+		s.runUntil(end.Add(time.Second))
+		t.Log("seed", seed, "frozen targets", frozen, s.figures())
+		require.Equal(t, s.total, s.covered)
+	}
+}
+
 // When every replica of a service refuses, retries stay within the budget and
 // the other services are covered.
 func TestRefusingServiceCausesNoRetryStorm(t *testing.T) {
--- a/internal/coordinator/trial_test.go
+++ b/internal/coordinator/trial_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
 	"github.com/carawayreel/carawayreel/internal/coordinator/search"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
@@ -89,3 +90,31 @@
 	})
 	require.Equal(t, pb.Outcome_OUTCOME_SUCCESS, s.answer.Outcome)
 }
+
+// An owner that knows of a suspicion names the target that may run the content;
+// the refusal sets no target aside and costs no budget.
+func TestSuspectContentGoesToTheDesignatedTarget(t *testing.T) {
+	s := newScript(t, typical())
+	s.start(request("r1"))
+	send := s.sent("s4")
+	designated := "s4-r0"
+	if send.Request.Target == designated {
+		designated = "s4-r1"
+	}
+	for _, other := range append([]search.Send(nil), s.open...) {
+		if other.Request.Service != "s4" {
+			s.reply(other, goodReply(other.Request))
+		}
+	}
+	reply := statusReply(send.Request, pb.SubStatus_SUB_STATUS_NOT_DESIGNATED)
+	reply.DesignatedTarget = designated
+	s.reply(send, reply)
+	again := s.sent("s4")
+	require.Equal(t, designated, again.Request.Target)
+	require.False(t, again.Request.Extra)
+	group := s.know.Replicas.Group(replica.Place{Front: frontName, Service: "s4"})
+	require.False(t, group.SetAside(send.Request.Target))
+	s.reply(again, goodReply(again.Request))
+	require.Equal(t, pb.Outcome_OUTCOME_SUCCESS, s.answer.Outcome)
+	require.Zero(t, s.answer.ExtraSubrequests)
+}
