Test kit reserves port ranges

Cause: TestChangesRunAtMostOnceUnderFaults/seed 2 got rows for archive-01 that the seed does not hold. They are the rows of seed 1 for the same search: while the target was down its port was free, and the stand-in of another test process on this machine had taken it. Ruled out: crossed replies (request, attempt and target were echoed rightly). Change: a range is held by a file lock.

--- a/internal/configstore/configstore_test.go
+++ b/internal/configstore/configstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"sync"
 	"testing"
 	"testing/synctest"
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"strings"
 	"testing"
 
--- a/internal/control/property_test.go
+++ b/internal/control/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"testing"
 	"time"
 
--- a/internal/coordinator/budget/budget_test.go
+++ b/internal/coordinator/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget_test
 
 import (
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"testing"
 
 	"github.com/stretchr/testify/require"
--- a/internal/coordinator/latency/latency_test.go
+++ b/internal/coordinator/latency/latency_test.go
@@ -1,6 +1,7 @@
 package latency_test
 
 import (
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"slices"
 	"testing"
 	"time"
--- a/internal/coordinator/property_test.go
+++ b/internal/coordinator/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"slices"
 	"testing"
 	"time"
--- a/internal/language/parse_test.go
+++ b/internal/language/parse_test.go
@@ -1,6 +1,7 @@
 package language_test
 
 import (
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"os"
 	"regexp"
 	"strings"
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"testing"
 	"time"
 
--- a/internal/owner/property_test.go
+++ b/internal/owner/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"os"
 	"slices"
 	"strconv"
--- a/internal/profile/profile_test.go
+++ b/internal/profile/profile_test.go
@@ -1,6 +1,7 @@
 package profile
 
 import (
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"net"
 	"testing"
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"testing"
 	"time"
 
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"os"
 	"path/filepath"
 	"strings"
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -28,7 +28,7 @@
 	readyLimit = 20 * time.Second
 	stopLimit  = 30 * time.Second
 	// portsPerProfile is more than the targets of any profile.
-	portsPerProfile = 100
+	portsPerProfile = 120
 )
 
 // Setting is one key of a VM's settings file.
@@ -76,6 +76,7 @@
 	VMs     []*VM
 
 	options         Options
+	ports           *portRange
 	standin         *Process
 	platformAddress string
 	http            *http.Client
@@ -88,15 +89,15 @@
 	if err := d.useKey(); err != nil {
 		return d, err
 	}
-	base, err := freePorts(portsPerProfile)
-	if err != nil {
+	var err error
+	if d.ports, err = reservePorts(portsPerProfile); err != nil {
 		return d, err
 	}
-	d.Profile, err = profile.New(options.Profile, base, options.Seed)
+	d.Profile, err = profile.New(options.Profile, d.ports.base, options.Seed)
 	if err != nil {
 		return d, err
 	}
-	if err := d.prepare(base); err != nil {
+	if err := d.prepare(d.ports.base); err != nil {
 		return d, err
 	}
 	for _, vm := range d.VMs {
@@ -386,4 +387,5 @@
 	if d.standin != nil {
 		d.standin.Kill()
 	}
+	d.ports.release()
 }
--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -150,18 +151,56 @@
 	return addresses, nil
 }
 
-// freePorts returns the first of n consecutive ports that were free just now.
-// It searches below the range from which the system assigns ports by itself.
-func freePorts(n int) (int, error) {
-	const first, last, step = 10000, 30000, 200
-	offset := int(time.Now().UnixNano()/int64(time.Millisecond)) + os.Getpid()*step
-	for i := 0; i < last-first; i += step {
-		base := first + (offset+i)%(last-first)
+// portRange is a range of ports that no other test process uses while it is
+// held. Looking for free ports is not enough: a target that is down has closed
+// its port, and another deployment could take it.
+type portRange struct {
+	base int
+	lock *os.File
+}
+
+// reservePorts returns a range of n ports that are free now, below those that
+// the system assigns by itself.
+func reservePorts(n int) (*portRange, error) {
+	const first, last = 10000, 30000
+	dir := filepath.Join(os.TempDir(), "carawayreel-ports")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, errors.Wrap(err, "port locks")
+	}
+	for base := first; base+n <= last; base += n {
+		lock, err := tryLock(filepath.Join(dir, fmt.Sprint(base)))
+		if err != nil {
+			return nil, err
+		}
+		if lock == nil {
+			continue
+		}
 		if portsFree(base, n) {
-			return base, nil
+			return &portRange{base: base, lock: lock}, nil
 		}
+		_ = lock.Close()
+	}
+	return nil, errors.New("no free range of ports")
+}
+
+// tryLock locks the file, or returns nil when another process holds the lock.
+// The system releases the lock when its holder ends.
+func tryLock(path string) (*os.File, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "port lock")
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = file.Close()
+		return nil, nil
+	}
+	return file, nil
+}
+
+func (r *portRange) release() {
+	if r != nil {
+		_ = r.lock.Close()
 	}
-	return 0, errors.New("no free range of ports")
 }
 
 func portsFree(base, n int) bool {
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"testing"
 
 	"github.com/stretchr/testify/require"
