--- a/internal/owner/machine_test.go
+++ b/internal/owner/machine_test.go
@@ -312,3 +312,18 @@
 		require.Len(t, d.running, want, boot)
 	}
 }
+
+// A probe that is refused during the guard time does not bring the next one
+// forward into it.
+func TestNoProbeDuringTheGuardTime(t *testing.T) {
+	d := newDriver(threeSlots, 0)
+	d.finish(d.submit(time.Second), owner.ResultRefused, "", 0)
+	d.now += 100 * time.Millisecond
+	probe := d.submit(time.Second)
+	d.step(owner.Event{Kind: owner.EventResume, Guard: time.Second})
+	d.finish(probe, owner.ResultRefused, "", 0)
+	d.now += 900 * time.Millisecond
+	require.Equal(t, owner.ReasonDown, d.refused[d.submit(time.Second)])
+	d.now += 100 * time.Millisecond
+	require.Contains(t, d.started, d.submit(time.Second))
+}
--- a/internal/owner/transition.go
+++ b/internal/owner/transition.go
@@ -199,7 +199,7 @@
 	m.backoff = min(max(2*m.backoff, probeBackoffLeast), probeBackoffMost)
 	m.phase, m.limit = PhaseDown, 0
 	m.confirmed = false
-	m.nextProbe = now + m.backoff
+	m.nextProbe = max(now+m.backoff, m.guard)
 	m.refuseQueued(ReasonDown)
 }
 
