Stand-in: a restart loses running work at once

Cause: a fault that turns a target cold and drops its connections left the running and waiting work counted until each request noticed that its connection was gone. Work that arrived meanwhile on a new connection could be counted as beyond the cold limit, and work of the old boot could still take effect. Found while reading, when TestColdTargetsAreNotOverloaded (internal/e2e) reported cold violations.

Change: a restart or crash forgets all work and connections under one lock; work of an earlier epoch has no effect, frees no slot, and work that arrives on a dropped connection is not admitted. TestRestartLosesRunningWorkAtOnce was seen failing with each of the three parts switched off on a scratch copy; 20 race runs of the package pass.

Ruled out: this was not the cause of that test's failure, which went on in 3 of 3 runs. A trial on a scratch copy wrote down each fall: in all 32 the target had served 32 pieces of work or more and had been cold for 1,012 ms or longer, with 1 running. The owner's ramp leaves the cold limit after 32 successes and 1 s (coldSuccesses, coldDuration), while the test starts the stand-in with a warm-up of 60 pieces of work and 3 s. Left to the owner's package.

--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -36,6 +36,7 @@
 	t.downFor = max(down, minDownTime)
 	t.counters.Crashes++
 	t.thaw()
+	t.loseWork()
 	t.boot.stop()
 }
 
@@ -50,13 +51,10 @@
 // setFault switches a fault.
 func (t *target) setFault(f *standinv1.Fault) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.setFaultLocked(f)
 	close(t.faults.changed)
 	t.faults.changed = make(chan struct{})
-	t.mu.Unlock()
-	if f.Kind == standinv1.FaultKind_FAULT_KIND_TURN_COLD && f.DropConnections {
-		t.dropConns()
-	}
 }
 
 func (t *target) setFaultLocked(f *standinv1.Fault) {
@@ -80,6 +78,9 @@
 		t.lose(f.Snapshot)
 	case standinv1.FaultKind_FAULT_KIND_TURN_COLD:
 		t.turnCold(f.DropConnections)
+		if f.DropConnections {
+			t.loseWork()
+		}
 	case standinv1.FaultKind_FAULT_KIND_DRAIN:
 		t.faults.draining = true
 		t.markLeaving()
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,14 +36,17 @@
 	announced bool
 	coldAt    time.Time
 	served    int
-	running   int
-	waiting   []chan struct{}
-	held      []heldSnapshot
-	faults    faults
-	conns     map[*gatedConn]struct{}
-	counters  standinv1.TargetCounters
-	health    sampled[*pb.TargetHealthResponse]
-	load      sampled[*pb.TargetLoadResponse]
+	// epoch counts the times that all work was lost; only work of the present
+	// epoch is counted in running and waiting.
+	epoch    uint64
+	running  int
+	waiting  []chan struct{}
+	held     []heldSnapshot
+	faults   faults
+	conns    map[*gatedConn]struct{}
+	counters standinv1.TargetCounters
+	health   sampled[*pb.TargetHealthResponse]
+	load     sampled[*pb.TargetLoadResponse]
 }
 
 // boot is the time between two starts of a target.
@@ -154,6 +159,21 @@
 	}
 }
 
+// loseWork drops all connections and forgets all running and waiting work,
+// which ends without effect. The caller holds the lock.
+func (t *target) loseWork() {
+	t.epoch++
+	t.running = 0
+	t.waiting = nil
+	lost := slices.Collect(maps.Keys(t.conns))
+	clear(t.conns)
+	go func() {
+		for _, conn := range lost {
+			_ = conn.Close()
+		}
+	}()
+}
+
 func (t *target) nextBootID() string {
 	t.boots++
 	return fmt.Sprintf("%s/%d", t.config.Id, t.boots)
--- a/internal/standin/target_test.go
+++ b/internal/standin/target_test.go
@@ -74,6 +74,33 @@
 	require.EqualValues(t, 1, c.UnannouncedColdViolations)
 }
 
+// Work that runs when a target restarts is gone with its connections: it takes
+// no part of the new boot's cold limit and has no effect.
+func TestRestartLosesRunningWorkAtOnce(t *testing.T) {
+	f := start(t, nil)
+	target := f.standin.targets[0]
+	f.fault(archive, stuck())
+	running := []<-chan error{f.background(t.Context(), "q1"), f.background(t.Context(), "q2"), f.background(t.Context(), "q3")}
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.Received == 3 })
+	target.mu.Lock()
+	target.setFaultLocked(&standinv1.Fault{Kind: standinv1.FaultKind_FAULT_KIND_TURN_COLD, DropConnections: true})
+	require.Zero(t, target.running)
+	require.Empty(t, target.waiting)
+	require.Empty(t, target.conns)
+	target.mu.Unlock()
+	dropped := withConn(t.Context(), newGatedConn(nil, 0, nil))
+	require.Panics(t, func() { target.admit(dropped, task{remaining: time.Minute}) }, "work of a dropped connection was admitted")
+	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_CLEAR))
+	for _, result := range running {
+		require.Error(t, <-result)
+	}
+	require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, f.searchStatus(searchRequest("q4")))
+	require.EqualValues(t, 1, f.counters(archive).SearchesRan)
+	require.Zero(t, f.counters(archive).ColdViolations)
+	f.eventually(archive, func(c *standinv1.TargetCounters) bool { return c.Cancelled == 3 })
+	f.requireIdle()
+}
+
 func TestColdTargetWarmsUp(t *testing.T) {
 	f := start(t, func(o *Options) {
 		o.StartCold = true
@@ -124,7 +151,13 @@
 	f.fault(archive, fault(standinv1.FaultKind_FAULT_KIND_CLEAR))
 	require.Equal(t, pb.TargetStatus_TARGET_STATUS_OK, f.searchStatus(searchRequest("q4")))
 	require.EqualValues(t, 1, f.counters(archive).SearchesRan)
-	require.Eventually(t, func() bool {
+	f.requireIdle()
+}
+
+// requireIdle waits until no slot of the first target is taken.
+func (f *fixture) requireIdle() {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
 		target := f.standin.targets[0]
 		target.mu.Lock()
 		defer target.mu.Unlock()
--- a/internal/standin/targetserver.go
+++ b/internal/standin/targetserver.go
@@ -26,7 +26,6 @@
 func (t *target) serve(ctx context.Context, listener net.Listener, running *boot) {
 	for {
 		t.serveBoot(running, listener)
-		t.dropConns()
 		if !t.awaitRestart(ctx) {
 			return
 		}
@@ -47,10 +46,29 @@
 		Handler:           mux,
 		ReadHeaderTimeout: time.Minute,
 		BaseContext:       func(net.Listener) context.Context { return running.ctx },
+		ConnContext:       withConn,
 		ErrorLog:          t.env.silent,
 	}
 	context.AfterFunc(running.ctx, func() { _ = server.Close() })
 	_ = server.Serve(&targetListener{Listener: listener, target: t})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loseWork()
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// connected reports whether the request's connection has not been dropped. The
+// caller holds the lock.
+func (t *target) connected(ctx context.Context) bool {
+	conn, _ := ctx.Value(connKey{}).(*gatedConn)
+	_, open := t.conns[conn]
+	return open
 }
 
 // startBoot starts a boot, which ends with a crash or with the context. Every
@@ -149,16 +167,3 @@
 	defer t.mu.Unlock()
 	delete(t.conns, conn)
 }
-
-// dropConns closes all connections of the target.
-func (t *target) dropConns() {
-	t.mu.Lock()
-	open := make([]*gatedConn, 0, len(t.conns))
-	for conn := range t.conns {
-		open = append(open, conn)
-	}
-	t.mu.Unlock()
-	for _, conn := range open {
-		_ = conn.Close()
-	}
-}
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -22,6 +22,13 @@
 	values []string
 }
 
+// admission is a place that a task has on a target.
+type admission struct {
+	epoch uint64
+	// turn receives a value when the task gets its slot; nil when it has one.
+	turn chan struct{}
+}
+
 // abort ends the request without an answer; its connection closes.
 func abort() {
 	panic(http.ErrAbortHandler)
@@ -32,49 +39,53 @@
 func (t *target) perform(ctx context.Context, w task, effect func() pb.TargetStatus) pb.TargetStatus {
 	ctx, cancel := context.WithTimeout(ctx, max(w.remaining, 0))
 	defer cancel()
-	ticket, status := t.admit(w)
+	place, status := t.admit(ctx, w)
 	if status != pb.TargetStatus_TARGET_STATUS_OK {
 		return status
 	}
-	if ticket != nil && !t.awaitSlot(ctx, ticket) {
+	if !t.awaitSlot(ctx, place) {
 		return t.interrupted(ctx)
 	}
-	status = t.runInSlot(ctx, w, effect)
+	status = t.runInSlot(ctx, w, place, effect)
 	t.maybeDropAnswer(ctx, status)
 	return status
 }
 
-// admit decides whether a task may run. The channel is nil when the task has a
-// slot, and otherwise receives one value when it gets its slot.
-func (t *target) admit(w task) (chan struct{}, pb.TargetStatus) {
+// admit decides whether a task may run. It aborts a task whose connection was
+// dropped.
+func (t *target) admit(ctx context.Context, w task) (admission, pb.TargetStatus) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.connected(ctx) {
+		abort()
+	}
+	place := admission{epoch: t.epoch}
 	t.countReceived()
 	switch {
 	case t.faults.draining:
 		t.counters.DrainingRefused++
-		return nil, pb.TargetStatus_TARGET_STATUS_DRAINING
+		return place, pb.TargetStatus_TARGET_STATUS_DRAINING
 	case t.faults.refuse:
 		t.counters.Shed++
-		return nil, pb.TargetStatus_TARGET_STATUS_SHED
+		return place, pb.TargetStatus_TARGET_STATUS_SHED
 	case w.remaining <= 0:
 		t.counters.Expired++
-		return nil, pb.TargetStatus_TARGET_STATUS_EXPIRED
+		return place, pb.TargetStatus_TARGET_STATUS_EXPIRED
 	case w.snapshot != 0 && !t.holds(w.snapshot):
 		t.counters.SnapshotGone++
-		return nil, pb.TargetStatus_TARGET_STATUS_SNAPSHOT_GONE
+		return place, pb.TargetStatus_TARGET_STATUS_SNAPSHOT_GONE
 	case t.cold && t.running+len(t.waiting) >= int(t.config.ColdLimit):
 		t.fallOver()
 	case t.running < int(t.config.Slots):
 		t.running++
-		return nil, pb.TargetStatus_TARGET_STATUS_OK
+		return place, pb.TargetStatus_TARGET_STATUS_OK
 	case len(t.waiting) >= t.env.options.QueueLength:
 		t.counters.Shed++
-		return nil, pb.TargetStatus_TARGET_STATUS_SHED
+		return place, pb.TargetStatus_TARGET_STATUS_SHED
 	}
-	ticket := make(chan struct{}, 1)
-	t.waiting = append(t.waiting, ticket)
-	return ticket, pb.TargetStatus_TARGET_STATUS_OK
+	place.turn = make(chan struct{}, 1)
+	t.waiting = append(t.waiting, place.turn)
+	return place, pb.TargetStatus_TARGET_STATUS_OK
 }
 
 // fallOver crashes a target that got more work than it bears in cold start.
@@ -91,30 +102,35 @@
 
 // awaitSlot waits until the task has a slot. It reports false when the context
 // ended first.
-func (t *target) awaitSlot(ctx context.Context, ticket chan struct{}) bool {
+func (t *target) awaitSlot(ctx context.Context, place admission) bool {
+	if place.turn == nil {
+		return true
+	}
 	select {
-	case <-ticket:
+	case <-place.turn:
 		return true
 	case <-ctx.Done():
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, waiting := range t.waiting {
-		if waiting == ticket {
+		if waiting == place.turn {
 			t.waiting = append(t.waiting[:i:i], t.waiting[i+1:]...)
 			return false
 		}
 	}
-	t.releaseLocked()
+	t.releaseLocked(place.epoch)
 	return false
 }
 
 // runInSlot runs a task that has a slot, and frees the slot.
-func (t *target) runInSlot(ctx context.Context, w task, effect func() pb.TargetStatus) pb.TargetStatus {
-	defer t.release()
+func (t *target) runInSlot(
+	ctx context.Context, w task, place admission, effect func() pb.TargetStatus,
+) pb.TargetStatus {
+	defer t.release(place.epoch)
 	execution := t.start(w)
 	t.crashOnContent(w.values)
-	if !t.spend(ctx) {
+	if !t.spend(ctx) || t.lost(place) {
 		return t.interrupted(ctx)
 	}
 	status := effect()
@@ -221,14 +237,25 @@
 	}
 }
 
-func (t *target) release() {
+// lost reports whether the task's place went with all other work.
+func (t *target) lost(place admission) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.releaseLocked()
+	return t.epoch != place.epoch
 }
 
-// releaseLocked gives the slot to the task that waits longest, if any.
-func (t *target) releaseLocked() {
+func (t *target) release(epoch uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.releaseLocked(epoch)
+}
+
+// releaseLocked gives the slot to the task that waits longest, if any. A slot
+// of an earlier epoch is gone.
+func (t *target) releaseLocked(epoch uint64) {
+	if epoch != t.epoch {
+		return
+	}
 	if len(t.waiting) == 0 {
 		t.running--
 		return
