Control: VMs that were frozen together do not confirm one another

Cause: a peer that had been frozen as well answered with the same members and the same old revision, and ended the pause. Answers now say whether the responder is paused (HeartbeatResponse.paused); its word counts only once the revision was confirmed since the pause, or after suspect_after, since all VMs of a start are paused.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -112,6 +112,7 @@
 		ConfigurationAgeMs:    uint64(m.age().Milliseconds()),
 		Members:               m.table.News(sender.GetVm()),
 		MembersDigest:         m.table.Digest(),
+		Paused:                m.pause.active,
 	}
 	switch {
 	case request.Full && request.MembersDigest == 0:
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -240,3 +240,56 @@
 	m.step(answer(peer, "vm-0-001", woken, woken+2*time.Millisecond))
 	require.False(t, m.published.paused)
 }
+
+// failBacklog drops the requests that a frozen VM has not read, whose senders
+// have given up, and turns the store's answers into failures, as those calls
+// have timed out.
+func (vm *simulatedVM) failBacklog() {
+	var kept []*pb.ControlEvent
+	var done []func([]*pb.ControlDecision)
+	for i, event := range vm.backlog {
+		if read := event.GetStoreRead(); read != nil {
+			read.Failed, read.Configuration = true, nil
+		}
+		if event.GetHeartbeatReceived() == nil && event.GetDeltaReceived() == nil {
+			kept, done = append(kept, event), append(done, vm.backlogDone[i])
+		}
+	}
+	vm.backlog, vm.backlogDone = kept, done
+}
+
+// A whole failure domain is frozen at once, as with a host or a switch: its VMs
+// must not confirm one another with what both believed before.
+func TestVMsThatWereFrozenTogetherDoNotConfirmOneAnother(t *testing.T) {
+	for _, storeDown := range []bool{false, true} {
+		s := deployment(2, 3)
+		s.write(testConfiguration(2, "first"))
+		s.run(3 * time.Second)
+		frozen := []string{"vm-0-000", "vm-0-001", "vm-0-002"}
+		for _, name := range frozen {
+			s.freeze(name)
+		}
+		s.run(10 * time.Second)
+		taken := testConfiguration(2, "second")
+		taken.FailureDomains[0].State = pb.ServingState_SERVING_STATE_TAKEN_OUT
+		s.write(taken)
+		s.run(time.Second)
+		s.storeDown = storeDown
+		for _, name := range frozen {
+			vm := s.vms[name]
+			vm.onStep = func(*pb.ControlEvent, []*pb.ControlDecision) {
+				require.True(t, vm.machine.published.paused || vm.machine.revision() == 2, name)
+			}
+		}
+		for _, name := range frozen {
+			s.vms[name].failBacklog()
+		}
+		for _, name := range frozen {
+			s.wake(name)
+		}
+		s.run(5 * time.Second)
+		for _, name := range frozen {
+			require.False(t, s.vms[name].machine.published.paused)
+		}
+	}
+}
--- a/internal/control/pause.go
+++ b/internal/control/pause.go
@@ -50,7 +50,8 @@
 // confirmPause ends a pause when a peer's answer confirms the members and the
 // revision: the heartbeat was sent after the gap, the peer sent its whole table
 // or its digest is the same, and it knows no newer revision. The peer is one of
-// the own failure domain if any is alive.
+// the own failure domain if any is alive. VMs that were frozen together do not
+// confirm one another.
 func (m *machine) confirmPause(answered *pb.HeartbeatAnswered, sentAt time.Time) {
 	whole := answered.Vm == m.exchange.wholeSentTo && sentAt.Equal(m.exchange.wholeSentAt)
 	if whole || answered.Vm == "" {
@@ -70,9 +71,19 @@
 	if answered.Response.ConfigurationRevision > m.revision() {
 		return
 	}
+	if answered.Response.Paused && !m.confirmedSincePause() {
+		return
+	}
 	m.endPause()
 }
 
+// confirmedSincePause reports whether the word of a peer that is paused itself
+// is enough: the revision was confirmed since the pause began, or nobody could
+// confirm it in the time in which others would have answered.
+func (m *machine) confirmedSincePause() bool {
+	return !m.confirmedAt.Before(m.pause.since) || m.now.Sub(m.pause.since) > m.config.suspectAfter
+}
+
 // checkPause ends a pause where no peer can: with no other VM alive the platform
 // confirms, by its store and by a list that names this VM; and with nobody in
 // reach at all the VM goes on alone after the time in which others would have
