--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -29,7 +29,7 @@
 	case *pb.ControlDecision_Offer:
 		go c.offer(ctx, kind.Offer, c.machine.configuration)
 	case *pb.ControlDecision_Publish:
-		c.rebuild()
+		c.rebuildDue = true
 	}
 	return nil
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -52,6 +52,8 @@
 }
 
 const (
+	// maxBatch bounds the events that are taken before a view is published.
+	maxBatch = 256
 	// inboxLength bounds the events that wait for the control goroutine.
 	inboxLength = 1024
 	// ticksPerGap is the number of ticks in the shortest clock gap that must be
@@ -89,7 +91,11 @@
 	machine  *machine
 	// built is what the newest view was built from, and membersShown the version
 	// of the members in the status.
-	built        publication
+	built      publication
+	rebuildDue bool
+	viewsBuilt atomic.Uint64
+	// tickedAt is the time of the newest tick since the start.
+	tickedAt     time.Duration
 	membersShown uint64
 }
 
@@ -168,15 +174,15 @@
 	defer close(c.stopped)
 	ticker := time.NewTicker(min(c.config.heartbeat, c.config.clockGap/ticksPerGap))
 	defer ticker.Stop()
-	c.take(ctx, input{event: tickEvent()})
+	c.takeAll(ctx, input{event: tickEvent()})
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			c.take(ctx, input{event: tickEvent()})
+			c.takeAll(ctx, input{event: tickEvent()})
 		case in := <-c.inbox:
-			c.take(ctx, in)
+			c.takeAll(ctx, in)
 		}
 	}
 }
@@ -185,27 +191,66 @@
 	return &pb.ControlEvent{Kind: &pb.ControlEvent_Tick{Tick: &pb.ControlTick{}}}
 }
 
+// takeAll takes an event and those that wait behind it, and then publishes once
+// for all of them: many members may change at once. Whoever posted an event goes
+// on after the view with its effect.
+func (c *Control) takeAll(ctx context.Context, first input) {
+	taken := []reply{c.take(ctx, first)}
+	for len(taken) < maxBatch {
+		in, ok := c.waiting()
+		if !ok {
+			break
+		}
+		taken = append(taken, c.take(ctx, in))
+	}
+	if c.rebuildDue {
+		c.rebuild()
+	}
+	c.setStatus()
+	if c.tickedAt > 0 {
+		// After the view, so that a reader that finds the tick fresh also finds
+		// the pause that the tick may have begun.
+		c.lastTick.Store(int64(c.tickedAt))
+	}
+	for _, r := range taken {
+		if r.done != nil {
+			r.done <- r.answer
+		}
+	}
+}
+
+// reply is what the poster of an event gets.
+type reply struct {
+	done   chan *pb.HeartbeatResponse
+	answer *pb.HeartbeatResponse
+}
+
+// waiting returns the next event if there is one already.
+func (c *Control) waiting() (input, bool) {
+	select {
+	case in := <-c.inbox:
+		return in, true
+	default:
+		return input{}, false
+	}
+}
+
 // take runs one event through the machine and carries its decisions out.
-func (c *Control) take(ctx context.Context, in input) {
+func (c *Control) take(ctx context.Context, in input) reply {
 	elapsed := time.Since(c.base)
 	in.event.OffsetUs = elapsed.Microseconds()
 	decisions := c.machine.step(in.event)
 	c.trace.record(in.event, decisions)
-	var answer *pb.HeartbeatResponse
+	r := reply{done: in.done}
 	for _, decision := range decisions {
 		if response := c.carryOut(ctx, decision); response != nil {
-			answer = response
+			r.answer = response
 		}
 	}
-	c.setStatus()
 	if in.event.GetTick() != nil {
-		// After the view, so that a reader that finds the tick fresh also finds
-		// the pause that the tick may have begun.
-		c.lastTick.Store(int64(elapsed))
-	}
-	if in.done != nil {
-		in.done <- answer
+		c.tickedAt = elapsed
 	}
+	return r
 }
 
 func (c *Control) setStatus() {
@@ -245,7 +290,9 @@
 	} else {
 		direct := c.options.Settings.GetExperiment().GetDirectTargets()
 		next = view.Build(m.input(confirmedAt, direct), before)
+		c.viewsBuilt.Add(1)
 	}
+	c.rebuildDue = false
 	c.current.Store(next)
 	c.logChange(before, next)
 	c.built = published
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -216,3 +217,25 @@
 		require.Greater(t, events, 50)
 	})
 }
+
+// Many members that change at once cost few views.
+func TestManyChangesAtOnceArePublishedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStage(t, "0a")
+		time.Sleep(5 * time.Second)
+		s.apply(s.controls[0], "first", 0)
+		c := s.controls[0]
+		before := c.viewsBuilt.Load()
+		s.freezers[0].freeze()
+		const joining = 200
+		for i := range joining {
+			member := simulatedHeader(fmt.Sprintf("vm-%d", i), "domain-1", 0, 1).Self
+			go c.Heartbeat(s.ctx, &pb.HeartbeatRequest{Sender: member})
+		}
+		time.Sleep(200 * time.Millisecond)
+		s.freezers[0].thaw()
+		synctest.Wait()
+		require.Len(t, c.Members(), joining+1)
+		require.Less(t, c.viewsBuilt.Load()-before, uint64(5))
+	})
+}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -65,6 +65,7 @@
 	count("deaths_total", func(n counts) uint64 { return n.table.Deaths })
 	count("suspicions_refuted_total", func(n counts) uint64 { return n.table.Refuted })
 	count("own_refutations_total", func(n counts) uint64 { return n.table.OwnRefutations })
+	gauge("views_built_total", func() float64 { return float64(c.viewsBuilt.Load()) })
 	gauge("control_bytes_sent_total", func() float64 { return float64(c.traffic.sent.Load()) })
 	gauge("control_bytes_received_total", func() float64 { return float64(c.traffic.received.Load()) })
 }
