Coordinator: content on trial runs on two targets at most

Cause: unproven content was released to all services after two hedge delays (40 ms), but behind a guard time or in a queue an attempt has not even run by then, and all were dispatched together (TestPoisonRequestCrashesTwoTargetsAtMost: 4 to 7 crashes). Ruled out: releasing at half of the time limit, 4 to 6 crashes for the same reason. Change: no release by time; when the first attempt is slow, one target of another service and domain is tried beside it, which no silent service can hold up, and any answer releases the rest. When the content is refused, attempts that still wait at owners are cancelled.

--- a/internal/coordinator/search/leg.go
+++ b/internal/coordinator/search/leg.go
@@ -113,8 +113,8 @@
 	domain string
 	asked  []string
 	sentAt time.Time
-	// suspect is set when the content was under suspicion at the send.
-	suspect bool
+	// caution is how carefully the content was treated at the send.
+	caution Verdict
 	// loaded is set when the target was loaded beyond its slots at the send.
 	loaded bool
 	slow   bool
--- a/internal/coordinator/search/machine.go
+++ b/internal/coordinator/search/machine.go
@@ -110,7 +110,6 @@
 	for i := range m.legs {
 		m.legTimer(&m.legs[i])
 	}
-	m.trialTimer()
 }
 
 // refusal returns why nothing of the search may be sent, or nothing.
@@ -154,7 +153,6 @@
 	for i := range m.legs {
 		m.wakeBy(m.legs[i].due())
 	}
-	m.wakeBy(m.trial.releaseAt)
 }
 
 // wakeBy asks for a Timer event at that time or earlier; the zero time asks for
@@ -182,9 +180,16 @@
 	m.decide(pb.DecisionKind_DECISION_KIND_PIN, nil, nil, reason)
 }
 
+// sendAll sends the first attempts of all legs. Content on trial starts with a leg
+// that depends on the content, so that one service in trouble does not hold up
+// every trial.
 func (m *Machine) sendAll(kind Kind) {
+	first := 0
+	if m.caution() != Clear {
+		first = int(m.in.Digest % uint64(len(m.legs)))
+	}
 	for i := range m.legs {
-		m.sendFirst(&m.legs[i], kind)
+		m.sendFirst(&m.legs[(first+i)%len(m.legs)], kind)
 	}
 }
 
--- a/internal/coordinator/search/reply.go
+++ b/internal/coordinator/search/reply.go
@@ -76,8 +76,8 @@
 		m.failed(a, l, pb.MissingReason_MISSING_REASON_SNAPSHOT_GONE)
 	case pb.SubStatus_SUB_STATUS_QUARANTINED:
 		m.observe(a, l, reply, replica.Neutral)
-		m.trial.refused = true
 		m.giveUp(l, pb.MissingReason_MISSING_REASON_QUARANTINED)
+		m.stopContent()
 	case pb.SubStatus_SUB_STATUS_DEADLINE:
 		m.mayHaveRun = true
 		m.observe(a, l, reply, replica.Cancelled)
--- a/internal/coordinator/search/send.go
+++ b/internal/coordinator/search/send.go
@@ -84,7 +84,7 @@
 	if !m.mayRun(l) {
 		return
 	}
-	choice := m.choose(l, routes, "")
+	choice := m.choose(l, routes, m.trialDomain())
 	if choice.Index == replica.None {
 		m.giveUp(l, pb.MissingReason_MISSING_REASON_NO_REPLICA)
 		return
@@ -117,6 +117,9 @@
 	if l.running == 0 || l.running > hedgesPerLeg {
 		return
 	}
+	if m.caution() == Unproven && (m.tryAnotherService(l) || m.running >= trialAttempts) {
+		return
+	}
 	routes := m.routes(l)
 	choice := m.choose(l, routes, m.runningDomain(l))
 	if choice.Index == replica.None || choice.SetAside || m.knownToLack(l, routes, choice) {
@@ -230,7 +233,7 @@
 	id := uint64(len(m.attempts) + 1)
 	m.attempts = append(m.attempts, attempt{
 		id: id, leg: l.index, kind: kind, target: c.Target, owner: owner.ID, domain: c.FailureDomain,
-		asked: l.uncovered, sentAt: now, suspect: m.caution() == Suspect,
+		asked: l.uncovered, sentAt: now, caution: m.caution(),
 		loaded: l.group.Sent(c, now),
 	})
 	m.knowledge.Replicas.Owners().Sent(owner.ID, now)
