Attempts that reached no target are followed by another replica without budget

Cause: after a VM froze and woke, it and the VM that stood in for it both said that they do not own a target for some ms, and a killed VM refuses connections. Ruled out: a larger budget (it bounds load on targets, and nothing had reached one). Change: such a retry is a redirect; a leg asks each replica once, which bounds it.

--- a/internal/coordinator/search/leg.go
+++ b/internal/coordinator/search/leg.go
@@ -38,6 +38,9 @@
 	// the failure domain it was sent to.
 	reason     pb.MissingReason
 	lastDomain string
+	// unreached is set while the last attempt that ended certainly reached no
+	// target, so that another replica may be asked without extra load.
+	unreached bool
 
 	hedgeAt time.Time
 	// retryAt is when a retry that the budget did not allow is tried again;
--- a/internal/coordinator/search/reply.go
+++ b/internal/coordinator/search/reply.go
@@ -41,8 +41,18 @@
 	m.takeStatus(a, l, reply)
 }
 
+// ErrNotSent is the cause of an attempt's error when no byte of the attempt left
+// this VM.
+var ErrNotSent = errors.New("the owner cannot be reached; nothing was sent")
+
 // takeError ends an attempt that brought no reply.
 func (m *Machine) takeError(a *attempt, l *leg, err error) {
+	if errors.Is(err, ErrNotSent) {
+		m.knowledge.Replicas.Owners().Unreachable(a.owner, m.ctx.Now)
+		m.observe(a, l, nil, replica.Failed)
+		m.unreached(a, l)
+		return
+	}
 	m.mayHaveRun = true
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		m.observe(a, l, nil, replica.Cancelled)
@@ -129,6 +139,20 @@
 	}
 	l.reason = reason
 	l.lastDomain = a.domain
+	l.unreached = false
+	m.retry(l)
+}
+
+// unreached goes on with a leg after an attempt that certainly reached no
+// target. Asking another replica then brings no extra load on targets, so that
+// the budget is spared; since a leg asks each replica once, this is bounded.
+func (m *Machine) unreached(a *attempt, l *leg) {
+	if l.closed {
+		return
+	}
+	l.reason = pb.MissingReason_MISSING_REASON_UNREACHABLE
+	l.lastDomain = a.domain
+	l.unreached = true
 	m.retry(l)
 }
 
@@ -144,7 +168,7 @@
 	}
 	usable = usable && a.kind != Redirect && !l.closed && m.ctx.View.InService(a.target)
 	if !usable || !m.maySend() || !m.mayRun(l) {
-		m.failed(a, l, pb.MissingReason_MISSING_REASON_UNREACHABLE)
+		m.unreached(a, l)
 		return
 	}
 	target := replica.Candidate{Target: a.target, FailureDomain: a.domain, Owner: owner.ID}
--- a/internal/coordinator/search/send.go
+++ b/internal/coordinator/search/send.go
@@ -164,6 +164,10 @@
 	if !m.mayRun(l) {
 		return
 	}
+	if l.unreached {
+		m.send(l, routes, choice, Redirect)
+		return
+	}
 	if !m.budget.Spend(budget.Retry) {
 		m.awaitBudget(l, choice)
 		return
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/carawayreel/carawayreel/internal/coordinator/search"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/peer"
@@ -31,6 +33,20 @@
 	}
 }
 
+// dispatcher turns the errors of calls between VMs into the coordinator's.
+type dispatcher struct {
+	peers *peer.Client
+}
+
+// Dispatch runs a subrequest on the VM that owns its target.
+func (d dispatcher) Dispatch(ctx context.Context, vm view.VM, r *pb.SubRequest) (*pb.SubReply, error) {
+	reply, err := d.peers.Dispatch(ctx, vm, r)
+	if errors.Is(err, peer.ErrUnreachable) {
+		return nil, errors.Wrap(search.ErrNotSent, err.Error())
+	}
+	return reply, err
+}
+
 // claimStore keeps callers' claims in the platform's store.
 type claimStore struct {
 	store platform.Store
