--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,7 +35,9 @@
 	self  string
 	owner Owner
 	http  *http.Client
-	limit connect.ClientOption
+	// options bound the size of messages and turn compression off: it costs more
+	// than the bytes it saves between VMs of a region.
+	options []connect.ClientOption
 
 	mu      sync.RWMutex
 	clients map[string]carawayreelv1connect.PeerServiceClient
@@ -47,7 +49,10 @@
 	return &Client{
 		self:    self,
 		http:    client,
-		limit:   connect.WithReadMaxBytes(int(maxBytes)),
+		options: []connect.ClientOption{
+			connect.WithReadMaxBytes(int(maxBytes)),
+			connect.WithAcceptCompression("gzip", nil, nil),
+		},
 		clients: map[string]carawayreelv1connect.PeerServiceClient{},
 	}
 }
@@ -70,7 +75,7 @@
 	if client, ok = c.clients[address]; ok {
 		return client
 	}
-	client = carawayreelv1connect.NewPeerServiceClient(c.http, "http://"+address, c.limit)
+	client = carawayreelv1connect.NewPeerServiceClient(c.http, "http://"+address, c.options...)
 	c.clients[address] = client
 	return client
 }
