--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,8 +47,8 @@
 // refused.
 func New(self string, client *http.Client, maxBytes uint32) *Client {
 	return &Client{
-		self:    self,
-		http:    client,
+		self: self,
+		http: client,
 		options: []connect.ClientOption{
 			connect.WithReadMaxBytes(int(maxBytes)),
 			connect.WithAcceptCompression("gzip", nil, nil),
