--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -190,11 +190,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "port lock")
 	}
-	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		_ = file.Close()
+	err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err == nil {
+		return file, nil
+	}
+	_ = file.Close()
+	if errors.Is(err, syscall.EWOULDBLOCK) {
 		return nil, nil
 	}
-	return file, nil
+	return nil, errors.Wrap(err, "port lock")
 }
 
 func (r *portRange) release() {
