--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -280,3 +280,46 @@
 	t.Helper()
 	require.Eventually(t, condition, 10*time.Second, time.Millisecond)
 }
+
+func TestDirectModeServesWithoutOwnershipOrGuard(t *testing.T) {
+	fake := newFakeTarget(t)
+	d := newDeployment(fake)
+	d.input.Self.FailureDomain, d.input.Direct = "elsewhere", true
+	d.publish()
+	o := d.owner(func(options *owner.Options) { options.Limits.GuardMs = 60000 })
+	requireStatus(t, pb.SubStatus_SUB_STATUS_OK, o.Dispatch(t.Context(), subRequest("a", 10*time.Second)))
+}
+
+// A target that was lost and gained again is served only once the work of before
+// has ended at it.
+func TestRegainedTargetWaitsForTheWorkOfBefore(t *testing.T) {
+	fake := newFakeTarget(t)
+	release := make(chan struct{})
+	fake.search = func(_ context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
+		if r.Attempt == 1 {
+			<-release
+		}
+		return fake.reply(r), nil
+	}
+	d := newDeployment(fake)
+	o := d.owner(nil)
+	go func() { _ = o.Serve(t.Context()) }()
+	done := make(chan *pb.SubReply)
+	go func() { done <- o.Dispatch(t.Context(), subRequest("a", 10*time.Second)) }()
+	eventually(t, func() bool { return fake.running.Load() == 1 })
+	self := d.input.Self
+	d.input.Self.State = pb.MemberState_MEMBER_STATE_LEAVING
+	d.publish()
+	eventually(t, func() bool { return len(o.Targets()) == 0 })
+	d.input.Self = self
+	d.publish()
+	second := subRequest("a", 10*time.Second)
+	second.Attempt = 2
+	requireStatus(t, pb.SubStatus_SUB_STATUS_SHED, o.Dispatch(t.Context(), second))
+	close(release)
+	requireStatus(t, pb.SubStatus_SUB_STATUS_OK, <-done)
+	eventually(t, func() bool {
+		return o.Dispatch(t.Context(), second).Status == pb.SubStatus_SUB_STATUS_OK
+	})
+	require.EqualValues(t, 1, fake.mostRunning.Load())
+}
