Control: other failure domains are judged and repaired sooner

A failure domain that failed to answer is now asked again each round. While the store does not confirm the configuration (age above 1 s), three other failure domains are asked in a round instead of one, so that peers confirm it in time also with nine.

The property over faults now also requires equal beliefs in the end, and failed: the VMs of one failure domain can agree for good on what another one does not know, and any agreeing answer had reset the wait for an exchange. The wait is kept for each failure domain now.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -23,11 +23,29 @@
 	// wholeSentTo and wholeSentAt name the heartbeat that asks for it.
 	wholeSentTo string
 	wholeSentAt time.Time
-	// differsSince is when digests began to differ; zero while they agree.
-	differsSince time.Time
+	// differsSince is when the digests of a failure domain's VMs began to differ
+	// from this VM's; it has no entry while they agree. The VMs of one failure
+	// domain can agree for long on what those of another do not know.
+	differsSince map[string]time.Time
 	lastPartAt   time.Time
 }
 
+const (
+	// agingAfter is the age of the configuration above which more of the other
+	// failure domains are asked, since the store does not confirm it.
+	agingAfter = time.Second
+	// agingProbes is their number in each round.
+	agingProbes = 3
+)
+
+// remoteProbes returns how many other failure domains get a heartbeat in a round.
+func (m *machine) remoteProbes() int {
+	if m.age() > agingAfter {
+		return agingProbes
+	}
+	return 1
+}
+
 func (m *machine) sendHeartbeats(contacts []membership.Contact) {
 	// The first one may be asked for the whole table; it is another one each
 	// round, as it may be dead.
@@ -68,15 +86,16 @@
 // fullWanted decides how much of the table to ask a VM for.
 func (m *machine) fullWanted(vm string) tableRequest {
 	x := &m.exchange
-	own := m.table.FailureDomain(vm) == m.domain
+	domain := m.table.FailureDomain(vm)
+	own := domain == m.domain
 	_, ownPeer := m.table.HasLivePeer()
 	if x.wholeWanted && (own || !ownPeer) && m.now.After(x.wholeSentAt) {
 		x.wholeSentTo = vm
 		x.wholeSentAt = m.now
 		return wholeTable
 	}
-	differs := !x.differsSince.IsZero() && m.now.Sub(x.differsSince) > differingRounds*m.config.heartbeat
-	if differs && m.now.Sub(x.lastPartAt) > exchangeInterval {
+	since, differs := x.differsSince[domain]
+	if differs && m.now.Sub(since) > differingRounds*m.config.heartbeat && m.now.Sub(x.lastPartAt) > exchangeInterval {
 		x.lastPartAt = m.now
 		return partOfTable
 	}
@@ -134,7 +153,7 @@
 	m.table.Answered(answered.Vm, responder, response.Members, m.now)
 	m.noteRevision(responder.Vm, response.ConfigurationRevision)
 	m.noteConfirmation(responder, response, sentAt)
-	m.noteDigest(response.MembersDigest)
+	m.noteDigest(responder.FailureDomain, response.MembersDigest)
 	m.confirmPause(answered, sentAt)
 	m.confirmLeave(responder, sentAt)
 }
@@ -202,13 +221,13 @@
 	}
 }
 
-func (m *machine) noteDigest(digest uint64) {
+func (m *machine) noteDigest(failureDomain string, digest uint64) {
 	if digest == m.table.Digest() {
-		m.exchange.differsSince = time.Time{}
+		delete(m.exchange.differsSince, failureDomain)
 		return
 	}
-	if m.exchange.differsSince.IsZero() {
-		m.exchange.differsSince = m.now
+	if _, ok := m.exchange.differsSince[failureDomain]; !ok {
+		m.exchange.differsSince[failureDomain] = m.now
 	}
 }
 
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -145,7 +145,7 @@
 		NewsPerMessage:    newsPerMessage,
 	}, h.Self, h.Seed, start)
 	m.pause = pause{active: true, since: start}
-	m.exchange.wholeWanted = true
+	m.exchange = exchange{wholeWanted: true, differsSince: map[string]time.Time{}}
 	return m
 }
 
@@ -182,6 +182,7 @@
 
 func (m *machine) tick() {
 	m.lastTick = m.now
+	m.table.ProbeRemote(m.remoteProbes())
 	m.sendHeartbeats(m.table.Tick(m.now))
 	m.callPlatform()
 	m.checkPause()
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -293,3 +293,19 @@
 		}
 	}
 }
+
+// While the store is down, VMs of all nine failure domains keep the
+// configuration confirmed by one another.
+func TestPeersConfirmDuringAnOutageOfTheStore(t *testing.T) {
+	s := deployment(9, 2)
+	s.write(testConfiguration(9, "first"))
+	s.run(3 * time.Second)
+	s.storeDown = true
+	s.run(5 * time.Second)
+	for range 100 {
+		s.run(100 * time.Millisecond)
+		for _, name := range s.names {
+			require.Less(t, s.vms[name].machine.age(), 2*time.Second, name)
+		}
+	}
+}
--- a/internal/control/pause.go
+++ b/internal/control/pause.go
@@ -28,7 +28,7 @@
 	m.pause.active = true
 	m.pause.since = m.now
 	m.exchange.wholeWanted = true
-	m.exchange.differsSince = time.Time{}
+	m.exchange.differsSince = map[string]time.Time{}
 	// The domains were heard before the gap.
 	m.domainHeard = map[string]time.Time{}
 	m.table.Resume(m.now)
--- a/internal/control/property_test.go
+++ b/internal/control/property_test.go
@@ -138,8 +138,12 @@
 			}
 		}
 		d.run(t, 15*time.Second)
+		digests := map[uint64]bool{}
 		for _, name := range s.names {
 			vm := s.vms[name]
+			if vm.up {
+				digests[vm.machine.table.Digest()] = true
+			}
 			require.False(t, vm.reverted, "%s went back", name)
 			if vm.up {
 				require.Equal(t, s.store.Revision, vm.machine.revision(), name)
@@ -147,6 +151,7 @@
 				require.Less(t, vm.machine.age(), 2*time.Second, name)
 			}
 		}
+		require.LessOrEqual(t, len(digests), 1, "all VMs believe the same")
 	})
 }
 
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -23,7 +23,7 @@
 	if vm := t.randomOwn(neighbours); vm != "" {
 		contacts = append(contacts, t.contact(vm))
 	}
-	if vm := t.randomRemote(); vm != "" {
+	for _, vm := range t.randomRemote() {
 		contacts = append(contacts, t.contact(vm))
 	}
 	return contacts
@@ -207,14 +207,41 @@
 	return rest[t.random.IntN(len(rest))]
 }
 
-// randomRemote returns a VM of another failure domain, which take turns.
-func (t *Table) randomRemote() string {
-	if len(t.index.remote) == 0 {
-		return ""
+// ProbeRemote sets how many other failure domains get a heartbeat each round;
+// it is 1 at first.
+func (t *Table) ProbeRemote(domains int) { t.remoteProbes = domains }
+
+// randomRemote returns a VM of each of some other failure domains: first of
+// those that did not answer last time and do not count as unreachable yet, then
+// the others in turn.
+func (t *Table) randomRemote() []string {
+	remote := t.index.remote
+	var chosen []string
+	choose := func(from remoteDomain) {
+		chosen = append(chosen, from.vms[t.random.IntN(len(from.vms))])
 	}
-	t.remoteTurn++
-	vms := t.index.remote[t.remoteTurn%len(t.index.remote)].vms
-	return vms[t.random.IntN(len(vms))]
+	for _, candidate := range remote {
+		if len(chosen) < t.remoteProbes && t.doubtful(candidate.name) {
+			choose(candidate)
+		}
+	}
+	for range remote {
+		if len(chosen) >= t.remoteProbes {
+			break
+		}
+		t.remoteTurn++
+		if candidate := remote[t.remoteTurn%len(remote)]; !t.doubtful(candidate.name) {
+			choose(candidate)
+		}
+	}
+	return chosen
+}
+
+// doubtful reports whether a failure domain failed to answer and is not known to
+// be unreachable.
+func (t *Table) doubtful(name string) bool {
+	d, ok := t.domains[name]
+	return ok && d.failures > 0 && !d.unreachable
 }
 
 // OwnDomain returns the VMs of the own failure domain that were heard of and may
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -53,10 +53,13 @@
 	now    time.Time
 	lost   func(from, to string) bool
 	stuck  map[string]bool
+	// differing counts a VM's exchanges with a failure domain since its digest
+	// last agreed with one of that.
+	differing map[string]int
 }
 
 func newCluster(domains, perDomain int) *cluster {
-	c := &cluster{tables: map[string]*membership.Table{}, domain: map[string]string{}, now: zero, stuck: map[string]bool{}}
+	c := &cluster{tables: map[string]*membership.Table{}, domain: map[string]string{}, now: zero, stuck: map[string]bool{}, differing: map[string]int{}}
 	c.lost = func(string, string) bool { return false }
 	for d := range domains {
 		for i := range perDomain {
@@ -111,6 +114,13 @@
 		return
 	}
 	a.Answered(to, answer, news, c.now)
+	// As control does, a lasting difference is made up for by parts of the table.
+	pair := from + c.domain[to]
+	if a.Digest() == b.Digest() {
+		c.differing[pair] = 0
+	} else if c.differing[pair]++; c.differing[pair] > 8 {
+		a.Answered(to, answer, b.Chunk(64), c.now)
+	}
 }
 
 func (c *cluster) requireStates(t require.TestingT, vm string, want pb.MemberState) {
@@ -202,6 +212,16 @@
 	}
 }
 
+// Found by a process test: a failure domain's only VM was shown as alive for
+// more than two seconds after it was gone.
+func TestAGoneFailureDomainIsSuspectedSoon(t *testing.T) {
+	c := newCluster(3, 1)
+	c.run(2 * time.Second)
+	c.stuck["vm-2-0"] = true
+	c.run(settings.SuspectAfter + 3*settings.HeartbeatInterval)
+	c.requireStates(t, "vm-2-0", suspect)
+}
+
 func TestTheListIntroducesVMsAndDecidesNothing(t *testing.T) {
 	table := membership.New(settings, member("a", "d0"), 1, zero)
 	listed := []*pb.ListedVm{
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -117,8 +117,10 @@
 	index      index
 	indexStale bool
 	nextRound  time.Time
-	// remoteTurn selects the failure domain that is probed next.
-	remoteTurn int
+	// remoteProbes is the number of other failure domains that get a heartbeat
+	// each round, remoteTurn selects the failure domain that is probed next.
+	remoteProbes int
+	remoteTurn   int
 	// chunk is the name after which the next part of the table is sent.
 	chunk   string
 	digest  uint64
@@ -131,15 +133,16 @@
 // New returns a Table that knows only the VM itself, which must be alive.
 func New(settings Settings, self *pb.Member, seed uint64, now time.Time) *Table {
 	t := &Table{
-		settings:   settings,
-		self:       clone(self),
-		entries:    map[string]*entry{},
-		domains:    map[string]*domain{},
-		news:       map[string]int{},
-		random:     rand.New(rand.NewPCG(seed, seed)),
-		indexStale: true,
-		nextRound:  now,
-		version:    1,
+		settings:     settings,
+		self:         clone(self),
+		entries:      map[string]*entry{},
+		domains:      map[string]*domain{},
+		news:         map[string]int{},
+		random:       rand.New(rand.NewPCG(seed, seed)),
+		indexStale:   true,
+		nextRound:    now,
+		remoteProbes: 1,
+		version:      1,
 	}
 	t.self.State = pb.MemberState_MEMBER_STATE_ALIVE
 	t.digest = memberDigest(t.self)
