Coordinator: unproven content stays in one service

Cause of the third crash: the second attempt went to another service, whose owners hold no suspicion (it is kept by service), while the first service's owners allowed their one designated run at the same time. The second attempt is now a hedge in the same service, where owners hold the bound. So that a service that never answers does not hold up every trial of the contents that fall on it, services with three slow attempts and no answer are passed over.

--- a/internal/coordinator/replica/group.go
+++ b/internal/coordinator/replica/group.go
@@ -79,6 +79,19 @@
 	mu       sync.Mutex
 	replicas []*state
 	times    latency.Histogram
+	// slow counts slow attempts since the last answer.
+	slow int
+}
+
+// silentService is the number of slow attempts without any answer after which a
+// service counts as silent.
+const silentService = 3
+
+// Silent reports whether the service's replicas have not answered lately.
+func (g *Group) Silent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.slow >= silentService
 }
 
 // Timing bounds of hedging.
@@ -133,6 +146,7 @@
 func (g *Group) Slow(target string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.slow++
 	g.markSlow(g.replica(target), now)
 }
 
@@ -141,6 +155,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.replica(o.Target)
+	if o.Result != Cancelled {
+		g.slow = 0
+	}
 	r.inFlight = max(r.inFlight-1, 0)
 	if len(o.Held) > 0 {
 		r.held, r.heldAt = o.Held, now
--- a/internal/coordinator/search/machine.go
+++ b/internal/coordinator/search/machine.go
@@ -180,14 +180,12 @@
 	m.decide(pb.DecisionKind_DECISION_KIND_PIN, nil, nil, reason)
 }
 
-// sendAll sends the first attempts of all legs. Content on trial starts with a leg
-// that depends on the content, so that one service in trouble does not hold up
-// every trial.
+// sendAll sends the first attempts of all legs.
 func (m *Machine) sendAll(kind Kind) {
-	first := 0
-	if m.caution() != Clear {
-		first = int(m.in.Digest % uint64(len(m.legs)))
+	if len(m.legs) == 0 {
+		return
 	}
+	first := m.firstLeg()
 	for i := range m.legs {
 		m.sendFirst(&m.legs[(first+i)%len(m.legs)], kind)
 	}
--- a/internal/coordinator/search/send.go
+++ b/internal/coordinator/search/send.go
@@ -84,7 +84,7 @@
 	if !m.mayRun(l) {
 		return
 	}
-	choice := m.choose(l, routes, m.trialDomain())
+	choice := m.choose(l, routes, "")
 	if choice.Index == replica.None {
 		m.giveUp(l, pb.MissingReason_MISSING_REASON_NO_REPLICA)
 		return
@@ -117,7 +117,7 @@
 	if l.running == 0 || l.running > hedgesPerLeg {
 		return
 	}
-	if m.caution() == Unproven && (m.tryAnotherService(l) || m.running >= trialAttempts) {
+	if m.caution() == Unproven && m.running >= trialAttempts {
 		return
 	}
 	routes := m.routes(l)
--- a/internal/coordinator/search/types.go
+++ b/internal/coordinator/search/types.go
@@ -26,8 +26,8 @@
 const (
 	// Clear content may run on any number of targets at once.
 	Clear Verdict = iota
-	// Unproven content was not seen to run yet: one subrequest, or a second one
-	// when the first is slow, has to succeed before the others are sent.
+	// Unproven content was not seen to run yet: one subrequest, or its hedge, has
+	// to succeed before the others are sent.
 	Unproven
 	// Suspect content coincided with the crash of a target: it runs on one
 	// target at a time until a subrequest succeeds, and is never hedged.
