--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/coordinator"
+	"github.com/carawayreel/carawayreel/internal/coordinator/plan"
 	"github.com/carawayreel/carawayreel/internal/coordinator/search"
 	"github.com/carawayreel/carawayreel/internal/decision"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
@@ -87,3 +88,21 @@
 		})
 	}
 }
+
+// BenchmarkPlan measures what the first search after a change of the view pays.
+func BenchmarkPlan(b *testing.B) {
+	for _, services := range []int{30, 680} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			config := configuration(wide(services))
+			views := [2]*view.View{viewOf(config, 0), viewOf(config, 0)}
+			var planner plan.Planner
+			n := 0
+			for b.Loop() {
+				n++
+				if planner.Front(views[n%2], frontName) == nil {
+					b.Fatal("no plan")
+				}
+			}
+		})
+	}
+}
