--- a/internal/coordinator/machine_test.go
+++ b/internal/coordinator/machine_test.go
@@ -342,3 +342,16 @@
 	require.Len(t, s.answer.Rows, 12)
 	require.EqualValues(t, 3*98, s.answer.RowsBeyondLimit)
 }
+
+// The answer is due at the deadline also when the next hedge is due later.
+func TestTimerIsNeverLaterThanTheDeadline(t *testing.T) {
+	for _, limit := range []time.Duration{15 * time.Millisecond, 30 * time.Millisecond} {
+		s := newScript(t, small())
+		s.limit = limit
+		began := s.now
+		s.start(request("r1"))
+		s.expire()
+		require.Equal(t, limit, s.now.Sub(began))
+		require.Equal(t, map[pb.MissingReason]int{pb.MissingReason_MISSING_REASON_DEADLINE: 6}, s.reasons())
+	}
+}
--- a/internal/coordinator/script_test.go
+++ b/internal/coordinator/script_test.go
@@ -20,6 +20,7 @@
 	now     time.Time
 	view    *view.View
 	verdict search.Verdict
+	limit   time.Duration
 	// open holds the sends that were neither answered nor cancelled.
 	open   []search.Send
 	counts search.Counts
@@ -29,13 +30,13 @@
 }
 
 func newScript(t *testing.T, s shape) *script {
-	return &script{t: t, know: search.NewKnowledge(), now: simStart, view: viewOf(configuration(s), 0)}
+	return &script{t: t, know: search.NewKnowledge(), now: simStart, view: viewOf(configuration(s), 0), limit: 140 * time.Millisecond}
 }
 
 // start begins a search; knowledge of earlier searches is kept.
 func (s *script) start(r *pb.SearchRequest) {
 	s.machine = search.New(s.know, search.Input{
-		Request: r, Digest: coordinator.Digest(r), Received: s.now, Deadline: s.now.Add(140 * time.Millisecond),
+		Request: r, Digest: coordinator.Digest(r), Received: s.now, Deadline: s.now.Add(s.limit),
 		Policy: search.Policy{Hedging: true},
 	})
 	s.open, s.answer, s.wakeAt, s.sends, s.counts = nil, nil, time.Time{}, 0, search.Counts{}
