--- a/internal/coordinator/search/reply.go
+++ b/internal/coordinator/search/reply.go
@@ -79,7 +79,7 @@
 		m.observe(a, l, reply, replica.Refused)
 		m.failed(a, l, pb.MissingReason_MISSING_REASON_REFUSED)
 	case pb.SubStatus_SUB_STATUS_UNAVAILABLE:
-		m.observe(a, l, reply, replica.Failed)
+		m.observe(a, l, reply, m.unavailable())
 		m.failed(a, l, pb.MissingReason_MISSING_REASON_REFUSED)
 	case pb.SubStatus_SUB_STATUS_SNAPSHOT_GONE:
 		m.observe(a, l, reply, replica.Gone)
@@ -100,6 +100,15 @@
 	}
 }
 
+// unavailable returns what a refusal says of the target: nothing while the content
+// is suspect, since owners refuse suspect content on healthy targets.
+func (m *Machine) unavailable() replica.Result {
+	if m.caution() >= Suspect {
+		return replica.Neutral
+	}
+	return replica.Failed
+}
+
 // accept takes the partitions of a reply that are not covered yet.
 func (m *Machine) accept(a *attempt, l *leg, reply *pb.SubReply) {
 	m.mayHaveRun = true
