Fault schedule, change load and balancer shared by tests and measurements

The process tests' generators move into internal/testkit, so that the measurements use the same ones. The balancer asks all VMs at the same time in the background: a frozen VM no longer holds back a worker of the load, so more requests reach a frozen VM than before.

--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -11,7 +11,6 @@
 	"github.com/stretchr/testify/require"
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
-	"github.com/carawayreel/carawayreel/internal/profile"
 	"github.com/carawayreel/carawayreel/internal/testkit"
 )
 
@@ -24,10 +23,11 @@
 
 // searchLoad keeps some searches running and remembers every answer.
 type searchLoad struct {
-	d     *testkit.Deployment
-	front string
-	stop  context.CancelFunc
-	done  sync.WaitGroup
+	d        *testkit.Deployment
+	balancer *testkit.Balancer
+	front    string
+	stop     context.CancelFunc
+	done     sync.WaitGroup
 
 	mu       sync.Mutex
 	answers  []*pb.SearchResponse
@@ -40,7 +40,7 @@
 func startSearches(t *testing.T, d *testkit.Deployment, front string, workers int, pause time.Duration) *searchLoad {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	l := &searchLoad{d: d, front: front, stop: cancel}
+	l := &searchLoad{d: d, balancer: testkit.NewBalancer(ctx, d), front: front, stop: cancel}
 	t.Cleanup(cancel)
 	for worker := range workers {
 		l.done.Go(func() { l.work(ctx, worker, pause) })
@@ -49,10 +49,9 @@
 }
 
 func (l *searchLoad) work(ctx context.Context, worker int, pause time.Duration) {
-	balancer := newBalancer(l.d, worker)
 	for n := 0; ctx.Err() == nil; n++ {
 		condition := prefix("name", string(rune('A'+(n+worker)%26)))
-		if vm := balancer.next(); vm != nil {
+		if vm := l.balancer.Next(); vm != nil {
 			l.search(vm, condition, fmt.Sprintf("load-%d-%d", worker, n))
 		}
 		select {
@@ -91,163 +90,27 @@
 	return l.answers
 }
 
-// balancer stands for the platform's balancer: it asks each VM for its
-// readiness every 100 ms and uses those that are ready in turn.
-type balancer struct {
-	d       *testkit.Deployment
-	turn    int
-	ready   []*testkit.VM
-	checked time.Time
-}
-
-func newBalancer(d *testkit.Deployment, turn int) *balancer {
-	return &balancer{d: d, turn: turn}
-}
-
-func (b *balancer) next() *testkit.VM {
-	const checkInterval = 100 * time.Millisecond
-	if time.Since(b.checked) > checkInterval {
-		b.checked = time.Now()
-		b.ready = nil
-		for _, vm := range b.d.VMs {
-			if b.d.Ready(vm) {
-				b.ready = append(b.ready, vm)
-			}
-		}
-	}
-	if len(b.ready) == 0 {
-		return nil
-	}
-	b.turn++
-	return b.ready[b.turn%len(b.ready)]
-}
-
-// changeLoad submits changes, each under a token of its own, and remembers what
-// each caller was told.
-type changeLoad struct {
-	d    *testkit.Deployment
-	stop context.CancelFunc
-	done sync.WaitGroup
-
-	mu   sync.Mutex
-	told []toldOutcome
-}
-
-type toldOutcome struct {
-	token   string
-	outcome pb.Outcome
-	reason  string
-}
-
-func startChanges(t *testing.T, d *testkit.Deployment, workers int, pause time.Duration) *changeLoad {
+// startChanges submits changes, each under a token of its own and at two VMs at
+// the same time, and remembers what each caller was told.
+func startChanges(t *testing.T, d *testkit.Deployment, workers int, pause time.Duration) *testkit.ChangeLoad {
 	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	l := &changeLoad{d: d, stop: cancel}
-	t.Cleanup(cancel)
-	for worker := range workers {
-		l.done.Go(func() { l.work(ctx, worker, pause) })
-	}
-	return l
+	return testkit.StartChanges(t.Context(), d, workers, pause)
 }
 
-func (l *changeLoad) work(ctx context.Context, worker int, pause time.Duration) {
-	balancer := newBalancer(l.d, worker)
-	service := l.d.Profile.Configuration().Fronts[1].Services[0].Name
-	for n := 0; ctx.Err() == nil; n++ {
-		edit := &pb.Change{Front: l.d.Profile.Configuration().Fronts[1].Name, Kind: &pb.Change_Edit{Edit: &pb.RecordEdit{
-			RecordId: profile.RecordID(service, n%20),
-			Fields:   []*pb.Field{{Name: "remark", Value: fmt.Sprintf("%d/%d", worker, n)}},
-		}}}
-		l.change(balancer, edit, n)
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// change submits one change twice at the same time at two VMs, and once more
-// when the outcome was not a success: double clicks and re-sends.
-func (l *changeLoad) change(b *balancer, edit *pb.Change, n int) {
-	home := b.next()
-	if home == nil {
-		return
-	}
-	token, err := home.Caller.IssueToken(context.Background(), connect.NewRequest(&pb.IssueTokenRequest{}))
-	if err != nil {
-		return
-	}
-	var clicks sync.WaitGroup
-	for range 2 {
-		vm := b.next()
-		if vm == nil {
-			continue
-		}
-		clicks.Go(func() { l.submit(vm, token.Msg.Token, edit) })
-	}
-	clicks.Wait()
-	if vm := b.next(); vm != nil && n%3 == 0 {
-		l.submit(vm, token.Msg.Token, edit)
-	}
-}
-
-func (l *changeLoad) submit(vm *testkit.VM, token string, edit *pb.Change) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*timeLimitMs*time.Millisecond)
-	defer cancel()
-	response, err := vm.Caller.SubmitChange(ctx, connect.NewRequest(&pb.SubmitChangeRequest{
-		Token: token, Change: edit, TimeLimitMs: 1000,
-	}))
-	told := toldOutcome{token: token, outcome: pb.Outcome_OUTCOME_UNKNOWN, reason: "no answer"}
-	if err == nil {
-		told.outcome = response.Msg.Outcome
-		told.reason = response.Msg.Reason
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.told = append(l.told, told)
-}
-
-// summary counts what the callers of changes were told.
-type summary struct {
-	tokens, success, notRun, unknown int
-}
-
-// end stops the load and checks what the callers were told against the targets'
-// own counts: nothing ran twice, every success ran, every NOT_RUN did not.
-func (l *changeLoad) end(t *testing.T) summary {
+// endChanges stops the load and checks what the callers were told against the
+// targets' own counts: nothing ran twice, every success ran, every NOT_RUN did
+// not.
+func endChanges(t *testing.T, l *testkit.ChangeLoad) testkit.ChangeSummary {
 	t.Helper()
-	l.stop()
-	l.done.Wait()
-	counters, err := l.d.Counters(context.Background(), nil)
+	s, err := l.End(context.Background())
 	require.NoError(t, err)
-	require.Zero(t, counters.ChangesDoubled)
-	ran := effects(t, l.d)
-	var s summary
-	best := map[string]pb.Outcome{}
-	for _, told := range l.told {
-		switch told.outcome {
-		case pb.Outcome_OUTCOME_SUCCESS:
-			require.Equal(t, 1, ran[told.token], "told success, but it did not run: %s", told.token)
-		case pb.Outcome_OUTCOME_NOT_RUN:
-			require.Zero(t, ran[told.token], "told not run (%s), but it ran: %s", told.reason, told.token)
-		}
-		if told.outcome != pb.Outcome_OUTCOME_SUCCESS {
-			t.Logf("told %s: %s: %s", told.outcome, told.token, told.reason)
-		}
-		if best[told.token] != pb.Outcome_OUTCOME_SUCCESS && best[told.token] != pb.Outcome_OUTCOME_NOT_RUN {
-			best[told.token] = told.outcome
-		}
-	}
-	s.tokens = len(best)
-	for _, outcome := range best {
-		switch outcome {
-		case pb.Outcome_OUTCOME_SUCCESS:
-			s.success++
-		case pb.Outcome_OUTCOME_NOT_RUN:
-			s.notRun++
-		default:
-			s.unknown++
-		}
+	require.Zero(t, s.Doubled)
+	for _, told := range s.Unclear {
+		t.Logf("told %s: %s: %s", told.Outcome, told.Token, told.Reason)
 	}
+	require.Empty(t, s.False, "untrue answers")
+	require.Zero(t, s.FalseSuccess)
+	require.Zero(t, s.FalseNotRun)
+	t.Logf("changes: %d, success %d, not run %d, unknown %d", s.Tokens, s.Success, s.NotRun, s.Unknown)
 	return s
 }
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -35,7 +35,7 @@
 		}
 	}
 	require.Zero(t, partial, "of %d searches", len(answers))
-	told := changes.end(t)
-	t.Logf("%d searches; changes: %+v", len(answers), told)
-	require.Equal(t, told.tokens, told.success)
+	told := endChanges(t, changes)
+	t.Logf("%d searches", len(answers))
+	require.Equal(t, told.Tokens, told.Success)
 }
--- a/tools/measure/balancer.go
+++ b/tools/measure/balancer.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
-	"time"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -12,60 +11,72 @@
 	"github.com/carawayreel/carawayreel/internal/testkit"
 )
 
-// healthInterval is how often the platform's balancer asks for readiness.
-const healthInterval = 100 * time.Millisecond
+// balancedLimitMs is the time limit of searches that go through the balancer.
+const balancedLimitMs = 1000
 
 var errNoneReady = errors.New("no VM is ready")
 
-// balancer stands for the platform's balancer: it sends each search to the next
-// VM that was ready when last asked.
-type balancer struct {
-	d     *testkit.Deployment
-	ready atomic.Pointer[[]*testkit.VM]
-	turn  atomic.Uint64
-}
+// balanced sends each search to the next VM that is ready, and remembers what
+// the answers are counted by.
+type balanced struct {
+	balancer *testkit.Balancer
 
-func newBalancer(ctx context.Context, d *testkit.Deployment) *balancer {
-	b := &balancer{d: d}
-	b.look()
-	go func() {
-		for ctx.Err() == nil {
-			time.Sleep(healthInterval)
-			b.look()
-		}
-	}()
-	return b
+	mu sync.Mutex
+	// byVM counts the answers of each VM by their outcome.
+	byVM map[string]map[pb.Outcome]int
 }
 
-func (b *balancer) look() {
-	var ready []*testkit.VM
-	for _, vm := range b.d.VMs {
-		if b.d.Ready(vm) {
-			ready = append(ready, vm)
-		}
-	}
-	b.ready.Store(&ready)
+func newBalanced(ctx context.Context, d *testkit.Deployment) *balanced {
+	return &balanced{balancer: testkit.NewBalancer(ctx, d), byVM: map[string]map[pb.Outcome]int{}}
 }
 
 // Search sends one search.
-func (b *balancer) Search(ctx context.Context, r *pb.SearchRequest) (*pb.SearchResponse, error) {
-	ready := *b.ready.Load()
-	if len(ready) == 0 {
+func (b *balanced) Search(ctx context.Context, r *pb.SearchRequest) (*pb.SearchResponse, error) {
+	vm := b.balancer.Next()
+	if vm == nil {
 		return nil, errNoneReady
 	}
-	vm := ready[b.turn.Add(1)%uint64(len(ready))]
-	return searcher{vm.Caller}.Search(ctx, r)
+	response, err := searcher{vm.Caller}.Search(ctx, r)
+	outcome := pb.Outcome_OUTCOME_UNSPECIFIED
+	if err == nil {
+		outcome = response.Outcome
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.byVM[vm.ID] == nil {
+		b.byVM[vm.ID] = map[pb.Outcome]int{}
+	}
+	b.byVM[vm.ID][outcome]++
+	return response, err
+}
+
+// notWhole counts the requests at other VMs than the excepted one that were not
+// answered whole. A request without an answer has the unspecified outcome.
+func (b *balanced) notWhole(except string) map[pb.Outcome]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := map[pb.Outcome]int{}
+	for vm, outcomes := range b.byVM {
+		for outcome, n := range outcomes {
+			if vm != except && outcome != pb.Outcome_OUTCOME_SUCCESS {
+				counts[outcome] += n
+			}
+		}
+	}
+	return counts
 }
 
-// loadReady runs load through the balancer until the context ends.
-func (l *lab) loadReady(ctx context.Context, d *testkit.Deployment) (*pb.LoadResult, error) {
+// loadReady runs load through a balancer until the context ends or the duration
+// is over.
+func (l *lab) loadReady(ctx context.Context, d *testkit.Deployment, label string) (*pb.LoadResult, *balanced, error) {
+	through := newBalanced(ctx, d)
 	result, err := load.Run(ctx, load.Options{
 		Parameters: &pb.LoadParameters{
-			Label: "rolling", Front: front(d).Name, Rate: l.Rate, DurationMs: uint64(l.Duration.Milliseconds()),
-			Seed: l.Seed, TimeLimitMs: usPerMs, RowLimit: 50, MaxRunning: maxRunning, IntervalMs: intervalMs,
+			Label: label, Front: front(d).Name, Rate: l.Rate, DurationMs: uint64(l.Duration.Milliseconds()),
+			Seed: l.Seed, TimeLimitMs: balancedLimitMs, RowLimit: 50, MaxRunning: maxRunning, IntervalMs: intervalMs,
 		},
-		Servers:    []load.Searcher{newBalancer(ctx, d)},
+		Servers:    []load.Searcher{through},
 		Conditions: conditions(),
 	})
-	return result, errors.Wrap(err, "rolling")
+	return result, through, errors.Wrap(err, label)
 }
--- a/tools/measure/control.go
+++ b/tools/measure/control.go
@@ -164,7 +164,7 @@
 	}()
 	long := *l
 	long.Duration = limit / 2
-	result, err := (&long).loadReady(loading, d)
+	result, _, err := (&long).loadReady(loading, d, "rolling")
 	if err != nil {
 		return verdict{}, err
 	}
