--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -131,7 +131,6 @@
 					})
 				}
 				m.step(&pb.ControlEvent{Kind: &pb.ControlEvent_ListRead{ListRead: read}})
-				read = nil
 				b.ReportMetric(heapBytes()-before, "heap-B")
 				runtime.KeepAlive(m)
 			}
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -168,15 +168,3 @@
 	}
 	require.Equal(t, count, total)
 }
-
-// effects returns how often each token's change took effect.
-func effects(t *testing.T, d *testkit.Deployment) map[string]int {
-	t.Helper()
-	response, err := d.Standin.GetEffects(context.Background(), connect.NewRequest(&standinv1.GetEffectsRequest{}))
-	require.NoError(t, err)
-	counts := map[string]int{}
-	for _, effect := range response.Msg.Effects {
-		counts[effect.Token] += int(effect.Count)
-	}
-	return counts
-}
--- a/tools/measure/control.go
+++ b/tools/measure/control.go
@@ -28,7 +28,7 @@
 // store counts the calls that the platform sees at several numbers of VMs.
 func store(ctx context.Context, l *lab) (verdict, error) {
 	var parts []string
-	perDomain := 0.0
+	perDomain, perVM := 0.0, 0.0
 	for _, vms := range l.VMs {
 		rate, err := l.storeRate(ctx, vms)
 		if err != nil {
@@ -36,10 +36,11 @@
 		}
 		parts = append(parts, fmt.Sprintf("%d VMs: %.2f calls/s", vms, rate.total))
 		perDomain = max(perDomain, rate.reads/domains)
+		perVM = max(perVM, rate.lists/float64(vms))
 	}
-	atSize := perDomain * failureDomainsAtSize
+	atSize := perDomain*failureDomainsAtSize + perVM*nodesAtSize
 	return verdict{
-		figures: fmt.Sprintf("%s; reads by the store at %d VMs in %d failure domains, extrapolated: %.2f/s",
+		figures: fmt.Sprintf("%s; reads of store and list at %d VMs in %d failure domains, extrapolated: %.0f/s",
 			strings.Join(parts, ", "), nodesAtSize, failureDomainsAtSize, atSize),
 		bound: fmt.Sprintf("<= %d reads/s", storeReadsPerSecond),
 		ok:    atSize <= storeReadsPerSecond,
@@ -47,7 +48,8 @@
 }
 
 type storeRate struct {
-	reads, total float64
+	// reads grow with the failure domains, lists with the VMs.
+	reads, lists, total float64
 }
 
 func (l *lab) storeRate(ctx context.Context, vms int) (storeRate, error) {
@@ -60,18 +62,23 @@
 	if err != nil {
 		return storeRate{}, err
 	}
+	used := processorTime(d)
 	time.Sleep(l.Duration)
 	after, err := d.Counters(ctx, nil)
 	if err != nil {
 		return storeRate{}, err
 	}
+	used = processorTime(d) - used
 	seconds := l.Duration.Seconds()
 	reads := float64(after.Store.Gets+after.Store.Watches-before.Store.Gets-before.Store.Watches) / seconds
 	lists := float64(after.Store.ListCalls-before.Store.ListCalls) / seconds
 	writes := float64(after.Store.Puts-before.Store.Puts) / seconds
 	fmt.Printf("%3d VMs: gets and watches %.2f/s, list %.2f/s, puts %.2f/s, watches waiting %d\n",
 		vms, reads, lists, writes, after.Store.WatchesWaiting)
-	return storeRate{reads: reads, total: reads + lists + writes}, nil
+	fmt.Printf("%3d VMs: each %.0f B/s through its relay, %.2f %% of a core, %.1f MB\n", vms,
+		float64(relayed(after)-relayed(before))/seconds/float64(vms),
+		percent*used.Seconds()/seconds/float64(vms), residentMB(d))
+	return storeRate{reads: reads, lists: lists, total: reads + lists + writes}, nil
 }
 
 // config measures how long an accepted revision takes until it is in force on
@@ -172,7 +179,7 @@
 	bad := result.Counts.Failed + result.Counts.NotRun + result.Counts.Partial + result.Counts.Other
 	return verdict{
 		figures: fmt.Sprintf("%d VMs replaced under %d searches: %d failed, %d refused, %d partial, p99 %.1f ms",
-			len(d.VMs), result.Counts.Intended-result.Counts.NotSent, result.Counts.Failed, result.Counts.NotRun, result.Counts.Partial, ms(result.Latency.P99Us)),
+			len(d.VMs), sent(result), result.Counts.Failed, result.Counts.NotRun, result.Counts.Partial, ms(result.Latency.P99Us)),
 		bound: "0 failed, 0 refused, 0 partial",
 		ok:    bad == 0,
 	}, nil
--- a/tools/measure/lab.go
+++ b/tools/measure/lab.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -38,10 +39,10 @@
 	started int
 }
 
-// deployment starts the profile with further settings of the VMs and arguments
-// of the stand-in, and waits until its owners send work.
-func (l *lab) deployment(ctx context.Context, perDomain int, settings []testkit.Setting, standin ...string) (*testkit.Deployment, error) {
-	d, err := l.start(ctx, perDomain, settings, standin...)
+// deployment starts the profile with further settings of the VMs and waits until
+// its owners send work.
+func (l *lab) deployment(ctx context.Context, perDomain int, settings []testkit.Setting) (*testkit.Deployment, error) {
+	d, err := l.start(ctx, perDomain, settings)
 	if err != nil {
 		return nil, err
 	}
@@ -49,8 +50,8 @@
 	return d, nil
 }
 
-// start starts a deployment; its owners refuse work until their guard time is
-// over.
+// start starts a deployment with further arguments of the stand-in; its owners
+// refuse work until their guard time is over.
 func (l *lab) start(ctx context.Context, perDomain int, settings []testkit.Setting, standin ...string) (*testkit.Deployment, error) {
 	l.started++
 	dir := filepath.Join(l.dir, fmt.Sprint(l.started))
@@ -121,9 +122,23 @@
 	return all
 }
 
+// sent returns the searches whose time came before the load ended.
+func sent(r *pb.LoadResult) uint64 {
+	return r.Counts.Intended - r.Counts.NotSent
+}
+
+// missing lists the reasons for which partitions are missing in answers.
+func missing(r *pb.LoadResult) string {
+	reasons := make([]string, 0, len(r.Missing))
+	for _, m := range r.Missing {
+		reasons = append(reasons, fmt.Sprintf("%s %d", m.Reason, m.Partitions))
+	}
+	return strings.Join(reasons, ", ")
+}
+
 func figures(r *pb.LoadResult) string {
 	return fmt.Sprintf("n=%d p50=%.1fms p99=%.1fms p99.9=%.1fms coverage=%.3f%% extra=%.2f%% partial=%d not_run=%d failed=%d",
-		r.Counts.Intended, ms(r.Latency.P50Us), ms(r.Latency.P99Us), ms(r.Latency.P999Us),
+		sent(r), ms(r.Latency.P50Us), ms(r.Latency.P99Us), ms(r.Latency.P999Us),
 		load.CoveragePercent(r.Counts), load.ExtraPercent(r.Counts),
 		r.Counts.Partial, r.Counts.NotRun, r.Counts.Failed)
 }
--- a/tools/measure/leaving.go
+++ b/tools/measure/leaving.go
@@ -81,10 +81,10 @@
 	if err := <-acted; err != nil {
 		return run, err
 	}
-	run.searches = result.Counts.Intended - result.Counts.NotSent
+	run.searches = sent(result)
 	run.notWhole = through.notWhole(frozen.ID)
-	fmt.Printf("%-28s %s; received after leaving=%d last after %d ms; at the frozen VM: %v\n",
-		label, figures(result), run.after, run.lastWork.Milliseconds(), through.byVM[frozen.ID])
+	fmt.Printf("%-28s %s; received after leaving=%d last after %d ms; at the frozen VM: %v; missing: %s\n",
+		label, figures(result), run.after, run.lastWork.Milliseconds(), through.byVM[frozen.ID], missing(result))
 	return run, nil
 }
 
--- a/tools/measure/poison.go
+++ b/tools/measure/poison.go
@@ -41,72 +41,85 @@
 		return verdict{}, err
 	}
 	defer d.Close()
-	loading, stop := context.WithCancel(ctx)
-	defer stop()
-	var runs []poisonRun
-	var cleared time.Duration
-	acted := make(chan error, 1)
-	go func() {
-		var err error
-		if runs, err = poisonRuns(ctx, d); err == nil {
-			cleared, err = falseSuspicion(ctx, d)
-		}
-		acted <- err
-		stop()
-	}()
-	result, through, err := l.loadReady(loading, d, "clean searches")
+	result, runs, err := l.poisonUnderLoad(ctx, d)
 	if err != nil {
 		return verdict{}, err
 	}
-	if err := <-acted; err != nil {
+	differing, err := differingContents(ctx, d)
+	if err != nil {
+		return verdict{}, err
+	}
+	cleared, err := falseSuspicion(ctx, d)
+	if err != nil {
 		return verdict{}, err
 	}
-	fmt.Printf("%-28s %s\n", "clean searches", figures(result))
 	apart, err := l.poisonAcrossACut(ctx)
 	if err != nil {
 		return verdict{}, err
 	}
-	refused := through.notWhole("")[pb.Outcome_OUTCOME_NOT_RUN]
-	inTurn, atOnce, differing := runs[0], runs[1], runs[2]
+	refused := result.Counts.NotRun
+	inTurn, atOnce := runs[0], runs[1]
 	return verdict{
 		figures: fmt.Sprintf("crashes %d %s, %d %s; clean searches refused %d, partial %d, failed %d of %d; a false suspicion cleared after %.1f s; with every failure domain cut off: %d crashes; baseline, %s: %d crashes",
 			inTurn.crashes, inTurn.label, atOnce.crashes, atOnce.label, refused, result.Counts.Partial, result.Counts.Failed,
-			result.Counts.Intended-result.Counts.NotSent, cleared.Seconds(), apart, differing.label, differing.crashes),
+			sent(result), cleared.Seconds(), apart, differing.label, differing.crashes),
 		bound: fmt.Sprintf("<= %d crashes a content without a cut, <= %d a failure domain with one, 0 clean searches refused", poisonLimit, poisonLimit),
 		ok: inTurn.crashes <= poisonLimit && atOnce.crashes <= poisonLimit && refused == 0 &&
 			apart <= poisonLimit*domains,
 	}, nil
 }
 
-// poisonRuns sends one content through every VM in turn, another through all at
-// the same time, and differing ones through every VM in turn.
+// poisonUnderLoad sends one content through every VM in turn and another through
+// all at the same time, under clean load.
+func (l *lab) poisonUnderLoad(ctx context.Context, d *testkit.Deployment) (*pb.LoadResult, []poisonRun, error) {
+	loading, stop := context.WithCancel(ctx)
+	defer stop()
+	var runs []poisonRun
+	acted := make(chan error, 1)
+	go func() {
+		var err error
+		runs, err = poisonRuns(ctx, d)
+		acted <- err
+		stop()
+	}()
+	result, _, err := l.loadReady(loading, d, "clean searches")
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := <-acted; err != nil {
+		return nil, nil, err
+	}
+	fmt.Printf("%-28s %s; missing: %s\n", "clean searches", figures(result), missing(result))
+	return result, runs, nil
+}
+
 func poisonRuns(ctx context.Context, d *testkit.Deployment) ([]poisonRun, error) {
-	if err := setPoison(ctx, d, "in turn", "at once", "differing"); err != nil {
+	if err := setPoison(ctx, d, "in turn", "at once"); err != nil {
 		return nil, err
 	}
-	ways := []struct {
-		label string
-		send  func()
-	}{
-		{"through every VM in turn", func() { sendInTurn(ctx, d, func(int) []*pb.Condition { return conditionOn("in turn") }) }},
-		{"through all VMs at the same time", func() { sendAtOnce(ctx, d, conditionOn("at once")) }},
-		{"a differing content at each VM", func() {
-			sendInTurn(ctx, d, func(i int) []*pb.Condition {
-				return append(conditionOn("differing"), conditionOn(fmt.Sprint("other ", i))...)
-			})
-		}},
-	}
-	var runs []poisonRun
-	for _, way := range ways {
-		time.Sleep(recovery)
-		crashes, err := countCrashes(ctx, d, way.send)
-		if err != nil {
-			return nil, err
-		}
-		fmt.Printf("%-28s crashes=%d\n", way.label, crashes)
-		runs = append(runs, poisonRun{label: way.label, crashes: crashes})
+	inTurn, err := countCrashes(ctx, d, "through every VM in turn", func() {
+		sendInTurn(ctx, d, func(int) []*pb.Condition { return conditionOn("in turn") })
+	})
+	if err != nil {
+		return nil, err
 	}
-	return runs, nil
+	atOnce, err := countCrashes(ctx, d, "through all VMs at the same time", func() {
+		sendAtOnce(ctx, d, conditionOn("at once"))
+	})
+	return []poisonRun{inTurn, atOnce}, err
+}
+
+// differingContents sends a content to each VM that differs from the others, so
+// that nothing recognizes it.
+func differingContents(ctx context.Context, d *testkit.Deployment) (poisonRun, error) {
+	if err := setPoison(ctx, d, "differing"); err != nil {
+		return poisonRun{}, err
+	}
+	return countCrashes(ctx, d, "a differing content at each VM", func() {
+		sendInTurn(ctx, d, func(i int) []*pb.Condition {
+			return append(conditionOn("differing"), conditionOn(fmt.Sprint("other ", i))...)
+		})
+	})
 }
 
 // poisonAcrossACut sends a content through all VMs at the same time while every
@@ -128,12 +141,11 @@
 			}
 		}
 	}
-	crashes, err := countCrashes(ctx, d, func() {
-		sendAtOnce(ctx, d, conditionOn("cut"))
+	run, err := countCrashes(ctx, d, "every failure domain cut off", func() {
 		sendInTurn(ctx, d, func(int) []*pb.Condition { return conditionOn("cut") })
+		sendAtOnce(ctx, d, conditionOn("cut"))
 	})
-	fmt.Printf("%-28s crashes=%d\n", "every failure domain cut off", crashes)
-	return crashes, err
+	return run.crashes, err
 }
 
 // falseSuspicion crashes a target for another reason while it runs a clean
@@ -182,19 +194,25 @@
 	return nil
 }
 
-func countCrashes(ctx context.Context, d *testkit.Deployment, send func()) (uint64, error) {
+// countCrashes waits until targets that crashed before are up again, sends, and
+// counts the crashes.
+func countCrashes(ctx context.Context, d *testkit.Deployment, label string, send func()) (poisonRun, error) {
+	time.Sleep(recovery)
+	run := poisonRun{label: label}
 	crashes := func(c *standinv1.TargetCounters) uint64 { return c.Crashes }
 	before, err := d.Counters(ctx, nil)
 	if err != nil {
-		return 0, err
+		return run, err
 	}
 	send()
 	time.Sleep(time.Second)
 	after, err := d.Counters(ctx, nil)
 	if err != nil {
-		return 0, err
+		return run, err
 	}
-	return total(after, crashes) - total(before, crashes), nil
+	run.crashes = total(after, crashes) - total(before, crashes)
+	fmt.Printf("%-28s crashes=%d\n", label, run.crashes)
+	return run, nil
 }
 
 func sendInTurn(ctx context.Context, d *testkit.Deployment, conditions func(i int) []*pb.Condition) {
