--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -19,12 +19,12 @@
 	changeInterval = 24 * time.Hour / 12000
 )
 
-type traffic struct {
+type trafficSum struct {
 	bytes, messages, calls int
 }
 
-func trafficOf(s *simulation) traffic {
-	sum := traffic{calls: s.calls}
+func trafficOf(s *simulation) trafficSum {
+	sum := trafficSum{calls: s.calls}
 	for _, name := range s.names {
 		sum.bytes += s.vms[name].bytes
 		sum.messages += s.vms[name].messages
@@ -46,7 +46,7 @@
 		float64(after.calls-before.calls) / duration.Seconds()
 }
 
-// BenchmarkTraffic reports the traffic of control in virtual time, without and
+// BenchmarkTraffic reports the trafficSum of control in virtual time, without and
 // with a new revision each 7.2 s, and how long a revision takes until the last
 // VM has it. The time for each operation is that of the whole simulation.
 func BenchmarkTraffic(b *testing.B) {
