Unproven content runs on one target at a time; decisions are not made up when unlogged

Ruled out: news that comes too late (it was announced before the reply). Change: the slow attempt is cancelled before the other is sent, and counts as one of the two that may go ahead; suspicions are announced to all owners of the front.

--- a/internal/coordinator/search/send.go
+++ b/internal/coordinator/search/send.go
@@ -114,10 +114,7 @@
 	if !m.in.Policy.Hedging || m.caution() > Unproven || !m.maySend() {
 		return
 	}
-	if l.running == 0 || l.running > hedgesPerLeg {
-		return
-	}
-	if m.caution() == Unproven && m.running >= trialAttempts {
+	if l.running == 0 || l.running > hedgesPerLeg || !m.mayReplace() {
 		return
 	}
 	routes := m.routes(l)
@@ -129,6 +126,7 @@
 		return
 	}
 	choice.Reason = "slow attempt; " + choice.Reason
+	m.replaceUnproven(l)
 	m.send(l, routes, choice, Hedge)
 }
 
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -73,7 +73,7 @@
 	return result.Present, nil
 }
 
-// announcer spreads suspicions to the owners of a service's targets.
+// announcer spreads suspicions to the owners of a front's targets.
 type announcer struct {
 	views view.Source
 	peers *peer.Client
@@ -89,16 +89,18 @@
 	sends.Wait()
 }
 
-// owners returns the other VMs that own targets of the service.
+// owners returns the other VMs that own targets of the fronts that the service
+// belongs to: a search of the front asks all of them.
 func (a announcer) owners(service string) []view.VM {
 	current := a.views.Current()
 	found := map[string]view.VM{}
-	for _, front := range current.Configuration.GetFronts() {
-		for _, candidate := range front.Services {
-			if candidate.Name != service {
-				continue
-			}
-			for _, target := range candidate.Targets {
+	for _, configured := range current.Configuration.GetFronts() {
+		front, ok := current.Front(configured.Name)
+		if !ok || front.Services[service] == nil {
+			continue
+		}
+		for _, sibling := range front.Services {
+			for _, target := range sibling.Targets {
 				if owner, ok := current.Owner(target.Id); ok && owner.ID != current.Self.ID {
 					found[owner.ID] = owner
 				}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -88,6 +88,12 @@
 	l.next = (l.next + 1) % len(l.ring)
 }
 
+// Wants reports whether ordinary decisions of a request are logged, so that they
+// need not be made up when they are not.
+func (l *Log) Wants(requestID string) bool {
+	return l.sampled(requestID)
+}
+
 // sampled reports whether a request's decisions are logged. All VMs select the
 // same requests, so that a sampled request is logged whole.
 func (l *Log) sampled(requestID string) bool {
