--- a/tools/measure/changes.go
+++ b/tools/measure/changes.go
@@ -10,6 +10,7 @@
 
 const (
 	changesWanted  = 10000
+	minChangeSeeds = 5
 	changeWorkers  = 12
 	changePause    = time.Millisecond
 	faultsPerSeed  = 8
@@ -17,13 +18,13 @@
 	percent        = 100
 )
 
-// changes submits changes under fault schedules of one seed after the other
-// until enough were submitted, and compares what callers were told with the
+// changes submits changes under fault schedules of several seeds, one after the
+// other, until enough were submitted, and compares what callers were told with the
 // targets' own counts.
 func changes(ctx context.Context, l *lab) (verdict, error) {
 	var sum testkit.ChangeSummary
 	seeds := 0
-	for ; seeds < maxChangeSeeds && sum.Tokens < changesWanted; seeds++ {
+	for ; seeds < minChangeSeeds || sum.Tokens < changesWanted && seeds < maxChangeSeeds; seeds++ {
 		seed := l.Seed + uint64(seeds)
 		one, err := l.changesRun(ctx, seed)
 		if err != nil {
@@ -38,7 +39,7 @@
 	printReasons(sum.Unclear)
 	return verdict{
 		figures: fmt.Sprintf("%d seeds: %s", seeds, changeFigures(sum)),
-		bound:   fmt.Sprintf("at least %d changes, 0 doubled, 0 false \"not run\", 0 false success", changesWanted),
+		bound:   fmt.Sprintf("at least %d changes under %d seeds, 0 doubled, 0 false \"not run\", 0 false success", changesWanted, minChangeSeeds),
 		ok:      sum.Tokens >= changesWanted && sum.Doubled == 0 && sum.FalseNotRun == 0 && sum.FalseSuccess == 0,
 	}, nil
 }
--- a/tools/measure/ownership.go
+++ b/tools/measure/ownership.go
@@ -7,6 +7,7 @@
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	standinv1 "github.com/carawayreel/carawayreel/internal/gen/standin/v1"
+	"github.com/carawayreel/carawayreel/internal/load"
 	"github.com/carawayreel/carawayreel/internal/testkit"
 )
 
@@ -52,9 +53,9 @@
 		if b.found {
 			text = "baseline exceeds the limits at"
 		}
-		parts = append(parts, fmt.Sprintf("%d VMs: %s %.0f searches/s (connection violations %d, shed %d, running peak %d); through owners %d, %d, %d, p99 %.1f ms",
+		parts = append(parts, fmt.Sprintf("%d VMs: %s %.0f searches/s (connection violations %d, shed %d, running peak %d); through owners %d, %d, %d, p99 %.1f ms, coverage %.1f %%",
 			vms, text, b.rate, b.baseline.violations, b.baseline.shed, b.baseline.runningPeak,
-			b.product.violations, b.product.shed, b.product.runningPeak, ms(b.result.Latency.P99Us)))
+			b.product.violations, b.product.shed, b.product.runningPeak, ms(b.result.Latency.P99Us), load.CoveragePercent(b.result.Counts)))
 		ok = ok && b.product.violations == 0
 	}
 	return verdict{
@@ -65,33 +66,35 @@
 }
 
 func (l *lab) breach(ctx context.Context, vms int) (breach, error) {
-	b := breach{rate: l.Rate}
+	var b breach
 	direct := []testkit.Setting{{Section: "experiment", Key: "direct_targets", Value: "true"}}
 	err := l.withDeployment(ctx, vms, direct, func(d *testkit.Deployment) error {
+		rate := l.Rate
 		for range rateSteps {
-			label := fmt.Sprintf("%d VMs, direct, %.0f/s", vms, b.rate)
+			b.rate = rate
 			var err error
-			if _, b.baseline, err = l.limitsAt(ctx, d, label, b.rate); err != nil {
+			if _, b.baseline, err = l.limitsAt(ctx, d, fmt.Sprintf("%d VMs, direct, %.0f/s", vms, rate), rate); err != nil {
 				return err
 			}
 			if b.found = b.baseline.exceeded(); b.found {
 				return nil
 			}
-			b.rate *= rateFactor
+			rate *= rateFactor
 		}
-		b.rate /= rateFactor
 		return nil
 	})
 	if err != nil {
 		return b, err
 	}
+	// The product takes the same steps, so that neither meets a rate unprepared.
 	err = l.withDeployment(ctx, vms, nil, func(d *testkit.Deployment) error {
-		if _, _, err := l.limitsAt(ctx, d, fmt.Sprintf("%d VMs, owners, warm-up", vms), l.Rate); err != nil {
-			return err
+		for rate := l.Rate; rate <= b.rate; rate *= rateFactor {
+			var err error
+			if b.result, b.product, err = l.limitsAt(ctx, d, fmt.Sprintf("%d VMs, owners, %.0f/s", vms, rate), rate); err != nil {
+				return err
+			}
 		}
-		var err error
-		b.result, b.product, err = l.limitsAt(ctx, d, fmt.Sprintf("%d VMs, owners, %.0f/s", vms, b.rate), b.rate)
-		return err
+		return nil
 	})
 	return b, err
 }
