--- a/tools/measure/ownership.go
+++ b/tools/measure/ownership.go
@@ -56,11 +56,11 @@
 		parts = append(parts, fmt.Sprintf("%d VMs: %s %.0f searches/s (connection violations %d, shed %d, running peak %d); through owners %d, %d, %d, p99 %.1f ms, coverage %.1f %%",
 			vms, text, b.rate, b.baseline.violations, b.baseline.shed, b.baseline.runningPeak,
 			b.product.violations, b.product.shed, b.product.runningPeak, ms(b.result.Latency.P99Us), load.CoveragePercent(b.result.Counts)))
-		ok = ok && b.product.violations == 0
+		ok = ok && !b.product.exceeded() && b.result.Latency.P99Us <= callerLimitMs*usPerMs
 	}
 	return verdict{
 		figures: strings.Join(parts, "; "),
-		bound:   "0 connection violations through owners",
+		bound:   fmt.Sprintf("through owners 0 connection violations, 0 shed by targets, p99 <= %d ms", callerLimitMs),
 		ok:      ok,
 	}, nil
 }
