--- a/internal/control/property_test.go
+++ b/internal/control/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	_ "github.com/carawayreel/carawayreel/internal/testseed"
 	"testing"
 	"time"
 
@@ -137,8 +138,12 @@
 			}
 		}
 		d.run(t, 15*time.Second)
+		digests := map[uint64]bool{}
 		for _, name := range s.names {
 			vm := s.vms[name]
+			if vm.up {
+				digests[vm.machine.table.Digest()] = true
+			}
 			require.False(t, vm.reverted, "%s went back", name)
 			if vm.up {
 				require.Equal(t, s.store.Revision, vm.machine.revision(), name)
@@ -146,6 +151,7 @@
 				require.Less(t, vm.machine.age(), 2*time.Second, name)
 			}
 		}
+		require.LessOrEqual(t, len(digests), 1, "all VMs believe the same")
 	})
 }
 
@@ -154,9 +160,9 @@
 // is in force is an accepted revision.
 func TestNoInterleavingAppliesAnOlderRevision(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		chain := []*pb.Configuration{nil}
-		for i := range 8 {
-			chain = append(chain, stamped(chain[i], testConfiguration(rapid.IntRange(1, 3).Draw(t, "shape"), "x")))
+		chain := make([]*pb.Configuration, 9)
+		for i := range chain[1:] {
+			chain[i+1] = stamped(chain[i], testConfiguration(rapid.IntRange(1, 3).Draw(t, "shape"), "x"))
 		}
 		m := newMachine(simulatedHeader("vm", "domain-0", 0, 1))
 		for i := range rapid.IntRange(1, 40).Draw(t, "events") {
--- a/internal/coordinator/search/leg.go
+++ b/internal/coordinator/search/leg.go
@@ -38,6 +38,9 @@
 	// the failure domain it was sent to.
 	reason     pb.MissingReason
 	lastDomain string
+	// unreached is set while the last attempt that ended certainly reached no
+	// target, so that another replica may be asked without extra load.
+	unreached bool
 
 	hedgeAt time.Time
 	// retryAt is when a retry that the budget did not allow is tried again;
@@ -79,10 +82,10 @@
 
 // due returns the next time that the leg has something to do, or zero.
 func (l *leg) due() time.Time {
-	if l.closed {
+	if l.closed && l.running == 0 {
 		return time.Time{}
 	}
-	if l.retryAt.IsZero() || !l.hedgeAt.IsZero() && l.hedgeAt.Before(l.retryAt) {
+	if l.closed || l.retryAt.IsZero() || !l.hedgeAt.IsZero() && l.hedgeAt.Before(l.retryAt) {
 		return l.hedgeAt
 	}
 	return l.retryAt
@@ -113,10 +116,12 @@
 	domain string
 	asked  []string
 	sentAt time.Time
-	// suspect is set when the content was under suspicion at the send.
-	suspect bool
-	slow    bool
-	closed  bool
+	// caution is how carefully the content was treated at the send.
+	caution Verdict
+	// loaded is set when the target was loaded beyond its slots at the send.
+	loaded bool
+	slow   bool
+	closed bool
 }
 
 // attemptOf returns an attempt by its identifier, or nil.
--- a/internal/coordinator/search/reply.go
+++ b/internal/coordinator/search/reply.go
@@ -41,8 +41,18 @@
 	m.takeStatus(a, l, reply)
 }
 
+// ErrNotSent is the cause of an attempt's error when no byte of the attempt left
+// this VM.
+var ErrNotSent = errors.New("the owner cannot be reached; nothing was sent")
+
 // takeError ends an attempt that brought no reply.
 func (m *Machine) takeError(a *attempt, l *leg, err error) {
+	if errors.Is(err, ErrNotSent) {
+		m.knowledge.Replicas.Owners().Unreachable(a.owner, m.ctx.Now)
+		m.observe(a, l, nil, replica.Failed)
+		m.unreached(a, l)
+		return
+	}
 	m.mayHaveRun = true
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		m.observe(a, l, nil, replica.Cancelled)
@@ -62,19 +72,22 @@
 	case pb.SubStatus_SUB_STATUS_NOT_OWNER:
 		m.observe(a, l, reply, replica.Neutral)
 		m.redirect(a, l, reply)
+	case pb.SubStatus_SUB_STATUS_NOT_DESIGNATED:
+		m.observe(a, l, reply, replica.Neutral)
+		m.sendToDesignated(a, l, reply.DesignatedTarget)
 	case pb.SubStatus_SUB_STATUS_SHED:
 		m.observe(a, l, reply, replica.Refused)
 		m.failed(a, l, pb.MissingReason_MISSING_REASON_REFUSED)
 	case pb.SubStatus_SUB_STATUS_UNAVAILABLE:
-		m.observe(a, l, reply, replica.Failed)
+		m.observe(a, l, reply, m.unavailable())
 		m.failed(a, l, pb.MissingReason_MISSING_REASON_REFUSED)
 	case pb.SubStatus_SUB_STATUS_SNAPSHOT_GONE:
 		m.observe(a, l, reply, replica.Gone)
 		m.failed(a, l, pb.MissingReason_MISSING_REASON_SNAPSHOT_GONE)
 	case pb.SubStatus_SUB_STATUS_QUARANTINED:
 		m.observe(a, l, reply, replica.Neutral)
-		m.trial.refused = true
 		m.giveUp(l, pb.MissingReason_MISSING_REASON_QUARANTINED)
+		m.stopContent()
 	case pb.SubStatus_SUB_STATUS_DEADLINE:
 		m.mayHaveRun = true
 		m.observe(a, l, reply, replica.Cancelled)
@@ -87,6 +100,15 @@
 	}
 }
 
+// unavailable returns what a refusal says of the target: nothing while the content
+// is suspect, since owners refuse suspect content on healthy targets.
+func (m *Machine) unavailable() replica.Result {
+	if m.caution() >= Suspect {
+		return replica.Neutral
+	}
+	return replica.Failed
+}
+
 // accept takes the partitions of a reply that are not covered yet.
 func (m *Machine) accept(a *attempt, l *leg, reply *pb.SubReply) {
 	m.mayHaveRun = true
@@ -126,6 +148,20 @@
 	}
 	l.reason = reason
 	l.lastDomain = a.domain
+	l.unreached = false
+	m.retry(l)
+}
+
+// unreached goes on with a leg after an attempt that certainly reached no
+// target. Asking another replica then brings no extra load on targets, so that
+// the budget is spared; since a leg asks each replica once, this is bounded.
+func (m *Machine) unreached(a *attempt, l *leg) {
+	if l.closed {
+		return
+	}
+	l.reason = pb.MissingReason_MISSING_REASON_UNREACHABLE
+	l.lastDomain = a.domain
+	l.unreached = true
 	m.retry(l)
 }
 
@@ -141,13 +177,26 @@
 	}
 	usable = usable && a.kind != Redirect && !l.closed && m.ctx.View.InService(a.target)
 	if !usable || !m.maySend() || !m.mayRun(l) {
-		m.failed(a, l, pb.MissingReason_MISSING_REASON_UNREACHABLE)
+		m.unreached(a, l)
 		return
 	}
 	target := replica.Candidate{Target: a.target, FailureDomain: a.domain, Owner: owner.ID}
 	m.dispatch(l, target, owner, Redirect, "the VM asked before is not the owner")
 }
 
+// sendToDesignated sends a suspect content to the one target that may run it.
+// Nothing ran before, so this is no extra load.
+func (m *Machine) sendToDesignated(a *attempt, l *leg, target string) {
+	m.trial.suspected = true
+	routes := m.routes(l)
+	at := slices.IndexFunc(routes.Candidates, func(c replica.Candidate) bool { return c.Target == target })
+	if at < 0 || l.closed || a.kind == Redirect || slices.Contains(l.tried, target) || !m.maySend() || !m.mayRun(l) {
+		m.failed(a, l, pb.MissingReason_MISSING_REASON_QUARANTINED)
+		return
+	}
+	m.send(l, routes, replica.Choice{Index: at, Reason: "the one target that may run the suspect content"}, Redirect)
+}
+
 // defect returns why a reply does not belong to the attempt or is not whole, or
 // nothing.
 func (m *Machine) defect(a *attempt, l *leg, reply *pb.SubReply) string {
@@ -180,6 +229,9 @@
 	if int(result.RowCount) != len(result.Rows) {
 		return "the reply is truncated"
 	}
+	if result.Matched != 0 && result.Matched < uint64(len(result.Rows)) {
+		return "the reply holds more rows than matched"
+	}
 	for _, other := range before {
 		if other.Partition == result.Partition {
 			return "the reply holds a partition twice"
@@ -212,7 +264,7 @@
 		InFlight: reply.GetInFlight(),
 		Snapshot: m.pinned.Version,
 		Held:     reply.GetHeldSnapshots(),
-		Slow:     a.slow,
+		Slow:     a.slow || a.loaded,
 	}, m.ctx.Now)
 }
 
--- a/internal/coordinator/search/trial.go
+++ b/internal/coordinator/search/trial.go
@@ -1,8 +1,6 @@
 package search
 
 import (
-	"time"
-
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
@@ -10,20 +8,25 @@
 type trial struct {
 	// proven is set when a target ran the content and answered.
 	proven bool
-	// crashes counts targets that failed while they ran the content.
+	// crashes counts targets that failed while they ran the content; those of
+	// them that ran it ahead of the others count in ahead too.
 	crashes int
+	ahead   int
+	// suspected is set when an owner holds the content suspect.
+	suspected bool
 	// refused is set when the content must not run on any further target.
 	refused bool
 	// held is the number of legs that wait for the trial.
 	held int
-	// releaseAt ends the wait for the proof of content that is only unproven.
-	releaseAt time.Time
-	released  bool
 }
 
-// trialDelays is how many hedge delays the first subrequest of unproven content
-// is waited for.
-const trialDelays = 2
+const (
+	// trialAttempts is the number of attempts of unproven content that run at
+	// once.
+	trialAttempts = 2
+	// trialCrashes is the number of crashes that end a trial.
+	trialCrashes = 2
+)
 
 // caution returns how carefully the content has to be treated, from the
 // quarantine's verdict and from what this search has seen.
@@ -32,11 +35,11 @@
 	switch {
 	case m.ctx.Verdict == Quarantined || t.refused:
 		return Quarantined
-	case m.ctx.Verdict == Suspect:
+	case m.ctx.Verdict == Suspect || t.suspected:
 		return Suspect
 	case t.crashes > 0 && !t.proven:
 		return Suspect
-	case m.ctx.Verdict == Unproven && !t.proven && !t.released:
+	case m.ctx.Verdict == Unproven && !t.proven:
 		return Unproven
 	default:
 		return Clear
@@ -56,8 +59,6 @@
 		}
 	case Unproven:
 		if m.running == 0 {
-			m.trial.releaseAt = m.ctx.Now.Add(trialDelays * l.group.HedgeDelay())
-			m.wakeBy(m.trial.releaseAt)
 			return true
 		}
 	default:
@@ -111,25 +112,50 @@
 }
 
 // crashed notes that a target failed while it ran the content. A crash of
-// content that was under suspicion already is the second one, which is enough.
+// content that was under suspicion already is the second one, as is the second of
+// attempts sent ahead; that is enough.
 func (m *Machine) crashed(a *attempt, l *leg) {
 	l.failures++
-	if m.trial.proven {
+	t := &m.trial
+	if t.proven {
 		return
 	}
-	m.trial.crashes++
-	if m.ctx.Verdict == Suspect || a.suspect {
-		m.trial.refused = true
+	t.crashes++
+	if a.caution >= Unproven {
+		t.ahead++
+	}
+	if m.ctx.Verdict == Suspect || a.caution == Suspect || t.ahead >= trialCrashes {
+		m.stopContent()
 	}
 }
 
-// trialTimer ends the wait for the proof of unproven content.
-func (m *Machine) trialTimer() {
-	t := &m.trial
-	if t.releaseAt.IsZero() || m.ctx.Now.Before(t.releaseAt) {
+// stopContent keeps the content from running any further: attempts that wait at
+// their owners are cancelled too.
+func (m *Machine) stopContent() {
+	m.trial.refused = true
+	if m.trial.proven {
 		return
 	}
-	t.releaseAt = time.Time{}
-	t.released = true
-	m.releaseHeld()
+	m.cancelAll()
+	for i := range m.legs {
+		m.giveUp(&m.legs[i], pb.MissingReason_MISSING_REASON_QUARANTINED)
+	}
+}
+
+// firstLeg returns the position of the leg that is sent first. For content on
+// trial it depends on the content, so that all VMs try a content on the same
+// service, whose owners tell each other of crashes; services that are silent are
+// passed over.
+func (m *Machine) firstLeg() int {
+	if m.caution() == Clear {
+		return 0
+	}
+	first := int(m.in.Digest % uint64(len(m.legs)))
+	for i := range m.legs {
+		at := (first + i) % len(m.legs)
+		if !m.legs[at].group.Silent() {
+			return at
+		}
+	}
+	return first
 }
--- a/internal/coordinator/search/types.go
+++ b/internal/coordinator/search/types.go
@@ -26,8 +26,8 @@
 const (
 	// Clear content may run on any number of targets at once.
 	Clear Verdict = iota
-	// Unproven content was not seen to run yet: one subrequest has to succeed
-	// before the others are sent.
+	// Unproven content was not seen to run yet: one subrequest, or its hedge, has
+	// to succeed before the others are sent.
 	Unproven
 	// Suspect content coincided with the crash of a target: it runs on one
 	// target at a time until a subrequest succeeds, and is never hedged.
@@ -184,9 +184,10 @@
 // Actions is what the runtime has to do after an event, in the order of the
 // fields.
 type Actions struct {
-	// Cancel lists attempts whose results are no longer wanted.
+	Sends []Send
+	// Cancel lists attempts whose results are no longer wanted; one of them may
+	// stand among Sends.
 	Cancel []uint64
-	Sends  []Send
 	// WakeAt replaces the time of the next Timer event, unless it is zero.
 	WakeAt time.Time
 	// Decisions are to be recorded.
