--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
@@ -101,6 +102,7 @@
 	if err != nil {
 		return errors.Wrap(err, "control")
 	}
+	metrics.RegisterSet(d.control.Metrics())
 	d.owner = owner.New(owner.Options{
 		Views: d.control, Limits: settings.Limits, Decisions: decisions, Logger: d.logger,
 		SourceAddress: settings.Listen.SourceAddress, Quarantine: d.poison,
