--- a/internal/owner/poison_test.go
+++ b/internal/owner/poison_test.go
@@ -211,7 +211,9 @@
 func TestPoisonGivenUpBeforeTheCrashIsSuspect(t *testing.T) {
 	set := newReplicaSet(t, 2)
 	set.fakes[0].search = func(ctx context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
+		// The deadline that the target sees may end before the owner's.
 		<-ctx.Done()
+		time.Sleep(100 * time.Millisecond)
 		return set.fakes[0].reply(r), nil
 	}
 	r := subRequest(targetName(0), 20*time.Millisecond)
