--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -108,7 +108,7 @@
 	if options.WithoutConfiguration {
 		return d, nil
 	}
-	return d, d.load(ctx)
+	return d, d.Load(ctx)
 }
 
 // useKey writes the shared key, if there is one, and makes the client sign with
@@ -226,9 +226,9 @@
 	})
 }
 
-// load applies the profile's configuration and waits until every VM is ready
+// Load applies the profile's configuration and waits until every VM is ready
 // with it.
-func (d *Deployment) load(ctx context.Context) error {
+func (d *Deployment) Load(ctx context.Context) error {
 	request := &pb.ApplyConfigurationRequest{Configuration: d.Profile.Configuration()}
 	var last *pb.ApplyConfigurationResponse
 	err := Poll(ctx, readyLimit, func() bool {
