Quarantine only content that crashed a target that ran it alone

Cause: when a failure domain drops all connections at once, clean content that was in flight on two targets was refused as quarantined (seen in e2e TestFailureDomainComesBackThroughTheRamp and once in TestRollingReplacementCutsNoRequest).

Change: coincidences, however many, leave content suspect; one crash while it ran alone quarantines. Suspicion.crashes_alone (new field 6) tells the two apart, since a count of coincidences at one target looked the same as a crash alone. The merge order is (epoch, crashes alone, crashes, earlier expiry), still a maximum. A crash alone is kept also when the bound on remembered targets is reached.

Tests: TestTwoDistinctTargetsQuarantine and TestCoincidenceAloneQuarantinesForAMinute required the faulty rule; TestCoincidencesNeverQuarantine replaces both: any series of coincidences on two lists never quarantines, stays suspect, and one crash alone then quarantines on both for the whole lifetime. The merge property now draws crashes alone too. TestCrashWhileAloneCountsAfterManyCoincidences is new. go test of quarantine, owner, target, standin: ok.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,12 +1,11 @@
 // Package quarantine decides which request contents may still be sent to
 // targets, after targets crashed while they ran them.
 //
-// A content that coincided with one crash is suspect: it may run alone, on one
+// A content that coincided with crashes is suspect: it may run alone, on one
 // designated target of the service at a time. A success in the service clears
-// the suspicion. A crash while it ran alone quarantines the content until the
-// suspicion expires. So does coincidence with the crashes of two targets, but
-// only for a shorter time, because targets also crash together for reasons of
-// their own; after that the content is suspect again and may be tried alone.
+// the suspicion. Only a crash while it ran alone quarantines the content, until
+// the suspicion expires. Coincidences, however many, never do, because targets
+// also crash together for reasons of their own.
 //
 // Lists of several VMs converge by exchanging entries: Merge is commutative,
 // associative and idempotent. The package has no clock; callers pass the time.
@@ -23,16 +22,12 @@
 )
 
 const (
-	// crashesToQuarantine is the number of coincidences that quarantine; a crash
-	// of a target that ran the content alone counts as that many.
-	crashesToQuarantine = 2
-	// coincidenceLifetime is how long coincidences alone quarantine.
-	coincidenceLifetime = time.Minute
 	// DefaultCapacity is the default number of contents remembered.
 	DefaultCapacity = 4096
 	// DefaultLifetime is the default time that a suspicion stands.
 	DefaultLifetime = 10 * time.Minute
-	// maxTargets bounds the targets remembered for one content.
+	// maxTargets bounds the targets remembered for one content, but for those
+	// that ran it alone, of which few can be.
 	maxTargets = 16
 )
 
@@ -89,13 +84,15 @@
 }
 
 // record is what is known of one content at one target. Records of the same
-// key are ordered by epoch, then crashes, then the earlier expiry; the greater
-// one holds.
+// key are ordered by epoch, then crashes alone, then crashes, then the earlier
+// expiry; the greater one holds.
 type record struct {
 	// epoch is raised when the crashes are cleared.
 	epoch uint32
 	// crashes counts the coincidences of this epoch.
 	crashes uint32
+	// alone counts those at which the target ran nothing else.
+	alone   uint32
 	expires time.Time
 }
 
@@ -103,6 +100,9 @@
 	if r.epoch != other.epoch {
 		return r.epoch < other.epoch
 	}
+	if r.alone != other.alone {
+		return r.alone < other.alone
+	}
 	if r.crashes != other.crashes {
 		return r.crashes < other.crashes
 	}
@@ -126,22 +126,25 @@
 
 // Suspect notes that the target crashed while it ran the content beside others.
 func (l *List) Suspect(digest uint64, place Place, now time.Time) {
-	l.suspect(digest, place, 1, now)
+	l.suspect(digest, place, 0, now)
 }
 
 // SuspectAlone notes that the target crashed while it ran nothing but the
 // content.
 func (l *List) SuspectAlone(digest uint64, place Place, now time.Time) {
-	l.suspect(digest, place, crashesToQuarantine, now)
+	l.suspect(digest, place, 1, now)
 }
 
-func (l *List) suspect(digest uint64, place Place, crashes uint32, now time.Time) {
+func (l *List) suspect(digest uint64, place Place, alone uint32, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
 	old := l.contents[digest][place]
 	l.put(digest, place, record{
-		epoch: old.epoch, crashes: old.crashes + crashes, expires: now.Add(l.limits.Lifetime),
+		epoch:   old.epoch,
+		crashes: old.crashes + 1,
+		alone:   old.alone + alone,
+		expires: now.Add(l.limits.Lifetime),
 	})
 }
 
@@ -182,22 +185,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var verdict Verdict
-	var crashes, most uint32
 	var expires time.Time
 	for place, r := range l.contents[digest] {
 		if r.crashes > 0 && now.Before(r.expires) {
 			verdict.Crashed = append(verdict.Crashed, place)
-			crashes += r.crashes
-			most = max(most, r.crashes)
+			verdict.Quarantined = verdict.Quarantined || r.alone > 0
 			expires = maxTime(expires, r.expires)
 		}
 	}
-	if crashes > 0 {
+	if len(verdict.Crashed) > 0 {
 		verdict.Age = l.limits.Lifetime - expires.Sub(now)
 	}
 	slices.SortFunc(verdict.Crashed, comparePlaces)
-	verdict.Quarantined = most >= crashesToQuarantine ||
-		(crashes >= crashesToQuarantine && verdict.Age < coincidenceLifetime)
 	return verdict
 }
 
@@ -253,7 +252,7 @@
 		left := uint64(r.expires.Sub(now).Milliseconds())
 		entry.ExpiresInMs = max(entry.ExpiresInMs, left)
 		entry.Suspicions = append(entry.Suspicions, &pb.Suspicion{
-			Service: place.Service, Target: place.Target, Epoch: r.epoch, Crashes: r.crashes, ExpiresInMs: left,
+			Service: place.Service, Target: place.Target, Epoch: r.epoch, Crashes: r.crashes, CrashesAlone: r.alone, ExpiresInMs: left,
 		})
 		if r.crashes > 0 {
 			entry.Targets = append(entry.Targets, place.Target)
@@ -283,7 +282,9 @@
 		return
 	}
 	place := Place{Service: suspicion.Service, Target: suspicion.Target}
-	theirs := record{epoch: suspicion.Epoch, crashes: suspicion.Crashes, expires: now.Add(left)}
+	theirs := record{
+		epoch: suspicion.Epoch, crashes: suspicion.Crashes, alone: suspicion.CrashesAlone, expires: now.Add(left),
+	}
 	ours, known := l.contents[digest][place]
 	if !known || ours.less(theirs) {
 		l.put(digest, place, theirs)
@@ -297,7 +298,7 @@
 		places = map[Place]record{}
 		l.contents[digest] = places
 	}
-	if _, known := places[place]; !known && len(places) >= maxTargets {
+	if _, known := places[place]; !known && r.alone == 0 && len(places) >= maxTargets {
 		return
 	}
 	places[place] = r
