Owners name the designated target; content given up before other work is no crash alone

Cause: a refusal of suspect content was UNAVAILABLE, from which a coordinator could not learn where the content may run. Suspect content that had run alone and was given up was quarantined when other content crashed the target within the next 2 s.

Change: NOT_DESIGNATED with SubReply.designated_target. Content noted as unanswered before other content is no longer held to have run alone; of several runs of a content the last one counts.

--- a/internal/owner/conclude.go
+++ b/internal/owner/conclude.go
@@ -46,7 +46,7 @@
 		event.Result = ResultRefused
 		h.end(id, event)
 		o.announce(ctx, w.service, h.refusedConnection(time.Now())...)
-		return o.refuse(w, h, &admissionError{pb.SubStatus_SUB_STATUS_UNAVAILABLE, ReasonDown.String()})
+		return o.refuse(w, h, &admissionError{status: pb.SubStatus_SUB_STATUS_UNAVAILABLE, reason: ReasonDown.String()})
 	case target.Invalid:
 		event.Result = ResultInvalid
 		h.end(id, event)
--- a/internal/owner/crash.go
+++ b/internal/owner/crash.go
@@ -48,21 +48,26 @@
 	at time.Time
 }
 
-// unanswered notes work that ended without an answer.
+// unanswered notes work that ended without an answer. What is noted before other
+// content is no longer held to be alone: either may cause a later crash.
 func (c *crashWatch) unanswered(content runningContent, now time.Time) {
 	if content.digest == 0 {
 		return
 	}
+	for i := range c.recent {
+		c.recent[i].alone = c.recent[i].alone && c.recent[i].digest == content.digest
+	}
 	if len(c.recent) >= maxUnanswered {
 		c.recent = append(c.recent[:0], c.recent[1:]...)
 	}
 	c.recent = append(c.recent, unansweredContent{runningContent: content, at: now})
 }
 
-// takeRecent removes and returns the distinct contents that are still recent.
+// takeRecent removes and returns the distinct contents that are still recent,
+// each as it ran last.
 func (c *crashWatch) takeRecent(now time.Time) []runningContent {
 	var contents []runningContent
-	for _, content := range c.recent {
+	for _, content := range slices.Backward(c.recent) {
 		same := func(other runningContent) bool { return other.digest == content.digest }
 		if now.Sub(content.at) <= unansweredLifetime && !slices.ContainsFunc(contents, same) {
 			contents = append(contents, content.runningContent)
@@ -77,7 +82,7 @@
 func (o *Owner) checkContent(v *view.View, w *work) (exclusive bool, refusal *admissionError) {
 	verdict := o.quarantine.Check(w.digest, time.Now())
 	if verdict.Quarantined {
-		return false, &admissionError{pb.SubStatus_SUB_STATUS_QUARANTINED, reasonQuarantined}
+		return false, &admissionError{status: pb.SubStatus_SUB_STATUS_QUARANTINED, reason: reasonQuarantined}
 	}
 	if !verdict.Suspect(w.service) {
 		return false, nil
@@ -85,7 +90,9 @@
 	designated := quarantine.Designate(
 		w.digest, candidates(v, w.target), verdict.CrashedTargets(w.service), verdict.Age)
 	if designated != w.target {
-		return false, &admissionError{pb.SubStatus_SUB_STATUS_UNAVAILABLE, reasonSuspect + designated}
+		return false, &admissionError{
+			status: pb.SubStatus_SUB_STATUS_NOT_DESIGNATED, reason: reasonSuspect + designated, designated: designated,
+		}
 	}
 	return true, nil
 }
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -29,6 +29,8 @@
 type admissionError struct {
 	status pb.SubStatus
 	reason string
+	// designated is the one target that may run suspect content.
+	designated string
 }
 
 // Error returns the reason.
@@ -63,6 +65,8 @@
 type result struct {
 	status pb.SubStatus
 	reason string
+	// designated is the one target that may run suspect content.
+	designated string
 	// sent is true when the work may have reached the target without a status
 	// that excludes that it ran.
 	sent bool
@@ -94,6 +98,7 @@
 	v := o.views.Current()
 	reply.Status = res.status
 	reply.Reason = res.reason
+	reply.DesignatedTarget = res.designated
 	reply.TargetUs = res.took.Microseconds()
 	reply.InFlight = uint32(res.inFlight)
 	reply.ConfigurationRevision = v.Revision()
@@ -140,7 +145,7 @@
 		d, ok := h.await(ctx, id, decided)
 		switch {
 		case !ok:
-			return o.refuse(w, h, &admissionError{pb.SubStatus_SUB_STATUS_SHED, ReasonExpired.String()})
+			return o.refuse(w, h, &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: ReasonExpired.String()})
 		case d.Kind == DecideRefuse:
 			return o.refuse(w, h, refusalOf(d.Reason))
 		case exclusive || !o.becameSuspect(w):
@@ -161,7 +166,7 @@
 func (o *Owner) admit(w *work) (h *handler, exclusive bool, refusal *admissionError) {
 	v := o.views.Current()
 	if o.stopping.Load() {
-		return nil, false, &admissionError{pb.SubStatus_SUB_STATUS_NOT_OWNER, reasonStopping}
+		return nil, false, &admissionError{status: pb.SubStatus_SUB_STATUS_NOT_OWNER, reason: reasonStopping}
 	}
 	if refusal = o.check(v, w); refusal != nil {
 		return nil, false, refusal
@@ -172,7 +177,7 @@
 	}
 	h = o.handler(v, w.target)
 	if h == nil {
-		return nil, false, &admissionError{pb.SubStatus_SUB_STATUS_SHED, ReasonGuard.String()}
+		return nil, false, &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: ReasonGuard.String()}
 	}
 	return h, exclusive, nil
 }
@@ -182,13 +187,13 @@
 	now := time.Now()
 	switch {
 	case v.Paused || o.clock.blocked(v, w.received, now):
-		return &admissionError{pb.SubStatus_SUB_STATUS_SHED, reasonPaused}
+		return &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: reasonPaused}
 	case !v.Owns(w.target):
-		return &admissionError{pb.SubStatus_SUB_STATUS_NOT_OWNER, reasonNotOwner}
+		return &admissionError{status: pb.SubStatus_SUB_STATUS_NOT_OWNER, reason: reasonNotOwner}
 	case !v.InService(w.target):
-		return &admissionError{pb.SubStatus_SUB_STATUS_UNAVAILABLE, reasonTakenOut}
+		return &admissionError{status: pb.SubStatus_SUB_STATUS_UNAVAILABLE, reason: reasonTakenOut}
 	case !now.Before(w.startBy):
-		return &admissionError{pb.SubStatus_SUB_STATUS_SHED, ReasonExpired.String()}
+		return &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: ReasonExpired.String()}
 	}
 	return nil
 }
@@ -196,11 +201,11 @@
 func refusalOf(reason Reason) *admissionError {
 	switch reason {
 	case ReasonDown, ReasonLeaving:
-		return &admissionError{pb.SubStatus_SUB_STATUS_UNAVAILABLE, reason.String()}
+		return &admissionError{status: pb.SubStatus_SUB_STATUS_UNAVAILABLE, reason: reason.String()}
 	case ReasonReleased:
-		return &admissionError{pb.SubStatus_SUB_STATUS_NOT_OWNER, reason.String()}
+		return &admissionError{status: pb.SubStatus_SUB_STATUS_NOT_OWNER, reason: reason.String()}
 	default:
-		return &admissionError{pb.SubStatus_SUB_STATUS_SHED, reason.String()}
+		return &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: reason.String()}
 	}
 }
 
@@ -233,7 +238,7 @@
 
 func (o *Owner) refuse(w *work, h *handler, refusal *admissionError) result {
 	refusals(refusal.reason).Inc()
-	res := result{status: refusal.status, reason: refusal.reason}
+	res := result{status: refusal.status, reason: refusal.reason, designated: refusal.designated}
 	if h != nil {
 		h.refused.Add(1)
 		state := h.state()
@@ -250,9 +255,9 @@
 	case errors.As(err, &refusal):
 		return o.refuse(w, h, refusal)
 	case errors.Is(err, target.ErrBudget):
-		return o.refuse(w, h, &admissionError{pb.SubStatus_SUB_STATUS_SHED, "connections"})
+		return o.refuse(w, h, &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: "connections"})
 	default:
-		return o.refuse(w, h, &admissionError{pb.SubStatus_SUB_STATUS_SHED, ReasonExpired.String()})
+		return o.refuse(w, h, &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: ReasonExpired.String()})
 	}
 }
 
--- a/internal/owner/poison_test.go
+++ b/internal/owner/poison_test.go
@@ -244,3 +244,83 @@
 	t.Helper()
 	require.NotEqual(t, pb.SubStatus_SUB_STATUS_OK, reply.Status)
 }
+
+// Clean content that runs on all targets of a service while they drop their
+// connections together is refused by none of them for that, and is cleared by a
+// success.
+func TestContentOfManyCrashesAtOnceIsNotRefused(t *testing.T) {
+	set := newReplicaSet(t, 4)
+	for _, fake := range set.fakes {
+		fake.search = func(ctx context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
+			<-ctx.Done()
+			return fake.reply(r), nil
+		}
+	}
+	var wait sync.WaitGroup
+	for i := range 3 {
+		wait.Go(func() { set.send(t, i, innocent) })
+		wait.Go(func() { set.send(t, i, innocent+1) })
+	}
+	eventually(t, func() bool {
+		return set.fakes[0].running.Load()+set.fakes[1].running.Load()+set.fakes[2].running.Load() == 6
+	})
+	for i := range 3 {
+		set.fakes[i].crash()
+	}
+	wait.Wait()
+	set.fakes[3].search = nil
+	require.Len(t, set.lists[3].Check(innocent, time.Now()).Crashed, 3)
+	requireStatus(t, pb.SubStatus_SUB_STATUS_OK, set.send(t, 3, innocent))
+	for _, list := range set.lists {
+		require.Empty(t, list.Check(innocent, time.Now()).Crashed)
+	}
+}
+
+// Suspect content that a caller gave up is not what crashed the target alone,
+// when other work ran there after it.
+func TestContentGivenUpBeforeOtherWorkDidNotCrashAlone(t *testing.T) {
+	set := newReplicaSet(t, 2)
+	set.fakes[0].search = func(ctx context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
+		if r.RequestId == fmt.Sprint(poison) {
+			set.fakes[0].crash()
+		}
+		<-ctx.Done()
+		return set.fakes[0].reply(r), nil
+	}
+	place := quarantine.Place{Service: "service", Target: targetName(1)}
+	set.lists[0].Suspect(innocent, place, time.Now())
+	r := subRequest(targetName(0), 20*time.Millisecond)
+	r.ContentDigest = innocent
+	requireStatus(t, pb.SubStatus_SUB_STATUS_DEADLINE, set.owners[0].Dispatch(t.Context(), r))
+	eventually(t, func() bool { return set.owners[0].Targets()[0].Running == 0 })
+	requireStatus(t, pb.SubStatus_SUB_STATUS_FAILED, set.send(t, 0, poison))
+	verdict := set.lists[0].Check(innocent, time.Now())
+	require.Contains(t, verdict.CrashedTargets("service"), targetName(0))
+	require.False(t, verdict.Quarantined)
+}
+
+// Suspect content goes to the one replica that the refusal names.
+func TestSuspectContentIsSentOnToTheDesignatedTarget(t *testing.T) {
+	set := newReplicaSet(t, 4)
+	for i := range set.lists {
+		set.lists[i].Suspect(innocent, quarantine.Place{Service: "service", Target: targetName(0)}, time.Now())
+	}
+	names := map[string]bool{}
+	for i := 1; i < 4; i++ {
+		reply := set.send(t, i, innocent+2)
+		requireStatus(t, pb.SubStatus_SUB_STATUS_OK, reply)
+		require.Empty(t, reply.DesignatedTarget)
+	}
+	for i := range 4 {
+		verdict := set.lists[i].Check(innocent, time.Now())
+		designated := quarantine.Designate(innocent, []string{"t0", "t1", "t2", "t3"}, []string{"t0"}, verdict.Age)
+		if designated == targetName(i) {
+			continue
+		}
+		reply := set.send(t, i, innocent)
+		requireStatus(t, pb.SubStatus_SUB_STATUS_NOT_DESIGNATED, reply)
+		names[reply.DesignatedTarget] = true
+		require.Equal(t, designated, reply.DesignatedTarget)
+	}
+	require.Len(t, names, 1)
+}
