Tests give work up for certain before the target answers

Cause: the fake target's context ends by the timeout header at about the time of the caller's deadline, so its reply could win.

Change: the fake answers only after the caller has given up.

--- a/internal/owner/poison_test.go
+++ b/internal/owner/poison_test.go
@@ -210,13 +210,15 @@
 // A caller that gives up before the target crashes does not hide the poison.
 func TestPoisonGivenUpBeforeTheCrashIsSuspect(t *testing.T) {
 	set := newReplicaSet(t, 2)
-	set.fakes[0].search = func(ctx context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
-		<-ctx.Done()
+	givenUp := make(chan struct{})
+	set.fakes[0].search = func(_ context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
+		<-givenUp
 		return set.fakes[0].reply(r), nil
 	}
 	r := subRequest(targetName(0), 20*time.Millisecond)
 	r.ContentDigest = poison
 	requireStatus(t, pb.SubStatus_SUB_STATUS_DEADLINE, set.owners[0].Dispatch(t.Context(), r))
+	close(givenUp)
 	eventually(t, func() bool { return set.owners[0].Targets()[0].Running == 0 })
 	set.fakes[0].crash()
 	requireStatus(t, pb.SubStatus_SUB_STATUS_UNAVAILABLE, set.send(t, 0, innocent))
@@ -280,11 +282,13 @@
 // when other work ran there after it.
 func TestContentGivenUpBeforeOtherWorkDidNotCrashAlone(t *testing.T) {
 	set := newReplicaSet(t, 2)
+	givenUp := make(chan struct{})
 	set.fakes[0].search = func(ctx context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
 		if r.RequestId == fmt.Sprint(poison) {
 			set.fakes[0].crash()
+			<-ctx.Done()
 		}
-		<-ctx.Done()
+		<-givenUp
 		return set.fakes[0].reply(r), nil
 	}
 	place := quarantine.Place{Service: "service", Target: targetName(1)}
@@ -292,6 +296,7 @@
 	r := subRequest(targetName(0), 20*time.Millisecond)
 	r.ContentDigest = innocent
 	requireStatus(t, pb.SubStatus_SUB_STATUS_DEADLINE, set.owners[0].Dispatch(t.Context(), r))
+	close(givenUp)
 	eventually(t, func() bool { return set.owners[0].Targets()[0].Running == 0 })
 	requireStatus(t, pb.SubStatus_SUB_STATUS_FAILED, set.send(t, 0, poison))
 	verdict := set.lists[0].Check(innocent, time.Now())
