Do not ask targets to compress replies

The client accepted gzip by connect's default and so paid for it with each reply. TestRepliesAreNotCompressed was seen failing before. The saving was not measured. go test of target: ok.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -70,7 +70,9 @@
 		dialer:    d,
 		transport: transport,
 		rpc: carawayreelv1connect.NewTargetServiceClient(once, "http://"+options.Address,
-			connect.WithReadMaxBytes(options.MaxReplyBytes)),
+			connect.WithReadMaxBytes(options.MaxReplyBytes),
+			// Targets are near: compressing a reply costs more than sending it.
+			connect.WithAcceptCompression("gzip", nil, nil)),
 	}
 }
 
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -34,6 +34,9 @@
 	hold    atomic.Bool
 	running atomic.Int64
 
+	// encodings holds the encodings of replies that the last search accepted.
+	encodings atomic.Value
+
 	mu   sync.Mutex
 	open int
 	most int
@@ -95,6 +98,7 @@
 func (f *fake) Search(ctx context.Context, r *connect.Request[pb.TargetSearchRequest]) (*connect.Response[pb.TargetSearchResponse], error) {
 	f.running.Add(1)
 	defer f.running.Add(-1)
+	f.encodings.Store(r.Header().Get("Accept-Encoding"))
 	if f.hold.Load() {
 		<-ctx.Done()
 		time.Sleep(slowCancellation)
@@ -259,3 +263,11 @@
 		require.ErrorIs(t, target.CheckReply(request, reply), target.ErrInvalidReply, name)
 	}
 }
+
+// Targets are not asked to compress their replies, which the client would pay for.
+func TestRepliesAreNotCompressed(t *testing.T) {
+	f := newFake(t)
+	_, err := f.client(1).Search(t.Context(), &pb.TargetSearchRequest{RequestId: "r", Attempt: 1}, nil)
+	require.NoError(t, err)
+	require.NotContains(t, f.encodings.Load(), "gzip")
+}
