Stand-in targets tell how many rows matched when the row limit cuts

As the schema says: zero when nothing was cut. TestRowLimitTellsHowManyRowsMatched was seen failing before. The owner passed the field on already; TestMatchedRowsArePassedOn holds it to that and passed from the start. go test of standin, owner: ok.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -323,3 +323,19 @@
 	})
 	require.EqualValues(t, 1, fake.mostRunning.Load())
 }
+
+func TestMatchedRowsArePassedOn(t *testing.T) {
+	f := newFakeTarget(t)
+	want := &pb.PartitionResult{Partition: "p", RowCount: 1, Rows: []*pb.Row{{RecordId: "s:1"}}, Matched: 9}
+	f.search = func(_ context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
+		reply := f.reply(r)
+		reply.Results = []*pb.PartitionResult{want}
+		return reply, nil
+	}
+	r := subRequest("a", time.Second)
+	r.Partitions, r.RowLimit = []string{"p"}, 1
+	reply := newDeployment(f).owner(nil).Dispatch(t.Context(), r)
+	requireStatus(t, pb.SubStatus_SUB_STATUS_OK, reply)
+	require.Len(t, reply.Results, 1)
+	require.True(t, proto.Equal(want, reply.Results[0]))
+}
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -16,7 +16,7 @@
 }
 
 // Search runs a search on the wanted partitions. The row limit bounds the rows
-// of each partition.
+// of each partition; one that it cuts tells how many rows matched.
 func (h *targetHandler) Search(
 	ctx context.Context, request *connect.Request[pb.TargetSearchRequest],
 ) (*connect.Response[pb.TargetSearchResponse], error) {
@@ -61,13 +61,16 @@
 	for _, partition := range r.Partitions {
 		rows := t.env.rows(t.front, t.service, partition, r.Snapshot)
 		matching := profile.Filter(rows, r.Conditions)
+		var matched uint64
 		if limit := int(r.RowLimit); limit > 0 && len(matching) > limit {
+			matched = uint64(len(matching))
 			matching = matching[:limit]
 		}
 		results = append(results, &pb.PartitionResult{
 			Partition: partition,
 			RowCount:  uint32(len(matching)),
 			Rows:      matching,
+			Matched:   matched,
 		})
 	}
 	return results
--- a/internal/standin/target_test.go
+++ b/internal/standin/target_test.go
@@ -42,6 +42,34 @@
 	require.True(t, executions.Msg.Executions[0].Finished)
 }
 
+// A partition whose rows the row limit cuts tells how many matched; one that is
+// whole tells nothing.
+func TestRowLimitTellsHowManyRowsMatched(t *testing.T) {
+	f := start(t, nil)
+	whole, err := f.search(t.Context(), searchRequest("whole"))
+	require.NoError(t, err)
+	r := searchRequest("cut")
+	most := uint32(0)
+	for _, result := range whole.Results {
+		require.Zero(t, result.Matched)
+		most = max(most, result.RowCount)
+	}
+	require.Greater(t, most, uint32(1))
+	r.RowLimit = most - 1
+	cut, err := f.search(t.Context(), r)
+	require.NoError(t, err)
+	require.Len(t, cut.Results, len(whole.Results))
+	for i, result := range cut.Results {
+		before := whole.Results[i].RowCount
+		require.Equal(t, min(before, r.RowLimit), result.RowCount)
+		if before > r.RowLimit {
+			require.EqualValues(t, before, result.Matched)
+		} else {
+			require.Zero(t, result.Matched)
+		}
+	}
+}
+
 func TestColdTargetFallsOverBeyondItsLimit(t *testing.T) {
 	f := start(t, nil)
 	first := f.counters(archive).BootId
