Unproven content is tried on the target that its digest selects

Change: the first target follows from the digest, unless it is set aside; content then queues at one owner, whose first crash is announced. The test fails with the old choice.

--- a/internal/coordinator/search/send.go
+++ b/internal/coordinator/search/send.go
@@ -84,7 +84,7 @@
 	if !m.mayRun(l) {
 		return
 	}
-	choice := m.choose(l, routes, "")
+	choice := m.chooseFirst(l, routes)
 	if choice.Index == replica.None {
 		m.giveUp(l, pb.MissingReason_MISSING_REASON_NO_REPLICA)
 		return
--- a/internal/coordinator/search/trial.go
+++ b/internal/coordinator/search/trial.go
@@ -1,6 +1,10 @@
 package search
 
 import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carawayreel/carawayreel/internal/coordinator/plan"
+	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
@@ -64,6 +68,31 @@
 	return false
 }
 
+// chooseFirst picks the target of a leg's first attempt. Unproven content goes to
+// the target that its digest selects, so that VMs which receive the same content
+// at the same time try it on one target and not on all replicas at once.
+func (m *Machine) chooseFirst(l *leg, routes *plan.Routes) replica.Choice {
+	if m.caution() != Unproven {
+		return m.choose(l, routes, "")
+	}
+	selected := 0
+	var greatest uint64
+	for i, candidate := range routes.Candidates {
+		weight := replica.Mix(m.in.Digest ^ xxhash.Sum64String(candidate.Target))
+		if weight >= greatest {
+			selected, greatest = i, weight
+		}
+	}
+	q := m.query(l, routes)
+	q.Skip = func(i int) bool { return i != selected }
+	choice := l.group.Choose(routes.Candidates, q, m.ctx.Now)
+	if choice.Index == replica.None || choice.SetAside || m.knownToLack(l, routes, choice) {
+		return m.choose(l, routes, "")
+	}
+	choice.Reason = "selected by the content's digest"
+	return choice
+}
+
 // mayReplace reports whether a hedge may be sent as far as the trial of the
 // content goes: of unproven content two attempts may go ahead in all.
 func (m *Machine) mayReplace() bool {
--- a/internal/coordinator/trial_test.go
+++ b/internal/coordinator/trial_test.go
@@ -182,3 +182,22 @@
 	require.Empty(t, s.open)
 	require.Equal(t, map[pb.MissingReason]int{pb.MissingReason_MISSING_REASON_QUARANTINED: 20}, s.reasons())
 }
+
+// VMs that receive the same unproven content at the same time try it on the same
+// target, whatever each of them has running.
+func TestUnprovenContentIsTriedOnOneTargetByAllVMs(t *testing.T) {
+	wanted := ""
+	for busy := range 4 {
+		s := newScript(t, typical())
+		for range busy {
+			s.start(request("other"))
+		}
+		s.verdict = search.Unproven
+		s.start(request("r1"))
+		first := s.open[0].Request.Target
+		if wanted == "" {
+			wanted = first
+		}
+		require.Equal(t, wanted, first)
+	}
+}
