--- a/internal/control/budget_test.go
+++ b/internal/control/budget_test.go
@@ -124,7 +124,7 @@
 	s.requireAll(t, s.store.Revision)
 }
 
-// The figures that docs/parts/control.md quotes are logged with -v.
+// The figures that docs/CAPACITY.md quotes are logged with -v.
 func TestControlTrafficStaysWithinItsBudget(t *testing.T) {
 	for _, size := range []struct{ domains, perDomain int }{{3, 3}, {3, 10}, {9, 10}} {
 		s := deployment(size.domains, size.perDomain)
