Coincidences in several failure domains refuse a content for a minute

Ruled out: quarantining every second coincidence (refuses clean content when a failure domain drops its connections). Change: two failure domains, and no other content that coincided with the same crashes.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -18,14 +18,15 @@
 
 // searchQuarantine tells the coordinator what the list holds against a content.
 type searchQuarantine struct {
-	list *quarantine.List
+	list  *quarantine.List
+	views view.Source
 }
 
 // Check returns the verdict on a content.
 func (q searchQuarantine) Check(digest uint64) search.Verdict {
 	verdict := q.list.Check(digest, time.Now())
 	switch {
-	case verdict.Quarantined:
+	case verdict.Refuses(q.views.Current().FailureDomainOf):
 		return search.Quarantined
 	case len(verdict.Crashed) > 0:
 		return search.Suspect
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -111,7 +111,7 @@
 	d.peers.SetOwner(d.owner)
 	d.coordinator = coordinator.New(coordinator.Options{
 		Views: d.control, Dispatcher: dispatcher{d.peers}, Decisions: decisions, Limits: settings.Limits,
-		Experiment: settings.Experiment, Quarantine: searchQuarantine{d.poison}, Logger: d.logger,
+		Experiment: settings.Experiment, Quarantine: searchQuarantine{list: d.poison, views: d.control}, Logger: d.logger,
 		ProveUnseen: true, Trace: d.traces.coordinator.writer(),
 	})
 	d.changes = change.New(change.Options{
--- a/internal/owner/crash.go
+++ b/internal/owner/crash.go
@@ -81,7 +81,7 @@
 // only alone.
 func (o *Owner) checkContent(v *view.View, w *work) (exclusive bool, refusal *admissionError) {
 	verdict := o.quarantine.Check(w.digest, time.Now())
-	if verdict.Quarantined {
+	if verdict.Refuses(v.FailureDomainOf) {
 		return false, &admissionError{status: pb.SubStatus_SUB_STATUS_QUARANTINED, reason: reasonQuarantined}
 	}
 	if !verdict.Suspect(w.service) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -59,6 +59,29 @@
 	Crashed []Place
 	// Age is the time since the last of them.
 	Age time.Duration
+	// Shared is true when another content coincided with all of them too, so that
+	// they do not tell which content caused them.
+	Shared bool
+}
+
+// spreadRefusal is how long content is refused that coincided with crashes in
+// more than one failure domain.
+const spreadRefusal = time.Minute
+
+// Refuses reports whether the content must not be sent to any target: it crashed
+// a target that ran it alone, or it coincided with crashes in more than one
+// failure domain a short while ago, and no other content did with all of them.
+// Losses for another reason, when many contents are in flight on many targets,
+// therefore refuse none.
+func (v Verdict) Refuses(domainOf func(target string) string) bool {
+	if v.Quarantined || len(v.Crashed) == 0 {
+		return v.Quarantined
+	}
+	if v.Age >= spreadRefusal || v.Shared {
+		return false
+	}
+	first := domainOf(v.Crashed[0].Target)
+	return slices.ContainsFunc(v.Crashed[1:], func(p Place) bool { return domainOf(p.Target) != first })
 }
 
 // Suspect reports whether the content is suspect in a service, and so may only
@@ -197,9 +220,27 @@
 		verdict.Age = l.limits.Lifetime - expires.Sub(now)
 	}
 	slices.SortFunc(verdict.Crashed, comparePlaces)
+	verdict.Shared = len(verdict.Crashed) > 1 && l.shared(digest, verdict.Crashed, now)
 	return verdict
 }
 
+// shared reports whether another content coincided with crashes at all places.
+func (l *List) shared(digest uint64, places []Place, now time.Time) bool {
+	for other, records := range l.contents {
+		if other == digest {
+			continue
+		}
+		missing := slices.ContainsFunc(places, func(p Place) bool {
+			r := records[p]
+			return r.crashes == 0 || !now.Before(r.expires)
+		})
+		if !missing {
+			return true
+		}
+	}
+	return false
+}
+
 // Quarantined returns the digests of the quarantined contents, ascending.
 func (l *List) Quarantined(now time.Time) []uint64 {
 	l.mu.Lock()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -230,3 +230,24 @@
 		}
 	})
 }
+
+// Coincidences in one failure domain refuse nothing; those in two do for a
+// minute, after which the content may be tried alone.
+func TestCoincidencesInTwoFailureDomainsRefuseForAMinute(t *testing.T) {
+	domainOf := func(target string) string { return target[:1] }
+	now := time.Unix(1_800_000_000, 0)
+	list := quarantine.New(quarantine.DefaultLimits())
+	list.Suspect(7, quarantine.Place{Service: "s", Target: "a1"}, now)
+	list.Suspect(7, quarantine.Place{Service: "r", Target: "a2"}, now)
+	require.False(t, list.Check(7, now).Refuses(domainOf))
+	list.Suspect(7, quarantine.Place{Service: "s", Target: "b1"}, now)
+	require.True(t, list.Check(7, now).Refuses(domainOf))
+	for _, place := range list.Check(7, now).Crashed {
+		list.Suspect(8, place, now)
+	}
+	require.False(t, list.Check(7, now).Refuses(domainOf), "two contents, and no telling which")
+	list.Clear(8, "s")
+	require.True(t, list.Check(7, now).Refuses(domainOf))
+	require.False(t, list.Check(7, now.Add(time.Minute)).Refuses(domainOf))
+	require.True(t, list.Check(7, now.Add(time.Minute)).Suspect("s"))
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -115,6 +115,16 @@
 	return target, ok
 }
 
+// FailureDomainOf returns the failure domain of a target; it is empty for an
+// unknown one.
+func (v *View) FailureDomainOf(target string) string {
+	found, ok := v.targets[target]
+	if !ok {
+		return ""
+	}
+	return found.FailureDomain
+}
+
 // Owner returns the VM that owns a target. It reports false when the target is
 // unknown or its failure domain has no VM that may own it.
 func (v *View) Owner(target string) (VM, bool) {
