--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,7 @@
 	return d, d.listen(key, decisions)
 }
 
+// loadKey reads the shared key; without a path calls are not authenticated.
 func loadKey(path string) (*auth.Key, error) {
 	if path == "" {
 		return nil, nil
@@ -81,6 +82,9 @@
 	return nil
 }
 
+// buildRoles connects the roles: control publishes the view that the others read,
+// and subrequests and changes reach owners through the peer client, which serves
+// calls for this VM itself without the network.
 func (d *Daemon) buildRoles(key *auth.Key, decisions *decision.Log) error {
 	settings := d.settings
 	self := selfVM(settings)
@@ -142,6 +146,7 @@
 	}
 }
 
+// listen binds both addresses. Nothing is served before Run.
 func (d *Daemon) listen(key *auth.Key, decisions *decision.Log) error {
 	guard := auth.NewGuard(key, d.logger)
 	admin := server.NewAdmin(server.AdminOptions{
