Suspect content runs alone in other services too

A search that lost one service's only reachable replica went on with the next; there the content was not held suspect, the crash counted as a coincidence, and nothing was ever quarantined. Ruled out: news that does not spread (the VMs of a domain heard). Change: for a minute such content runs alone everywhere, so that the second crash is its own. The new test fails without the change.

--- a/internal/owner/crash.go
+++ b/internal/owner/crash.go
@@ -24,6 +24,10 @@
 	maxUnanswered      = 32
 )
 
+// aloneElsewhere is how long content that coincided with a crash in one service
+// runs alone on the targets of other services too.
+const aloneElsewhere = time.Minute
+
 // crashWatch remembers the contents that may have crashed a target.
 type crashWatch struct {
 	// recent holds the contents of work that ended without an answer, oldest
@@ -85,7 +89,9 @@
 		return false, &admissionError{status: pb.SubStatus_SUB_STATUS_QUARANTINED, reason: reasonQuarantined}
 	}
 	if !verdict.Suspect(w.service) {
-		return false, nil
+		// Elsewhere it runs alone too for a while: a search that lost one service
+		// goes on with the next, and each would lose a target more.
+		return len(verdict.Crashed) > 0 && verdict.Age < aloneElsewhere, nil
 	}
 	designated := quarantine.Designate(
 		w.digest, candidates(v, w.target), verdict.CrashedTargets(w.service), verdict.Age)
--- a/internal/owner/poison_test.go
+++ b/internal/owner/poison_test.go
@@ -329,3 +329,18 @@
 	}
 	require.Len(t, names, 1)
 }
+
+// Content that coincided with a crash in another service runs alone here too, so
+// that a second crash is known to be its own.
+func TestSuspicionInAnotherServiceMakesACrashCountAlone(t *testing.T) {
+	set := newReplicaSet(t, 2)
+	elsewhere := quarantine.Place{Service: "other", Target: "o1"}
+	set.lists[0].Suspect(poison, elsewhere, time.Now())
+	set.fakes[0].search = func(ctx context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
+		set.fakes[0].server.CloseClientConnections()
+		<-ctx.Done()
+		return set.fakes[0].reply(r), nil
+	}
+	requireStatus(t, pb.SubStatus_SUB_STATUS_FAILED, set.send(t, 0, poison))
+	require.True(t, set.lists[0].Check(poison, time.Now()).Quarantined)
+}
