Routes over plain HTTP, served on the users' platform

Cause: the product could not run on the users' platform; it spoke its own protocol to targets and to the store only, and knew no routes.

Change: routes, their services and targets are part of the configuration (route.proto) and travel to the VMs by the control that was there.

Ruled out for now: sending through target owners (one hop and one process more between caller and target); targets of this platform queue and reject truthfully.

--- a/cmd/carawayreeld/main.go
+++ b/cmd/carawayreeld/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"github.com/carawayreel/carawayreel/internal/daemon"
 	"github.com/carawayreel/carawayreel/internal/settings"
@@ -21,6 +22,10 @@
 	exitSettings = 2
 )
 
+// queuedLines is the number of log lines that may wait for a slow reader; further
+// ones are dropped, so that nothing waits for the log.
+const queuedLines = 4096
+
 type arguments struct {
 	Run      runCommand      `cmd:"" help:"Run the daemon until SIGTERM or SIGINT, then stop without cutting requests."`
 	Check    checkCommand    `cmd:"" help:"Check a settings file. Exit code 2 when it is faulty."`
@@ -28,7 +33,7 @@
 }
 
 type runCommand struct {
-	File string `arg:"" help:"Settings file."`
+	File string `arg:"" env:"CARAWAYREEL_CONFIG" help:"Settings file."`
 }
 
 type checkCommand struct {
@@ -54,7 +59,9 @@
 		exit(exitSettings, err)
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
-	logger := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("vm", loaded.Vm.Id).Logger()
+	output := diode.NewWriter(os.Stdout, queuedLines, 0, nil)
+	defer func() { _ = output.Close() }()
+	logger := zerolog.New(output).Level(level).With().Timestamp().Str("vm", loaded.Vm.Id).Logger()
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer release()
 	d, err := daemon.New(loaded, logger)
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -54,6 +54,14 @@
 	Root *pb.ConfigurationRoot
 }
 
+// Reading is the end of one watch.
+type Reading struct {
+	// Configuration is nil when it did not change.
+	Configuration *pb.Configuration
+	// Version is the store's version up to which changes were seen.
+	Version uint64
+}
+
 // Store reads and writes configurations. It is safe for concurrent use.
 type Store struct {
 	platform platform.Store
@@ -64,6 +72,17 @@
 	return &Store{platform: store}
 }
 
+// Watch waits until the root's version is above after, at most for the given
+// time. Fronts that known holds in the same revision are not read again.
+func (s *Store) Watch(ctx context.Context, after uint64, wait time.Duration, known *pb.Configuration) (Reading, error) {
+	result, err := s.platform.Watch(ctx, RootKey, after, wait)
+	if err != nil || !result.Changed {
+		return Reading{Version: after}, err
+	}
+	stored, err := s.Assemble(ctx, result.Entry, known)
+	return Reading{Configuration: stored.Configuration, Version: stored.Version}, err
+}
+
 // Load reads the newest configuration. Fronts that known holds in the same
 // revision are not read again; known may be nil.
 func (s *Store) Load(ctx context.Context, known *pb.Configuration) (Stored, error) {
--- a/internal/configuration/delta.go
+++ b/internal/configuration/delta.go
@@ -27,6 +27,7 @@
 	before := frontsByName(previous)
 	stamped := withoutFronts(next)
 	stamped.Revision = revision
+	stampRoutes(previous, stamped)
 	for _, front := range next.GetFronts() {
 		stamped.Fronts = append(stamped.Fronts, stampFront(before[front.GetName()], front, revision))
 	}
@@ -54,6 +55,9 @@
 		Comment:        c.GetComment(),
 		AcceptedUnixMs: c.GetAcceptedUnixMs(),
 		WriteId:        c.GetWriteId(),
+		RouteTable:     c.GetRouteTable(),
+		Registrations:  c.GetRegistrations(),
+		RemovalsSince:  c.GetRemovalsSince(),
 	}
 	for _, front := range c.GetFronts() {
 		reference := &pb.FrontReference{Name: front.Name, Revision: front.Revision, Key: keys[front.Name]}
@@ -72,6 +76,9 @@
 		Comment:        root.GetComment(),
 		AcceptedUnixMs: root.GetAcceptedUnixMs(),
 		WriteId:        root.GetWriteId(),
+		RouteTable:     root.GetRouteTable(),
+		Registrations:  root.GetRegistrations(),
+		RemovalsSince:  root.GetRemovalsSince(),
 	}
 }
 
@@ -81,7 +88,11 @@
 	if c == nil {
 		return nil
 	}
+	if base < c.RemovalsSince {
+		base = 0
+	}
 	delta := &pb.ConfigurationDelta{BaseRevision: base, Revision: c.Revision, Root: Root(c, Keys{})}
+	addRoutes(delta, c)
 	for _, front := range c.Fronts {
 		if front.Revision > base {
 			delta.Fronts = append(delta.Fronts, front)
@@ -107,7 +118,9 @@
 	if err != nil {
 		return current, false, err
 	}
-	return Assemble(delta.Root, fronts), true, nil
+	next := Assemble(delta.Root, fronts)
+	joinRoutes(next, current, delta)
+	return next, true, nil
 }
 
 // CheckDelta returns an error unless the delta follows its schema. A nil delta,
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/carawayreel/carawayreel/internal/configstore"
 	"github.com/carawayreel/carawayreel/internal/configuration"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
@@ -71,22 +70,30 @@
 
 // watchStore makes one bounded watch and reads what changed.
 func (c *Control) watchStore(ctx context.Context, watch *pb.WatchStore, known *pb.Configuration) {
-	read := &pb.StoreRead{SentOffsetUs: c.offset(), Version: watch.AfterVersion}
+	sent := c.offset()
 	wait := time.Duration(watch.WaitMs) * time.Millisecond
-	result, err := c.options.Store.Watch(ctx, configstore.RootKey, watch.AfterVersion, wait)
-	if err == nil && result.Changed {
-		var stored configstore.Stored
-		stored, err = c.store.Assemble(ctx, result.Entry, known)
-		read.Configuration = stored.Configuration
-		read.Version = stored.Version
-	}
+	reading, err := c.source.Watch(ctx, watch.AfterVersion, wait, known)
+	read := &pb.StoreRead{SentOffsetUs: sent, Version: reading.Version, Configuration: reading.Configuration}
 	if err != nil {
-		read.Failed = true
-		read.Error = err.Error()
+		read = &pb.StoreRead{SentOffsetUs: sent, Failed: true, Error: err.Error()}
 	}
+	c.noteStore(err)
 	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_StoreRead{StoreRead: read}})
 }
 
+// noteStore logs the loss and the return of the platform's store.
+func (c *Control) noteStore(err error) {
+	lost := err != nil
+	if c.storeLost.Swap(lost) == lost {
+		return
+	}
+	if lost {
+		c.options.Logger.Warn().Err(err).Uint64("revision", c.Current().Revision()).Msg("platform's store lost")
+		return
+	}
+	c.options.Logger.Info().Uint64("revision", c.Current().Revision()).Msg("platform's store regained")
+}
+
 func (c *Control) fetch(ctx context.Context, from *pb.FetchFrom) {
 	callContext, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -41,13 +41,24 @@
 	Merge(entries []*pb.QuarantineEntry, now time.Time)
 }
 
+// Source is where configurations are read from. Implementations are safe for
+// concurrent use.
+type Source interface {
+	// Watch waits until the configuration's version is above after, at most for
+	// the given time. Known is the configuration in force.
+	Watch(ctx context.Context, after uint64, wait time.Duration, known *pb.Configuration) (configstore.Reading, error)
+}
+
 // Options are what a Control works with.
 type Options struct {
 	Settings *pb.Settings
 	// Self is this VM; its incarnation must be above that of any earlier process
 	// of the same name.
-	Self       view.VM
-	Store      platform.Store
+	Self  view.VM
+	Store platform.Store
+	// Source is where configurations are read from; nil reads those that
+	// operators wrote to Store through this product.
+	Source     Source
 	VMList     platform.VMList
 	Peers      Peers
 	Quarantine Quarantine // may be nil
@@ -83,8 +94,11 @@
 	options Options
 	config  config
 	store   *configstore.Store
-	base    time.Time
-	inbox   chan input
+	source  Source
+	// storeLost is true since a call to the store failed.
+	storeLost atomic.Bool
+	base      time.Time
+	inbox     chan input
 	// stopped is closed when Serve returned.
 	stopped chan struct{}
 
@@ -128,6 +142,10 @@
 		machine: newMachine(header),
 		trace:   newRecorder(options.Trace, header, options.Logger),
 	}
+	c.source = options.Source
+	if c.source == nil {
+		c.source = c.store
+	}
 	if err := checkSettings(c.config); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/carawayreel/carawayreel/internal/control"
 	"github.com/carawayreel/carawayreel/internal/coordinator"
 	"github.com/carawayreel/carawayreel/internal/decision"
+	"github.com/carawayreel/carawayreel/internal/gateway"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/owner"
 	"github.com/carawayreel/carawayreel/internal/peer"
@@ -42,6 +43,11 @@
 	peers       *peer.Client
 	callers     *transport.Server
 	others      *transport.Server
+
+	// gateway serves routes; nil when the settings name no address for them.
+	gateway   *gateway.Gateway
+	routes    *transport.Server
+	readiness *transport.Server
 }
 
 // New builds the roles and binds the addresses of the settings.
@@ -58,7 +64,10 @@
 	if err := d.buildRoles(key, decisions); err != nil {
 		return nil, err
 	}
-	return d, d.listen(key, decisions)
+	if err := d.listen(key, decisions); err != nil {
+		return nil, err
+	}
+	return d, d.listenRoutes()
 }
 
 // loadKey reads the shared key; without a path calls are not authenticated.
@@ -95,12 +104,12 @@
 	platformHTTP := transport.NewClient(transport.ClientOptions{
 		SourceAddress: settings.Listen.SourceAddress, HTTP1: true,
 	})
-	store := newPlatform(platformHTTP, settings.Platform)
+	store, list, source := d.newPlatform(platformHTTP)
 	d.poison = quarantine.New(quarantine.DefaultLimits())
 	d.peers = peer.New(self.ID, client, settings.Limits.MaxRequestBytes)
 	var err error
 	d.control, err = control.New(control.Options{
-		Settings: settings, Self: self, Store: store, VMList: store,
+		Settings: settings, Self: self, Store: store, Source: source, VMList: list,
 		Peers: controlPeers{d.peers}, Quarantine: d.poison, Logger: d.logger, Trace: d.traces.control.writer(),
 	})
 	if err != nil {
@@ -126,9 +135,17 @@
 	return nil
 }
 
-func newPlatform(client *http.Client, settings *pb.PlatformSettings) *platform.Client {
+// newPlatform returns the clients of the platform that the settings select. A nil
+// source reads the configurations that this product wrote to the store.
+func (d *Daemon) newPlatform(client *http.Client) (platform.Store, platform.VMList, control.Source) {
+	settings := d.settings.Platform
+	if settings.Protocol == protocolUsers {
+		followed := d.newUsersStore(client)
+		return readOnly{}, followed, followed
+	}
 	timeout := time.Duration(settings.CallTimeoutMs) * time.Millisecond
-	return platform.NewClient(client, "http://"+settings.Address, timeout)
+	own := platform.NewClient(client, "http://"+settings.Address, timeout)
+	return own, own, nil
 }
 
 // selfVM describes this process to the others.
@@ -181,6 +198,11 @@
 	for _, service := range []suture.Service{d.control, d.owner, d.callers, d.others} {
 		supervisor.Add(service)
 	}
+	for _, server := range []*transport.Server{d.routes, d.readiness} {
+		if server != nil {
+			supervisor.Add(server)
+		}
+	}
 	ended := supervisor.ServeBackground(services)
 	d.logger.Info().
 		Str("failure_domain", d.settings.Vm.FailureDomain).
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -27,6 +27,7 @@
 // records go to other VMs, and running requests end. No request is cut short
 // before the configured time limit.
 func (d *Daemon) stop() error {
+	began := time.Now()
 	limit := time.Duration(d.settings.Limits.StopTimeoutMs) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -34,9 +35,12 @@
 	if err := d.control.Leave(ctx); err != nil {
 		d.logger.Warn().Err(err).Msg("no other VM was told of the stop")
 	}
+	if d.gateway != nil {
+		d.gateway.Stop(began.Add(limit - stopMargin))
+	}
 	d.handOverTargets(ctx)
 	d.handOverChanges(ctx)
-	pause(ctx, balancerNotice)
+	pause(ctx, d.notice())
 	err := d.shutdownServers(ctx)
 	d.logger.Info().Err(err).Msg("planned stop ends")
 	return err
@@ -160,7 +164,20 @@
 	return d.peers.HandOver(ctx, to, request)
 }
 
+// notice returns how long new callers may still come after the VM is not ready.
+func (d *Daemon) notice() time.Duration {
+	if d.routes != nil {
+		return balancerTakesOut
+	}
+	return balancerNotice
+}
+
 func (d *Daemon) shutdownServers(ctx context.Context) error {
+	if d.routes != nil {
+		if err := d.routes.Shutdown(ctx); err != nil {
+			return errors.Wrap(err, "requests of routes were cut short")
+		}
+	}
 	if err := d.callers.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "callers' requests were cut short")
 	}
--- /dev/null
+++ b/internal/fanout/choose.go
@@ -0,0 +1,88 @@
+package fanout
+
+import (
+	"math"
+	"time"
+
+	"github.com/carawayreel/carawayreel/internal/routing"
+)
+
+const (
+	// foreignCost is how many times dearer a target in another failure domain
+	// is: traffic between them costs, and takes 1 ms more there and back.
+	foreignCost = 2.2
+	// coldCost is how many times dearer a cold target is, which is slow.
+	coldCost = 2.5
+	// lapsedCost makes a target whose registration ended the last resort.
+	lapsedCost = 1000
+	// asideCost makes a target that is set aside the last resort but one.
+	asideCost = 100
+)
+
+// choose returns the target that is expected to reply first, of those that the
+// leg did not try; nil when there is none. Targets that nothing reaches are left
+// out, those that are set aside for failures are a last resort.
+func (m *Machine) choose(l *leg) *routing.Target {
+	var best *routing.Target
+	lowest := math.Inf(1)
+	for _, target := range l.service.Targets {
+		if m.tried(l, target) {
+			continue
+		}
+		cost := m.cost(target)
+		if cost < lowest {
+			best, lowest = target, cost
+		}
+	}
+	if best != nil && !m.knowledge.bearsCold(best, m.vms, m.now) {
+		l.tried = append(l.tried, best.ID)
+		return m.choose(l)
+	}
+	return best
+}
+
+// cost returns the expected reply time in usual ones; infinite for targets that
+// must not be used.
+func (m *Machine) cost(t *routing.Target) float64 {
+	aside, down := t.Health.Aside(m.now)
+	if down {
+		return math.Inf(1)
+	}
+	cost := t.Health.Cost(m.now, m.times.usual, t.Slots)
+	if t.FailureDomain != m.in.Domain {
+		cost *= foreignCost
+	}
+	if m.now.Before(t.ColdUntil) {
+		cost *= coldCost
+	}
+	if t.Lapsed {
+		cost *= lapsedCost
+	}
+	if aside {
+		cost *= asideCost
+	}
+	return cost
+}
+
+const (
+	// soonestReturn and latestReturn bound when a caller is told to come back.
+	soonestReturn = 50 * time.Millisecond
+	latestReturn  = time.Second
+	// usualReturn is told when nothing is known of when targets are back: about
+	// the time in which a target's return is noticed.
+	usualReturn = 300 * time.Millisecond
+)
+
+// retryAfter returns when the first target of a leg that could not be asked is
+// tried again.
+func (m *Machine) retryAfter() time.Duration {
+	wait := usualReturn
+	for i := range m.legs {
+		for _, target := range m.legs[i].service.Targets {
+			if back := target.Health.BackAt(); back.After(m.now) {
+				wait = min(wait, back.Sub(m.now))
+			}
+		}
+	}
+	return min(max(wait, soonestReturn), latestReturn)
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/fanout"
+)
+
+// recordBytes is the size of a record in a gathered answer.
+const recordBytes = 16
+
+// write sends the answer to the caller.
+func (c *call) write(answer *fanout.Answer) {
+	switch {
+	case answer.Outcome == fanout.NotRun:
+		c.writeNotRun(answer.RetryAfter)
+	case answer.Outcome == fanout.TimedOut:
+		c.writer.WriteHeader(http.StatusGatewayTimeout)
+	case len(answer.Replies) == 0:
+		c.writer.WriteHeader(http.StatusBadGateway)
+	case c.route.Gathers():
+		c.writeGathered(answer)
+	default:
+		c.writeReply(answer.Replies[0])
+	}
+}
+
+// writeReply passes a target's reply on unchanged.
+func (c *call) writeReply(reply *backend.Reply) {
+	header := c.writer.Header()
+	for name, values := range passedOn(reply.Header) {
+		header[name] = values
+	}
+	if len(reply.Header["Content-Type"]) == 0 {
+		// The library would otherwise guess one.
+		header["Content-Type"] = nil
+	}
+	length := strconv.Itoa(len(reply.Body))
+	if c.http.Method == http.MethodHead {
+		length = reply.Header.Get("Content-Length")
+	}
+	if length != "" && reply.Status != http.StatusNoContent && reply.Status != http.StatusNotModified {
+		header.Set("Content-Length", length)
+	}
+	c.send(reply.Status, reply.Body)
+}
+
+// writeGathered merges the parts and states what they cover.
+func (c *call) writeGathered(answer *fanout.Answer) {
+	receipts := make([]string, 0, len(answer.Replies))
+	for _, reply := range answer.Replies {
+		receipts = append(receipts, reply.Receipt)
+	}
+	body := greatest(answer.Replies, int(c.route.RowLimit))
+	header := c.writer.Header()
+	c.gateway.options.Dialect.Gathered(header, receipts, answer.Missing)
+	header.Set("Content-Type", "application/octet-stream")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	c.send(http.StatusOK, body)
+}
+
+func (c *call) send(status int, body []byte) {
+	c.writer.WriteHeader(status)
+	if _, err := c.writer.Write(body); err != nil && c.http.Method != http.MethodHead {
+		c.gateway.counters.unwritten.Inc()
+	}
+}
+
+// record is one record as two numbers, which compare as its bytes do.
+type record struct{ high, low uint64 }
+
+// greatest returns the greatest records of all replies, greatest first. What
+// remains of a body after the last whole record is no record.
+func greatest(replies []*backend.Reply, limit int) []byte {
+	var records []record
+	for _, reply := range replies {
+		for body := reply.Body; len(body) >= recordBytes; body = body[recordBytes:] {
+			records = append(records, record{
+				high: binary.BigEndian.Uint64(body), low: binary.BigEndian.Uint64(body[recordBytes/2:]),
+			})
+		}
+	}
+	slices.SortFunc(records, func(a, b record) int {
+		return cmp.Or(cmp.Compare(b.high, a.high), cmp.Compare(b.low, a.low))
+	})
+	records = records[:min(limit, len(records))]
+	body := make([]byte, 0, len(records)*recordBytes)
+	for _, r := range records {
+		body = binary.BigEndian.AppendUint64(body, r.high)
+		body = binary.BigEndian.AppendUint64(body, r.low)
+	}
+	return body
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/fanout"
+	"github.com/carawayreel/carawayreel/internal/routing"
+)
+
+// call is one request of a caller.
+type call struct {
+	gateway  *Gateway
+	writer   http.ResponseWriter
+	http     *http.Request
+	received time.Time
+
+	id      string
+	current *compiled
+	route   *routing.Route
+	request *backend.Request
+}
+
+// startupReturn is when a caller shall come back to a VM that knows no routes
+// yet: a start takes about that long.
+const startupReturn = 500 * time.Millisecond
+
+func (c *call) serve() {
+	g := c.gateway
+	c.id = g.options.Dialect.RequestID(c.http.Header)
+	c.current = g.table(c.received)
+	table := c.current.table
+	if !table.Known() {
+		c.notRun("no configuration is known yet", startupReturn)
+		return
+	}
+	c.route = table.Match(hostOf(c.http.Host), pathOf(c.http.RequestURI))
+	switch {
+	case c.route == nil:
+		c.refuse(http.StatusNotFound, "no route for the host and path")
+		return
+	case c.id == "":
+		c.refuse(http.StatusBadRequest, "the request has no identity")
+		return
+	case headerBytes(c.http) > int(table.Limits.GetMaxHeaderBytes()) && table.Limits.GetMaxHeaderBytes() > 0:
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
+		return
+	case g.running.Load() > int64(g.settings.Load().GetMaxWaitingRequests()):
+		c.notRun("too many requests are running", overloadReturn)
+		return
+	}
+	body, err := c.readBody(table.Limits.GetMaxBodyBytes())
+	if err != nil {
+		return
+	}
+	c.request = &backend.Request{
+		ID: c.id, Method: c.http.Method, URI: c.http.RequestURI, Host: c.http.Host,
+		Header: passedOn(c.http.Header), Body: body,
+	}
+	c.run()
+}
+
+// overloadReturn is when a caller shall come back to a VM that has too much to do.
+const overloadReturn = 200 * time.Millisecond
+
+// readBody reads the whole body; on an error the caller has its answer.
+func (c *call) readBody(limit uint32) ([]byte, error) {
+	if c.http.Body == nil || c.http.Body == http.NoBody {
+		return nil, nil
+	}
+	reader := io.Reader(c.http.Body)
+	if limit > 0 {
+		reader = http.MaxBytesReader(c.writer, c.http.Body, int64(limit))
+	}
+	body, err := io.ReadAll(reader)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
+	case err != nil:
+		c.refuse(http.StatusBadRequest, "the body could not be read")
+	}
+	return body, errors.Wrap(err, "body")
+}
+
+// timeLimit returns how long the caller may be kept waiting.
+func (c *call) timeLimit() time.Duration {
+	limit := c.gateway.options.Dialect.TimeLimit(c.http.Header)
+	if limit == 0 || limit > c.route.TimeLimit {
+		return c.route.TimeLimit
+	}
+	return limit
+}
+
+// refuse answers a request that no target shall get because of its own fault.
+func (c *call) refuse(status int, cause string) {
+	c.gateway.journal.refused(c, status, cause)
+	c.gateway.counters.refused.Inc()
+	c.writer.WriteHeader(status)
+}
+
+// notRun answers a request that no target got.
+func (c *call) notRun(cause string, retryAfter time.Duration) {
+	c.gateway.journal.refused(c, http.StatusServiceUnavailable, cause)
+	c.gateway.counters.outcome(fanout.NotRun, time.Since(c.received))
+	c.writeNotRun(retryAfter)
+}
+
+func (c *call) writeNotRun(retryAfter time.Duration) {
+	seconds := strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)
+	c.writer.Header().Set("Retry-After", seconds)
+	c.writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// pathOf returns the path as the caller wrote it.
+func pathOf(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
+	return path
+}
+
+func headerBytes(r *http.Request) int {
+	const separators = 4
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
+// perConnection are the headers that concern one connection only.
+var perConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// passedOn returns a copy of the headers without those of one connection.
+func passedOn(h http.Header) http.Header {
+	copied := make(http.Header, len(h))
+	for name, values := range h {
+		copied[name] = values
+	}
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			delete(copied, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range perConnection {
+		delete(copied, name)
+	}
+	return copied
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,182 @@
+// Package gateway serves callers of routes over plain HTTP: it reads a request,
+// has package fanout decide which targets it is sent to, carries the decisions
+// out and writes the answer.
+//
+// Each request has one goroutine, which alone uses the request's machine, and
+// one for each attempt. The table of routes is compiled when the view changed,
+// by the first request that finds it so.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/fanout"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/routing"
+	"github.com/carawayreel/carawayreel/internal/view"
+)
+
+const (
+	// lapseShare is the part of the time in which a target has to get no more
+	// requests after it is gone, for which one that gave no notice may still get
+	// some. The rest is for the news of its end.
+	lapseShare = 0.6
+	// unknownVMs is the number of VMs that limits are shared by while the others
+	// are not known.
+	unknownVMs = 12
+	percent    = 100
+)
+
+// Options are what a Gateway works with.
+type Options struct {
+	Views    view.Source
+	Client   *backend.Client
+	Dialect  backend.Dialect
+	Settings *pb.Settings
+	Logger   zerolog.Logger
+	Metrics  *metrics.Set
+}
+
+// Gateway serves routes. It is safe for concurrent use.
+type Gateway struct {
+	options   Options
+	knowledge *fanout.Knowledge
+	journal   *journal
+	settings  atomic.Pointer[pb.RouteSettings]
+	running   atomic.Int64
+	// stopBy is when requests must have ended, in Unix nanoseconds; zero while no
+	// stop is planned.
+	stopBy atomic.Int64
+
+	mu       sync.Mutex
+	compiler *routing.Compiler
+	from     *pb.Configuration
+	compiled atomic.Pointer[compiled]
+
+	counters counters
+}
+
+// compiled is a table with what it was made from.
+type compiled struct {
+	table *routing.Table
+	view  *view.View
+	vms   int
+	until time.Time
+}
+
+// New returns a Gateway.
+func New(options Options) *Gateway {
+	g := &Gateway{
+		options:   options,
+		knowledge: fanout.NewKnowledge(),
+		journal:   newJournal(options.Logger, options.Settings.GetLog(), options.Metrics),
+		counters:  newCounters(options.Metrics),
+	}
+	lapse := time.Duration(float64(options.Settings.GetRoutes().GetDrainMs())*lapseShare) * time.Millisecond
+	g.compiler = routing.NewCompiler(lapse)
+	g.settings.Store(options.Settings.GetRoutes())
+	options.Metrics.NewGauge("carawayreel_route_requests_running", func() float64 { return float64(g.running.Load()) })
+	return g
+}
+
+// Reload puts new limits in force.
+func (g *Gateway) Reload(settings *pb.Settings) {
+	g.settings.Store(settings.GetRoutes())
+	g.compiled.Store(nil)
+}
+
+// Stop makes answers close their connections, and requests end by the given
+// time.
+func (g *Gateway) Stop(by time.Time) { g.stopBy.Store(by.UnixNano()) }
+
+// Running returns the number of requests that are being served.
+func (g *Gateway) Running() int64 { return g.running.Load() }
+
+// table returns the table of the newest view.
+func (g *Gateway) table(now time.Time) *compiled {
+	current := g.options.Views.Current()
+	known := g.compiled.Load()
+	if known != nil && known.view == current && (known.until.IsZero() || now.Before(known.until)) {
+		return known
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	vms := sharers(current)
+	if known = g.compiled.Load(); known != nil && known.table.Revision == current.Revision() &&
+		g.from == current.Configuration && known.vms == vms && (known.until.IsZero() || now.Before(known.until)) {
+		next := &compiled{table: known.table, view: current, vms: vms, until: known.until}
+		g.compiled.Store(next)
+		return next
+	}
+	table := g.compiler.Compile(current.Configuration, vms, now)
+	next := &compiled{table: table, view: current, vms: vms, until: g.compiler.NextChange()}
+	g.from = current.Configuration
+	g.compiled.Store(next)
+	g.knowledge.SetLimits(limitsOf(g.settings.Load(), vms))
+	g.knowledge.Retain(table)
+	g.options.Client.Retain(table.HasTarget)
+	g.journal.table(table, vms, current.ConfigurationAge(now))
+	return next
+}
+
+func limitsOf(settings *pb.RouteSettings, vms int) fanout.Limits {
+	return fanout.Limits{
+		Share: float64(settings.GetExtraLoadPercent()) / percent,
+		Slack: float64(settings.GetExtraLoadSlack()) / float64(vms),
+	}
+}
+
+// sharers returns the number of VMs that limits are shared by.
+func sharers(v *view.View) int {
+	vms := v.Sharers()
+	if v.Paused {
+		return max(vms, unknownVMs)
+	}
+	return max(vms, 1)
+}
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	if g.stopBy.Load() != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	c := &call{gateway: g, writer: w, http: r, received: time.Now()}
+	c.serve()
+}
+
+// deadline returns when a request must have been answered.
+func (g *Gateway) deadline(received time.Time, limit time.Duration) time.Time {
+	deadline := received.Add(limit - min(deadlineMargin, limit/marginShare))
+	if by := g.stopBy.Load(); by != 0 {
+		if stop := time.Unix(0, by); stop.Before(deadline) {
+			return stop
+		}
+	}
+	return deadline
+}
+
+const (
+	// deadlineMargin is kept from a caller's time limit for the way back.
+	deadlineMargin = 10 * time.Millisecond
+	// marginShare bounds the margin of short limits to a part of them.
+	marginShare = 10
+	// linger is how long attempts that lost against another one may still end,
+	// so that their connections can be used again. It is above the usual pauses
+	// of targets.
+	linger = 250 * time.Millisecond
+)
+
+// detached returns a context for attempts, which may outlive their request.
+func detached() (context.Context, context.CancelFunc) {
+	return context.WithCancel(context.Background())
+}
--- /dev/null
+++ b/internal/gateway/journal.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/carawayreel/carawayreel/internal/fanout"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/routing"
+)
+
+// ordinaryReserve is the part of the lines of a second that requests without
+// anything unusual leave to the others.
+const ordinaryReserve = 0.5
+
+// journal writes one line for each request that was refused, failed, late,
+// partial or sent more than once, and for a sample of the others. Lines beyond
+// the limit are counted instead.
+type journal struct {
+	logger  zerolog.Logger
+	limiter *rate.Limiter
+	sample  uint64
+	burst   float64
+	dropped *metrics.Counter
+}
+
+func newJournal(logger zerolog.Logger, settings *pb.LogSettings, set *metrics.Set) *journal {
+	lines := int(settings.GetLinesPerS())
+	return &journal{
+		logger:  logger,
+		limiter: rate.NewLimiter(rate.Limit(lines), lines),
+		sample:  uint64(settings.GetDecisionSample()),
+		burst:   float64(lines),
+		dropped: set.NewCounter("carawayreel_log_lines_dropped_total"),
+	}
+}
+
+// story is what happened to a request.
+type story struct {
+	attempts []told
+	extra    int
+}
+
+// told is one attempt as it is logged.
+type told struct {
+	target, domain, service string
+	reason                  fanout.Reason
+	sent, took              time.Duration
+	result                  string
+}
+
+func (s *story) sent(send fanout.Send, at time.Duration) {
+	if send.Reason != fanout.First {
+		s.extra++
+	}
+	s.attempts = append(s.attempts, told{
+		target: send.Target.ID, domain: send.Target.FailureDomain, service: send.Target.Service,
+		reason: send.Reason, sent: at, result: "running",
+	})
+}
+
+func (s *story) ended(e end, at time.Duration) {
+	attempt := &s.attempts[e.attempt]
+	attempt.took = at - attempt.sent
+	switch {
+	case e.err != nil:
+		attempt.result = e.err.Error()
+	case e.reply.NotRun:
+		attempt.result = "not run"
+	case e.reply.Good():
+		attempt.result = "ok"
+	default:
+		attempt.result = "failed"
+	}
+}
+
+// MarshalZerologObject writes one attempt.
+func (t told) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("service", t.service).Str("target", t.target).Str("domain", t.domain).Str("reason", string(t.reason)).
+		Int64("sent_us", t.sent.Microseconds()).Int64("took_us", t.took.Microseconds()).Str("result", t.result)
+}
+
+// MarshalZerologArray writes the attempts that tell something: all of a request
+// with few, otherwise those that were extra or not ok.
+func (s *story) MarshalZerologArray(a *zerolog.Array) {
+	const few = 3
+	for _, attempt := range s.attempts {
+		if len(s.attempts) <= few || attempt.reason != fanout.First || attempt.result != "ok" {
+			a.Object(attempt)
+		}
+	}
+}
+
+// allow takes a line's place; ordinary lines leave room for the others.
+func (j *journal) allow(ordinary bool) bool {
+	if ordinary && j.limiter.Tokens() < j.burst*ordinaryReserve {
+		j.dropped.Inc()
+		return false
+	}
+	if !j.limiter.Allow() {
+		j.dropped.Inc()
+		return false
+	}
+	return true
+}
+
+func (j *journal) sampled(id string) bool {
+	return j.sample > 0 && xxhash.Sum64String(id)%j.sample == 0
+}
+
+// finished logs how a request ended.
+func (j *journal) finished(c *call, s *story, answer *fanout.Answer) {
+	took := time.Since(c.received)
+	ordinary := answer.Outcome == fanout.Complete && s.extra == 0 && (c.route.Goal == 0 || took < c.route.Goal)
+	if ordinary && !j.sampled(c.id) || !j.allow(ordinary) {
+		return
+	}
+	j.logger.Info().Str("request", c.id).Str("route", c.route.Name).
+		Uint64("version", c.current.table.Version).Uint64("revision", c.current.table.Revision).
+		Int64("configuration_age_ms", c.current.view.ConfigurationAge(c.received).Milliseconds()).
+		Str("outcome", answer.Outcome.String()).Str("cause", answer.Cause).
+		Int("missing", answer.Missing).Int("attempts", len(s.attempts)).Int("extra", s.extra).
+		Dur("took", took).Dur("retry_after", answer.RetryAfter).Array("sends", s).Msg("request")
+}
+
+// refused logs a request that was answered without a target.
+func (j *journal) refused(c *call, status int, cause string) {
+	if !j.allow(false) {
+		return
+	}
+	j.logger.Info().Str("request", c.id).Int("status", status).Str("cause", cause).
+		Uint64("version", c.current.table.Version).Uint64("revision", c.current.table.Revision).
+		Str("host", c.http.Host).Str("uri", c.http.RequestURI).Msg("request refused")
+}
+
+// table logs that another table is in force.
+func (j *journal) table(t *routing.Table, vms int, age time.Duration) {
+	if !j.allow(false) {
+		return
+	}
+	j.logger.Info().Uint64("version", t.Version).Uint64("revision", t.Revision).Int("targets", t.Targets()).
+		Int("vms", vms).Int64("confirmed_ms_ago", age.Milliseconds()).Msg("routes in force")
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/carawayreel/carawayreel/internal/fanout"
+)
+
+// counters are the gateway's metrics.
+type counters struct {
+	requests  [fanout.Gone + 1]*metrics.Counter
+	seconds   [fanout.Gone + 1]*metrics.Histogram
+	refused   *metrics.Counter
+	unwritten *metrics.Counter
+}
+
+func newCounters(set *metrics.Set) counters {
+	c := counters{
+		refused:   set.NewCounter("carawayreel_route_requests_refused_total"),
+		unwritten: set.NewCounter("carawayreel_route_answers_unwritten_total"),
+	}
+	for outcome := range c.requests {
+		label := fanout.Outcome(outcome).String()
+		c.requests[outcome] = set.NewCounter(fmt.Sprintf("carawayreel_route_requests_total{outcome=%q}", label))
+		c.seconds[outcome] = set.NewHistogram(fmt.Sprintf("carawayreel_route_request_seconds{outcome=%q}", label))
+	}
+	return c
+}
+
+// outcome counts the end of a request.
+func (c *counters) outcome(o fanout.Outcome, took time.Duration) {
+	c.requests[o].Inc()
+	c.seconds[o].Update(took.Seconds())
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/fanout"
+	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/routing"
+)
+
+// end is the end of one attempt.
+type end struct {
+	attempt int
+	reply   *backend.Reply
+	err     error
+}
+
+// run is one request in progress.
+type run struct {
+	call     *call
+	machine  *fanout.Machine
+	ctx      context.Context
+	cancel   context.CancelFunc
+	ends     chan end
+	inFlight int
+	story    story
+}
+
+// expectedSends is the usual number of sends for each leg; the channel of ends
+// has room for more.
+const endsPerLeg = 6
+
+// run serves the request through its machine.
+func (c *call) run() {
+	legs := c.route.Shards
+	if !c.route.Gathers() {
+		legs = []*routing.Service{pick(c.route.Parts)}
+	}
+	if legs[0] == nil {
+		c.notRun("the route has no service", startupReturn)
+		return
+	}
+	r := &run{call: c, ends: make(chan end, len(legs)*endsPerLeg)}
+	r.ctx, r.cancel = detached()
+	r.machine = fanout.New(c.gateway.knowledge, c.current.vms, fanout.Input{
+		Route: c.route, Legs: legs, Domain: c.current.view.Self.FailureDomain,
+		Received: c.received, Deadline: c.gateway.deadline(c.received, c.timeLimit()),
+	})
+	answer := r.wait()
+	if answer == nil {
+		c.gateway.counters.outcome(fanout.Gone, time.Since(c.received))
+		r.giveUp(health.Withdrawn)
+		c.gateway.journal.finished(c, &r.story, &fanout.Answer{Outcome: fanout.Gone, Cause: "the caller left"})
+		return
+	}
+	c.write(answer)
+	c.gateway.counters.outcome(answer.Outcome, time.Since(c.received))
+	c.gateway.journal.finished(c, &r.story, answer)
+	r.finish(answer)
+}
+
+// pick returns one of the services by weight.
+func pick(parts []routing.Part) *routing.Service {
+	total := 0.0
+	for _, part := range parts {
+		total += part.Weight
+	}
+	drawn := rand.Float64() * total
+	for _, part := range parts {
+		if drawn -= part.Weight; drawn < 0 {
+			return part.Service
+		}
+	}
+	return nil
+}
+
+// wait runs the machine until it answers; it returns nil when the caller left.
+func (r *run) wait() *fanout.Answer {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	actions := r.machine.Start(time.Now())
+	for {
+		r.carryOut(actions)
+		if actions.Answer != nil {
+			return actions.Answer
+		}
+		timer.Reset(time.Until(actions.WakeAt))
+		select {
+		case e := <-r.ends:
+			actions = r.ended(e)
+		case <-timer.C:
+			actions = r.machine.Tick(time.Now())
+		case <-r.call.http.Context().Done():
+			return nil
+		}
+	}
+}
+
+func (r *run) carryOut(actions fanout.Actions) {
+	for _, send := range actions.Sends {
+		r.inFlight++
+		r.story.sent(send, time.Since(r.call.received))
+		go r.attempt(send)
+	}
+}
+
+func (r *run) attempt(send fanout.Send) {
+	reply, err := r.call.gateway.options.Client.Send(r.ctx, &send.Target.Target, r.call.request, send.Left)
+	r.ends <- end{attempt: send.Attempt, reply: reply, err: err}
+}
+
+func (r *run) ended(e end) fanout.Actions {
+	r.inFlight--
+	r.story.ended(e, time.Since(r.call.received))
+	return r.machine.Ended(time.Now(), e.attempt, e.reply, e.err)
+}
+
+// finish lets the attempts that were not needed end by themselves for a while,
+// so that their connections stay, and then gives them up.
+func (r *run) finish(answer *fanout.Answer) {
+	if r.inFlight == 0 {
+		r.cancel()
+		return
+	}
+	if answer.Outcome == fanout.TimedOut {
+		r.giveUp(health.Abandoned)
+		return
+	}
+	go r.linger()
+}
+
+func (r *run) linger() {
+	timer := time.NewTimer(linger)
+	defer timer.Stop()
+	for r.inFlight > 0 {
+		select {
+		case e := <-r.ends:
+			r.ended(e)
+		case <-timer.C:
+			r.giveUp(health.Abandoned)
+			return
+		}
+	}
+	r.cancel()
+}
+
+// giveUp cancels all attempts in progress and notes what that says of their
+// targets.
+func (r *run) giveUp(outcome health.Outcome) {
+	r.cancel()
+	for ; r.inFlight > 0; r.inFlight-- {
+		e := <-r.ends
+		r.machine.Abandon(time.Now(), e.attempt, outcome)
+	}
+}
--- /dev/null
+++ b/internal/health/health.go
@@ -0,0 +1,218 @@
+// Package health keeps what this VM learned of each target from its own
+// requests: work in flight, speed compared with the other targets, failures.
+// Answers of health endpoints are not asked for, because they mislead.
+//
+// The package reads no clock. A State is safe for concurrent use.
+package health
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// speedWeight is the weight of the newest reply in the moving average of the
+	// speed.
+	speedWeight = 0.3
+	// speedFades is the time in which an unused target's speed returns halfway to
+	// the usual one, so that a target that was slow is tried again.
+	speedFades = 1500 * time.Millisecond
+	// slowestRatio bounds how much slower than usual one reply may count.
+	slowestRatio = 30
+	// overdueAfter is how many usual reply times a request may run before its
+	// target is held for stuck, in proportion to the excess.
+	overdueAfter = 2.0
+	// failureWeight is the weight of the newest outcome in the failure rate.
+	failureWeight = 0.2
+	// failureFades is the time in which the failure rate halves without use.
+	failureFades = 2 * time.Second
+	// failureCost is how many times slower a target that always fails counts.
+	failureCost = 12
+	// failuresInRow is the number of failures in a row that sets a target aside.
+	failuresInRow = 3
+
+	// Pauses of targets that are set aside; each failure more doubles the pause.
+	unreachablePause = 200 * time.Millisecond
+	failurePause     = 150 * time.Millisecond
+	busyPause        = 30 * time.Millisecond
+	longestPause     = 1500 * time.Millisecond
+)
+
+// Outcome is how a request at a target ended.
+type Outcome int
+
+// Outcomes of requests.
+const (
+	// Answered is a good reply.
+	Answered Outcome = iota
+	// Failed is a reply that is no success, or a reply that was lost.
+	Failed
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// Busy means that the target or this VM's connections to it are full.
+	Busy
+	// Abandoned is a request that was given up; it says something of the target
+	// only by its age.
+	Abandoned
+	// Withdrawn is a request that says nothing of the target.
+	Withdrawn
+)
+
+// State is what is known of one start of a target.
+type State struct {
+	mu       sync.Mutex
+	inFlight []time.Time
+
+	// ratio is the moving average of reply times over the usual reply time.
+	ratio   float64
+	ratioAt time.Time
+
+	failureRate float64
+	failureAt   time.Time
+	inRow       int
+
+	asideUntil time.Time
+	asides     int
+	// down is true when the target is aside because nothing reaches it.
+	down    bool
+	probing bool
+	goodAt  time.Time
+}
+
+// New returns the state of a target that nothing is known of.
+func New() *State { return &State{ratio: 1} }
+
+// Begin notes that a request is sent.
+func (s *State) Begin(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight = append(s.inFlight, now)
+	if !s.asideUntil.IsZero() {
+		s.probing = true
+	}
+}
+
+// End notes the end of a request that began at the given time; usual is the
+// usual reply time of requests of its kind.
+func (s *State) End(began, now time.Time, outcome Outcome, usual time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.inFlight, began); i >= 0 {
+		s.inFlight = slices.Delete(s.inFlight, i, i+1)
+	}
+	s.probing = false
+	age := now.Sub(began)
+	switch outcome {
+	case Answered:
+		s.answered(age, usual, now)
+	case Failed:
+		s.fail(now)
+		if s.inRow >= failuresInRow {
+			s.setAside(failurePause, now)
+		}
+	case Unreachable:
+		s.fail(now)
+		s.down = true
+		s.setAside(unreachablePause, now)
+	case Busy:
+		s.asideUntil = later(s.asideUntil, now.Add(busyPause))
+	case Abandoned:
+		s.slow(age, usual, now)
+		s.inRow++
+		if s.inRow >= failuresInRow {
+			s.down = true
+			s.setAside(failurePause, now)
+		}
+	case Withdrawn:
+	}
+}
+
+func (s *State) answered(age, usual time.Duration, now time.Time) {
+	s.slow(age, usual, now)
+	s.failureRate = s.fadedFailures(now) * (1 - failureWeight)
+	s.failureAt = now
+	s.inRow, s.asides, s.down = 0, 0, false
+	s.asideUntil = time.Time{}
+	s.goodAt = now
+}
+
+// slow adds a reply time to the speed; the reply may still be outstanding.
+func (s *State) slow(age, usual time.Duration, now time.Time) {
+	sample := min(float64(age)/float64(max(usual, time.Millisecond)), slowestRatio)
+	s.ratio = s.fadedRatio(now)*(1-speedWeight) + sample*speedWeight
+	s.ratioAt = now
+}
+
+func (s *State) fail(now time.Time) {
+	s.failureRate = s.fadedFailures(now)*(1-failureWeight) + failureWeight
+	s.failureAt = now
+	s.inRow++
+}
+
+func (s *State) setAside(pause time.Duration, now time.Time) {
+	length := time.Duration(float64(pause) * math.Exp2(float64(min(s.asides, 8))))
+	s.asides++
+	s.asideUntil = later(s.asideUntil, now.Add(min(length, longestPause)))
+}
+
+func (s *State) fadedRatio(now time.Time) float64 {
+	return 1 + (s.ratio-1)*faded(s.ratioAt, now, speedFades)
+}
+
+func (s *State) fadedFailures(now time.Time) float64 {
+	return s.failureRate * faded(s.failureAt, now, failureFades)
+}
+
+func faded(since, now time.Time, half time.Duration) float64 {
+	if since.IsZero() {
+		return 0
+	}
+	return math.Exp2(-float64(now.Sub(since)) / float64(half))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Cost returns how long a request sent now is expected to take, in usual reply
+// times; slots is the number of requests that the target runs at once.
+func (s *State) Cost(now time.Time, usual time.Duration, slots uint32) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cost := s.fadedRatio(now) * (1 + float64(len(s.inFlight))/float64(max(slots, 1)))
+	cost *= 1 + failureCost*s.fadedFailures(now)
+	if len(s.inFlight) > 0 {
+		age := float64(now.Sub(s.inFlight[0])) / float64(max(usual, time.Millisecond)) / overdueAfter
+		cost *= max(age, 1)
+	}
+	return cost
+}
+
+// Aside reports whether the target is set aside now, and whether because nothing
+// reaches it. A target whose pause is over takes one request at a time until one
+// succeeds.
+func (s *State) Aside(now time.Time) (aside, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	aside = now.Before(s.asideUntil) || s.probing && s.asides > 0
+	return aside, aside && s.down
+}
+
+// BackAt returns when the target's pause ends; zero when it is not set aside.
+func (s *State) BackAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asideUntil
+}
+
+// GoodSince reports whether a good reply came after the given time.
+func (s *State) GoodSince(at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.goodAt.After(at)
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -105,6 +105,16 @@
 	return &Server{listener: listener, server: server}, nil
 }
 
+// ListenHTTP1 binds the address. The server speaks HTTP/1.1 only.
+func ListenHTTP1(address string, handler http.Handler) (*Server, error) {
+	server, err := Listen(address, handler)
+	if err != nil {
+		return nil, err
+	}
+	server.server.Protocols.SetUnencryptedHTTP2(false)
+	return server, nil
+}
+
 // Address returns the address that the server is bound to.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -159,3 +159,15 @@
 	}
 	return v.domainState[found.FailureDomain] == pb.ServingState_SERVING_STATE_IN_SERVICE
 }
+
+// Sharers returns the number of VMs that limits of the deployment are shared by:
+// all that are not known to be dead or to have left.
+func (v *View) Sharers() int {
+	count := 0
+	for _, vm := range v.vms {
+		if vm.CanOwn() {
+			count++
+		}
+	}
+	return count
+}
