Settings are reloaded; targets of the own failure domain are preferred more

Change: a Reloader follows SIGHUP and the file; unreadable settings leave those before in force. foreignCost 2.2 -> 5.

--- a/cmd/carawayreeld/main.go
+++ b/cmd/carawayreeld/main.go
@@ -68,7 +68,9 @@
 	if err != nil {
 		exit(exitFailure, err)
 	}
-	if err := d.Run(stop); err != nil {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	if err := d.Run(stop, daemon.NewReloader(d, c.File, settings.Load, changed)); err != nil {
 		exit(exitFailure, err)
 	}
 	return nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -190,14 +190,17 @@
 }
 
 // Run serves until stop ends, then performs a planned stop. It returns nil after
-// a planned stop in which every request ended.
-func (d *Daemon) Run(stop context.Context) error {
+// a planned stop in which every request ended. The services beside run as long.
+func (d *Daemon) Run(stop context.Context, beside ...suture.Service) error {
 	services, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	supervisor := suture.New(d.settings.Vm.Id, suture.Spec{EventHook: d.logEvent})
 	for _, service := range []suture.Service{d.control, d.owner, d.callers, d.others} {
 		supervisor.Add(service)
 	}
+	for _, service := range beside {
+		supervisor.Add(service)
+	}
 	for _, server := range []*transport.Server{d.routes, d.readiness} {
 		if server != nil {
 			supervisor.Add(server)
--- a/internal/fanout/choose.go
+++ b/internal/fanout/choose.go
@@ -10,7 +10,7 @@
 const (
 	// foreignCost is how many times dearer a target in another failure domain
 	// is: traffic between them costs, and takes 1 ms more there and back.
-	foreignCost = 2.2
+	foreignCost = 5
 	// coldCost is how many times dearer a cold target is, which is slow.
 	coldCost = 2.5
 	// lapsedCost makes a target whose registration ended the last resort.
