Retry budget: the slack flows in over its window

Change: buckets start full with half of the slack, the other half flows in over the window; the hedge delay grows as the bucket empties.

--- a/internal/fanout/extra.go
+++ b/internal/fanout/extra.go
@@ -11,49 +11,57 @@
 	// earnedShare is the part of the allowed share that requests earn; the rest
 	// covers requests that the VMs count differently.
 	earnedShare = 0.85
-	// burstShare is the part of the slack that a bucket may hold.
-	burstShare = 0.8
-	// firstTokens is the part of a full bucket that a VM begins with: the process
-	// before it may have spent the window's slack.
-	firstTokens = 0.25
+	// burstShare is the part of the slack that a bucket holds, full at the start;
+	// the rest flows in over a window. A process that took another's place and
+	// its predecessor together then keep the slack.
+	burstShare = 0.5
+	// leastBurst lets every VM send one extra request, however many there are.
+	leastBurst = 1.0
 	// hedgeReserve is the part of a full bucket that hedges leave for retries.
 	hedgeReserve = 0.25
 )
 
 // bucket holds the extra requests that this VM may send to a service. Requests
-// fill it and extra requests empty it, so that in each window these are at most
-// the bucket's size and the share of the requests.
+// and time fill it, extra requests empty it, so that in each window these are at
+// most the slack and the share of the requests.
 type bucket struct {
-	tokens float64
+	tokens   float64
+	filledAt time.Time
 }
 
-func (l Limits) size() float64 { return l.Slack * burstShare }
+func (l Limits) burst() float64 { return max(l.Slack*burstShare, leastBurst) }
 
-func (k *Knowledge) bucket(service string) *bucket {
+// bucket returns the bucket of a service, with what time let in.
+func (k *Knowledge) bucket(service string, now time.Time) *bucket {
 	b, ok := k.extra[service]
 	if !ok {
-		b = &bucket{tokens: k.limits.size() * firstTokens}
+		b = &bucket{tokens: k.limits.burst(), filledAt: now}
 		k.extra[service] = b
 	}
+	if passed := now.Sub(b.filledAt); passed > 0 && k.limits.Window > 0 {
+		b.add(k.limits.Slack*(1-burstShare)*float64(passed)/float64(k.limits.Window), k.limits)
+		b.filledAt = now
+	}
 	return b
 }
 
+func (b *bucket) add(tokens float64, l Limits) { b.tokens = min(b.tokens+tokens, l.burst()) }
+
 // earn counts one request for the service.
-func (k *Knowledge) earn(service string) {
+func (k *Knowledge) earn(service string, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	b := k.bucket(service)
-	b.tokens = min(b.tokens+k.limits.Share*earnedShare, max(k.limits.size(), 1))
+	k.bucket(service, now).add(k.limits.Share*earnedShare, k.limits)
 }
 
 // spend takes a token for an extra request and reports whether there was one.
-func (k *Knowledge) spend(service string, reason Reason) bool {
+func (k *Knowledge) spend(service string, reason Reason, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	b := k.bucket(service)
+	b := k.bucket(service, now)
 	reserve := 0.0
 	if reason == Hedge {
-		reserve = math.Floor(k.limits.size() * hedgeReserve)
+		reserve = math.Floor(k.limits.burst() * hedgeReserve)
 	}
 	if b.tokens < 1+reserve {
 		return false
@@ -62,11 +70,11 @@
 	return true
 }
 
-// Left returns the extra requests that may be sent to a service now.
-func (k *Knowledge) Left(service string) float64 {
+// fullness returns how full the bucket of a service is, from 0 to 1.
+func (k *Knowledge) fullness(service string, now time.Time) float64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.bucket(service).tokens
+	return min(k.bucket(service, now).tokens/k.limits.burst(), 1)
 }
 
 // coldRate spaces the requests to a cold target.
--- a/internal/fanout/knowledge.go
+++ b/internal/fanout/knowledge.go
@@ -23,8 +23,9 @@
 	// Share is the share of a service's requests that may be sent once more.
 	Share float64
 	// Slack is this VM's part of the extra requests beyond the share in each
-	// window.
-	Slack float64
+	// window of the given length.
+	Slack  float64
+	Window time.Duration
 }
 
 // Knowledge is what the requests of one VM share. It is safe for concurrent use.
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -18,10 +18,12 @@
 	answerMargin = 12 * time.Millisecond
 	// goalShare bounds the margin of short goals to a part of them.
 	goalShare = 3
-	// hedgeFloor is the least wait for a reply before another target is asked, in
-	// usual reply times; hedgeCeiling is the longest, as a part of the time until
-	// the answer leaves.
-	hedgeFloor   = 1.6
+	// hedgeFloor is the wait for a reply before another target is asked while the
+	// budget is full, in usual reply times: about one reply in ten takes longer.
+	// hedgeRange is what an empty budget adds.
+	hedgeFloor = 1.8
+	hedgeRange = 2.0
+	// hedgeCeiling bounds the wait to a part of the response-time goal.
 	hedgeCeiling = 0.45
 	// hedgeRetry is the wait before a hedge is tried again that the budget or
 	// the targets did not allow, in usual reply times.
@@ -108,7 +110,7 @@
 		return m.actions
 	}
 	for i := range m.legs {
-		m.knowledge.earn(m.legs[i].service.Name)
+		m.knowledge.earn(m.legs[i].service.Name, m.now)
 		if chosen[i] == nil {
 			m.giveUp(&m.legs[i], "no target can be reached")
 			continue
@@ -225,7 +227,7 @@
 		m.giveUp(l, l.cause)
 		return
 	}
-	if reason != Elsewhere && !m.knowledge.spend(l.service.Name, reason) {
+	if reason != Elsewhere && !m.knowledge.spend(l.service.Name, reason, m.now) {
 		m.giveUp(l, l.cause+"; the budget of retries is spent")
 		return
 	}
@@ -245,16 +247,18 @@
 		return
 	}
 	target := m.choose(l)
-	if target == nil || !m.knowledge.spend(l.service.Name, Hedge) {
+	if target == nil || !m.knowledge.spend(l.service.Name, Hedge, m.now) {
 		l.hedgeAt = m.now.Add(time.Duration(hedgeRetry * float64(m.times.usual)))
 		return
 	}
 	m.send(index, target, Hedge)
 }
 
-// hedgeDelay is how long a reply is waited for before another target is asked.
-func (m *Machine) hedgeDelay() time.Duration {
-	delay := max(m.times.long, time.Duration(hedgeFloor*float64(m.times.usual)))
+// hedgeDelay is how long a reply of the service is waited for before another
+// target is asked: the shorter, the more the budget holds.
+func (m *Machine) hedgeDelay(service string) time.Duration {
+	patience := hedgeFloor + hedgeRange*(1-m.knowledge.fullness(service, m.now))
+	delay := time.Duration(patience * float64(m.times.usual))
 	if m.in.Route.Goal > 0 {
 		delay = min(delay, time.Duration(hedgeCeiling*float64(m.in.Route.Goal)))
 	}
@@ -270,7 +274,7 @@
 	m.attempts = append(m.attempts, attempt{leg: index, target: target, sentAt: m.now})
 	target.Health.Begin(m.now)
 	if reason != Hedge {
-		l.hedgeAt = m.now.Add(m.hedgeDelay())
+		l.hedgeAt = m.now.Add(m.hedgeDelay(l.service.Name))
 	}
 	m.actions.Sends = append(m.actions.Sends, Send{
 		Attempt: id, Leg: index, Target: target, Reason: reason, Left: m.in.Deadline.Sub(m.now),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,8 +129,9 @@
 
 func limitsOf(settings *pb.RouteSettings, vms int) fanout.Limits {
 	return fanout.Limits{
-		Share: float64(settings.GetExtraLoadPercent()) / percent,
-		Slack: float64(settings.GetExtraLoadSlack()) / float64(vms),
+		Share:  float64(settings.GetExtraLoadPercent()) / percent,
+		Slack:  float64(settings.GetExtraLoadSlack()) / float64(vms),
+		Window: time.Duration(settings.GetExtraLoadWindowMs()) * time.Millisecond,
 	}
 }
 
