VMs tell each other of slow and failing targets

Change: heartbeats carry what requests showed of targets (Board, TargetReport): when slow requests in a row were sent, when a quick one was, the share of failures. Slow replies at moments apart confirm a slow target, which then costs more than a foreign one; a single one may be a pause.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -41,11 +41,8 @@
 	timeout := max(c.config.heartbeat, c.config.suspectAfter/2)
 	callContext, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request := send.Request
-	if c.options.Quarantine != nil {
-		request, _ = proto.Clone(request).(*pb.HeartbeatRequest)
-		request.Quarantine = c.options.Quarantine.News(time.Now())
-	}
+	request, _ := proto.Clone(send.Request).(*pb.HeartbeatRequest)
+	request.Quarantine, request.TargetReports = c.news(time.Now())
 	response, err := c.options.Peers.Heartbeat(callContext, send.Address, request)
 	if err != nil {
 		failed := &pb.HeartbeatFailed{Vm: send.Vm, SentOffsetUs: sent, Denied: errors.Is(err, ErrDenied)}
@@ -53,11 +50,9 @@
 		return
 	}
 	c.traffic.count(request, response)
-	if c.options.Quarantine != nil {
-		c.options.Quarantine.Merge(response.GetQuarantine(), time.Now())
-	}
+	c.mergeNews(response.GetQuarantine(), response.GetTargetReports(), time.Now())
 	stripped, _ := proto.Clone(response).(*pb.HeartbeatResponse)
-	stripped.Quarantine = nil
+	stripped.Quarantine, stripped.TargetReports = nil, nil
 	answered := &pb.HeartbeatAnswered{Vm: send.Vm, Response: stripped, SentOffsetUs: sent}
 	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatAnswered{HeartbeatAnswered: answered}})
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,6 +49,13 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration, known *pb.Configuration) (configstore.Reading, error)
 }
 
+// Targets exchanges news of slow and failing targets with other VMs.
+// Implementations are safe for concurrent use.
+type Targets interface {
+	News(now time.Time) []*pb.TargetReport
+	Merge(reports []*pb.TargetReport, now time.Time)
+}
+
 // Options are what a Control works with.
 type Options struct {
 	Settings *pb.Settings
@@ -62,6 +69,7 @@
 	VMList     platform.VMList
 	Peers      Peers
 	Quarantine Quarantine // may be nil
+	Targets    Targets    // may be nil
 	Logger     zerolog.Logger
 	// Trace receives events and decisions as JSON lines for replay; may be nil.
 	Trace io.Writer
@@ -354,24 +362,43 @@
 // Heartbeat answers a heartbeat of another VM.
 func (c *Control) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) *pb.HeartbeatResponse {
 	now := time.Now()
-	if c.options.Quarantine != nil {
-		c.options.Quarantine.Merge(r.GetQuarantine(), now)
-	}
-	// The event is kept for the trace, where quarantine news has no place.
+	c.mergeNews(r.GetQuarantine(), r.GetTargetReports(), now)
+	// The event is kept for the trace, where the news has no place.
 	stripped, _ := proto.Clone(r).(*pb.HeartbeatRequest)
-	stripped.Quarantine = nil
+	stripped.Quarantine, stripped.TargetReports = nil, nil
 	answer, ok := c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatReceived{HeartbeatReceived: stripped}})
 	if !ok || answer == nil {
 		return &pb.HeartbeatResponse{}
 	}
-	if c.options.Quarantine != nil {
-		answer, _ = proto.Clone(answer).(*pb.HeartbeatResponse)
-		answer.Quarantine = c.options.Quarantine.News(now)
-	}
+	answer, _ = proto.Clone(answer).(*pb.HeartbeatResponse)
+	answer.Quarantine, answer.TargetReports = c.news(now)
 	c.traffic.count(answer, r)
 	return answer
 }
 
+// news returns what other VMs shall hear of contents and targets.
+func (c *Control) news(now time.Time) ([]*pb.QuarantineEntry, []*pb.TargetReport) {
+	var entries []*pb.QuarantineEntry
+	var reports []*pb.TargetReport
+	if c.options.Quarantine != nil {
+		entries = c.options.Quarantine.News(now)
+	}
+	if c.options.Targets != nil {
+		reports = c.options.Targets.News(now)
+	}
+	return entries, reports
+}
+
+// mergeNews takes what another VM tells of contents and targets.
+func (c *Control) mergeNews(entries []*pb.QuarantineEntry, reports []*pb.TargetReport, now time.Time) {
+	if c.options.Quarantine != nil {
+		c.options.Quarantine.Merge(entries, now)
+	}
+	if c.options.Targets != nil {
+		c.options.Targets.Merge(reports, now)
+	}
+}
+
 // Leave tells the other VMs that this one leaves, so that its targets move, and
 // waits until one has answered or none is alive. It returns the context's error
 // when that did not happen in time.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/carawayreel/carawayreel/internal/decision"
 	"github.com/carawayreel/carawayreel/internal/gateway"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/health"
 	"github.com/carawayreel/carawayreel/internal/owner"
 	"github.com/carawayreel/carawayreel/internal/peer"
 	"github.com/carawayreel/carawayreel/internal/platform"
@@ -35,6 +36,7 @@
 	logger   zerolog.Logger
 	traces   traces
 	poison   *quarantine.List
+	targets  *health.Board
 
 	control     *control.Control
 	owner       *owner.Owner
@@ -105,12 +107,13 @@
 		SourceAddress: settings.Listen.SourceAddress, HTTP1: true,
 	})
 	store, list, source := d.newPlatform(platformHTTP)
+	d.targets = health.NewBoard()
 	d.poison = quarantine.New(quarantine.DefaultLimits())
 	d.peers = peer.New(self.ID, client, settings.Limits.MaxRequestBytes)
 	var err error
 	d.control, err = control.New(control.Options{
 		Settings: settings, Self: self, Store: store, Source: source, VMList: list,
-		Peers: controlPeers{d.peers}, Quarantine: d.poison, Logger: d.logger, Trace: d.traces.control.writer(),
+		Peers: controlPeers{d.peers}, Quarantine: d.poison, Targets: d.targets, Logger: d.logger, Trace: d.traces.control.writer(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "control")
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -30,7 +30,8 @@
 		metrics.RegisterSet(set)
 		d.gateway = gateway.New(gateway.Options{
 			Views: d.control, Dialect: users.Headers{}, Settings: d.settings, Logger: d.logger, Metrics: set,
-			Client: backend.NewClient(users.Headers{}, listen.SourceAddress, set),
+			Targets: d.targets,
+			Client:  backend.NewClient(users.Headers{}, listen.SourceAddress, set),
 		})
 		server, err := transport.ListenHTTP1(listen.RouteAddress, d.gateway)
 		if err != nil {
--- a/internal/fanout/choose.go
+++ b/internal/fanout/choose.go
@@ -4,13 +4,19 @@
 	"math"
 	"time"
 
+	"github.com/carawayreel/carawayreel/internal/health"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
 const (
 	// foreignCost is how many times dearer a target in another failure domain
-	// is: traffic between them costs, and takes 1 ms more there and back.
+	// is: traffic between them costs and takes longer.
 	foreignCost = 5
+	// slowCost is how many times dearer a target is that turned slow: more than
+	// a foreign one in order.
+	slowCost = 8
+	// suspectCost is that of a target that may only be pausing.
+	suspectCost = 2
 	// coldCost is how many times dearer a cold target is, which is slow.
 	coldCost = 2.5
 	// lapsedCost makes a target whose registration ended the last resort.
@@ -52,6 +58,13 @@
 	if t.FailureDomain != m.in.Domain {
 		cost *= foreignCost
 	}
+	switch t.Health.Speed(m.now) {
+	case health.Slow:
+		cost *= slowCost
+	case health.Suspect:
+		cost *= suspectCost
+	case health.Usual:
+	}
 	if m.now.Before(t.ColdUntil) {
 		cost *= coldCost
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/health"
 	"github.com/carawayreel/carawayreel/internal/routing"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
@@ -37,8 +38,10 @@
 
 // Options are what a Gateway works with.
 type Options struct {
-	Views    view.Source
-	Client   *backend.Client
+	Views  view.Source
+	Client *backend.Client
+	// Targets holds what is known of targets.
+	Targets  *health.Board
 	Dialect  backend.Dialect
 	Settings *pb.Settings
 	Logger   zerolog.Logger
@@ -81,7 +84,7 @@
 		counters:  newCounters(options.Metrics),
 	}
 	lapse := time.Duration(float64(options.Settings.GetRoutes().GetDrainMs())*lapseShare) * time.Millisecond
-	g.compiler = routing.NewCompiler(lapse)
+	g.compiler = routing.NewCompiler(options.Targets, lapse)
 	g.settings.Store(options.Settings.GetRoutes())
 	options.Metrics.NewGauge("carawayreel_route_requests_running", func() float64 { return float64(g.running.Load()) })
 	return g
--- /dev/null
+++ b/internal/health/board.go
@@ -0,0 +1,133 @@
+package health
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+)
+
+const (
+	// reportedFailures is the least failure rate that other VMs are told.
+	reportedFailures = 0.3
+	// reportedFor is how long evidence is passed on.
+	reportedFor = 2 * time.Second
+	// reportsPerMessage bounds the reports in one message, of some 25 bytes each.
+	reportsPerMessage = 32
+	percent           = 100
+)
+
+// Board holds the states of all targets and exchanges what is bad news with
+// other VMs: on a large deployment one VM alone meets a target too seldom to
+// notice in time that it has turned slow. It is safe for concurrent use.
+type Board struct {
+	mu     sync.Mutex
+	states map[string]*State
+}
+
+// NewBoard returns an empty Board.
+func NewBoard() *Board { return &Board{states: map[string]*State{}} }
+
+// Start returns a new state for a start of a target, in place of the one of an
+// earlier start.
+func (b *Board) Start(target string) *State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := New()
+	b.states[target] = s
+	return s
+}
+
+// Forget drops a target.
+func (b *Board) Forget(target string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.states, target)
+}
+
+// News returns what other VMs should know, the worst first.
+func (b *Board) News(now time.Time) []*pb.TargetReport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var news []*pb.TargetReport
+	for target, state := range b.states {
+		if report := state.report(now); report != nil {
+			report.Target = target
+			news = append(news, report)
+		}
+	}
+	if len(news) > reportsPerMessage {
+		slices.SortFunc(news, func(a, b *pb.TargetReport) int {
+			return cmp.Compare(weight(b), weight(a))
+		})
+		news = news[:reportsPerMessage]
+	}
+	return news
+}
+
+// Merge takes the reports of another VM; of each target the newest evidence
+// counts.
+func (b *Board) Merge(reports []*pb.TargetReport, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, report := range reports {
+		if state, ok := b.states[report.GetTarget()]; ok {
+			state.hear(report, now)
+		}
+	}
+}
+
+// weight orders reports; slow targets are met by more requests than failing ones.
+func weight(r *pb.TargetReport) uint32 {
+	if r.LastSlowMs > 0 {
+		return r.FailurePercent + percent
+	}
+	return r.FailurePercent
+}
+
+// report returns the news of a target that was slow or failed a short while ago,
+// or nil.
+func (s *State) report(now time.Time) *pb.TargetReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ago := func(at time.Time) uint32 {
+		if age := now.Sub(at); !at.IsZero() && age < time.Minute {
+			return uint32(max(age.Milliseconds(), 1))
+		}
+		return 0
+	}
+	report := &pb.TargetReport{}
+	if now.Sub(s.toldAt) < reportedFor {
+		report.FirstSlowMs, report.LastSlowMs = ago(s.streak.first), ago(s.streak.last)
+		report.QuickMs = ago(s.streak.quick)
+	}
+	newest := failures{rate: s.failureRate, at: s.failureAt}
+	if s.heard.at.After(newest.at) {
+		newest = s.heard
+	}
+	if newest.rate >= reportedFailures && now.Sub(newest.at) < reportedFor {
+		report.FailurePercent, report.FailureAgeMs = uint32(newest.rate*percent), ago(newest.at)
+	}
+	if report.LastSlowMs+report.QuickMs+report.FailurePercent == 0 {
+		return nil
+	}
+	return report
+}
+
+func (s *State) hear(report *pb.TargetReport, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	if report.GetQuickMs() > 0 {
+		s.streak.answered(ago(report.GetQuickMs()))
+	}
+	if last := report.GetLastSlowMs(); last > 0 && report.GetFirstSlowMs() >= last {
+		s.toldAt = later(s.toldAt, ago(last))
+		s.streak.slow(ago(report.GetFirstSlowMs()), ago(last), ago(last))
+	}
+	if at := ago(report.GetFailureAgeMs()); report.GetFailurePercent() > 0 && at.After(s.heard.at) {
+		s.heard = failures{rate: min(float64(report.GetFailurePercent())/percent, 1), at: at}
+	}
+}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -17,7 +17,7 @@
 	// speed.
 	speedWeight = 0.3
 	// speedFades is the time in which an unused target's speed returns halfway to
-	// the usual one, so that a target that was slow is tried again.
+	// the usual one.
 	speedFades = 1500 * time.Millisecond
 	// slowestRatio bounds how much slower than usual one reply may count.
 	slowestRatio = 30
@@ -79,6 +79,17 @@
 	down    bool
 	probing bool
 	goodAt  time.Time
+
+	streak streak
+	// toldAt is when this VM last knew of a slow request.
+	toldAt time.Time
+	heard  failures
+}
+
+// failures is what another VM reported last.
+type failures struct {
+	rate float64
+	at   time.Time
 }
 
 // New returns the state of a target that nothing is known of.
@@ -143,6 +154,13 @@
 	sample := min(float64(age)/float64(max(usual, time.Millisecond)), slowestRatio)
 	s.ratio = s.fadedRatio(now)*(1-speedWeight) + sample*speedWeight
 	s.ratioAt = now
+	switch sent := now.Add(-age); {
+	case sample >= slowRatio:
+		s.toldAt = now
+		s.streak.slow(sent, sent, now)
+	case sample <= quickRatio:
+		s.streak.answered(sent)
+	}
 }
 
 func (s *State) fail(now time.Time) {
@@ -161,8 +179,14 @@
 	return 1 + (s.ratio-1)*faded(s.ratioAt, now, speedFades)
 }
 
+// fadedFailures is the failure rate by the newest evidence, of this VM or of
+// another.
 func (s *State) fadedFailures(now time.Time) float64 {
-	return s.failureRate * faded(s.failureAt, now, failureFades)
+	rate, at := s.failureRate, s.failureAt
+	if s.heard.at.After(at) {
+		rate, at = s.heard.rate, s.heard.at
+	}
+	return rate * faded(at, now, failureFades)
 }
 
 func faded(since, now time.Time, half time.Duration) float64 {
@@ -193,6 +217,13 @@
 	return cost
 }
 
+// Speed returns what is believed of how fast the target is now.
+func (s *State) Speed(now time.Time) Speed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.streak.speed(now)
+}
+
 // Aside reports whether the target is set aside now, and whether because nothing
 // reaches it. A target whose pause is over takes one request at a time until one
 // succeeds.
--- a/internal/routing/compiler.go
+++ b/internal/routing/compiler.go
@@ -13,6 +13,7 @@
 // Compiler turns successive configurations into tables. What was learned of a
 // target lasts from one table to the next. It is not safe for concurrent use.
 type Compiler struct {
+	board *health.Board
 	// lapse is how long a target whose registration ended may still get
 	// requests that no other can take.
 	lapse time.Duration
@@ -33,8 +34,8 @@
 // NewCompiler returns a Compiler that knows no targets. A target whose
 // registration ends without notice is kept as a last resort for the time lapse:
 // a store that was away loses the registrations of targets that live on.
-func NewCompiler(lapse time.Duration) *Compiler {
-	return &Compiler{lapse: lapse, known: map[string]*entry{}}
+func NewCompiler(board *health.Board, lapse time.Duration) *Compiler {
+	return &Compiler{board: board, lapse: lapse, known: map[string]*entry{}}
 }
 
 // NextChange returns when the table has to be compiled again although the
@@ -90,6 +91,7 @@
 		end := e.lapsedAt.Add(c.lapse)
 		if !now.Before(end) || !usable(e.registration) {
 			delete(c.known, id)
+			c.board.Forget(id)
 			continue
 		}
 		if c.next.IsZero() || end.Before(c.next) {
@@ -103,7 +105,7 @@
 	same := ok && e.registration.StartedUnixMs == registration.StartedUnixMs &&
 		e.registration.Address == registration.Address
 	if !same {
-		e = &entry{health: health.New()}
+		e = &entry{health: c.board.Start(registration.Id)}
 		c.known[registration.Id] = e
 	}
 	if cold := milliseconds(registration.ColdLeftMs); !same || e.registration.ColdLeftMs != registration.ColdLeftMs {
