--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -42,7 +42,7 @@
 	callContext, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, _ := proto.Clone(send.Request).(*pb.HeartbeatRequest)
-	request.Quarantine, request.TargetReports = c.news(time.Now())
+	request.Quarantine, request.TargetReports = c.news(c.domainOf(send.Vm), time.Now())
 	response, err := c.options.Peers.Heartbeat(callContext, send.Address, request)
 	if err != nil {
 		failed := &pb.HeartbeatFailed{Vm: send.Vm, SentOffsetUs: sent, Denied: errors.Is(err, ErrDenied)}
@@ -50,13 +50,19 @@
 		return
 	}
 	c.traffic.count(request, response)
-	c.mergeNews(response.GetQuarantine(), response.GetTargetReports(), time.Now())
+	c.mergeNews(response.GetResponder(), response.GetQuarantine(), response.GetTargetReports(), time.Now())
 	stripped, _ := proto.Clone(response).(*pb.HeartbeatResponse)
 	stripped.Quarantine, stripped.TargetReports = nil, nil
 	answered := &pb.HeartbeatAnswered{Vm: send.Vm, Response: stripped, SentOffsetUs: sent}
 	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatAnswered{HeartbeatAnswered: answered}})
 }
 
+// domainOf returns the failure domain of a VM; empty for one that is not known.
+func (c *Control) domainOf(vm string) string {
+	known, _ := c.Current().VM(vm)
+	return known.FailureDomain
+}
+
 func (c *Control) readList(ctx context.Context) {
 	vms, err := c.options.VMList.ListVMs(ctx)
 	read := &pb.VmListRead{Vms: vms, Failed: err != nil}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,11 +49,12 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration, known *pb.Configuration) (configstore.Reading, error)
 }
 
-// Targets exchanges news of slow and failing targets with other VMs.
+// Targets exchanges news of slow and failing targets with the other VMs of the
+// failure domain, which use the same targets.
 // Implementations are safe for concurrent use.
 type Targets interface {
 	News(now time.Time) []*pb.TargetReport
-	Merge(reports []*pb.TargetReport, now time.Time)
+	Merge(from string, reports []*pb.TargetReport, now time.Time)
 }
 
 // Options are what a Control works with.
@@ -362,7 +363,7 @@
 // Heartbeat answers a heartbeat of another VM.
 func (c *Control) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) *pb.HeartbeatResponse {
 	now := time.Now()
-	c.mergeNews(r.GetQuarantine(), r.GetTargetReports(), now)
+	c.mergeNews(r.GetSender(), r.GetQuarantine(), r.GetTargetReports(), now)
 	// The event is kept for the trace, where the news has no place.
 	stripped, _ := proto.Clone(r).(*pb.HeartbeatRequest)
 	stripped.Quarantine, stripped.TargetReports = nil, nil
@@ -371,31 +372,31 @@
 		return &pb.HeartbeatResponse{}
 	}
 	answer, _ = proto.Clone(answer).(*pb.HeartbeatResponse)
-	answer.Quarantine, answer.TargetReports = c.news(now)
+	answer.Quarantine, answer.TargetReports = c.news(r.GetSender().GetFailureDomain(), now)
 	c.traffic.count(answer, r)
 	return answer
 }
 
-// news returns what other VMs shall hear of contents and targets.
-func (c *Control) news(now time.Time) ([]*pb.QuarantineEntry, []*pb.TargetReport) {
+// news returns what a VM of the failure domain shall hear of contents and targets.
+func (c *Control) news(domain string, now time.Time) ([]*pb.QuarantineEntry, []*pb.TargetReport) {
 	var entries []*pb.QuarantineEntry
 	var reports []*pb.TargetReport
 	if c.options.Quarantine != nil {
 		entries = c.options.Quarantine.News(now)
 	}
-	if c.options.Targets != nil {
+	if c.options.Targets != nil && domain == c.options.Self.FailureDomain {
 		reports = c.options.Targets.News(now)
 	}
 	return entries, reports
 }
 
 // mergeNews takes what another VM tells of contents and targets.
-func (c *Control) mergeNews(entries []*pb.QuarantineEntry, reports []*pb.TargetReport, now time.Time) {
+func (c *Control) mergeNews(from *pb.Member, entries []*pb.QuarantineEntry, reports []*pb.TargetReport, now time.Time) {
 	if c.options.Quarantine != nil {
 		c.options.Quarantine.Merge(entries, now)
 	}
 	if c.options.Targets != nil {
-		c.options.Targets.Merge(reports, now)
+		c.options.Targets.Merge(from.GetVm(), reports, now)
 	}
 }
 
--- a/internal/control/distribute.go
+++ b/internal/control/distribute.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// confirmInterval is the longest wait of one watch: its end confirms that
+	// confirmInterval is the default of the longest wait of one watch: its end confirms that
 	// the configuration is current, and a lost watch is noticed by then.
 	confirmInterval = 500 * time.Millisecond
 	// watchSpacing is the least time between two watches that saw no change.
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -40,7 +40,9 @@
 
 // remoteProbes returns how many other failure domains get a heartbeat in a round.
 func (m *machine) remoteProbes() int {
-	if m.age() > agingAfter {
+	// A longer watch confirms later, and the word of it travels on.
+	usual := agingAfter + 2*max(m.config.watchWait-confirmInterval, 0)
+	if m.age() > usual {
 		return agingProbes
 	}
 	return 1
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -60,7 +60,7 @@
 		clockGap:       ms(h.GetLimits().GetClockGapMs()),
 		guard:          ms(h.GetLimits().GetGuardMs()),
 		listInterval:   ms(h.GetPlatform().GetListIntervalMs()),
-		watchWait:      min(ms(h.GetPlatform().GetWatchWaitMs()), confirmInterval),
+		watchWait:      min(ms(h.GetPlatform().GetWatchWaitMs()), confirmIntervalOf(h.GetPlatform())),
 		watchers:       int(h.GetPlatform().GetWatchersPerFailureDomain()),
 		seeds:          splitAddresses(h.GetPeers().GetSeeds()),
 		monitored:      int(h.GetPeers().GetMonitoredVms()),
@@ -68,6 +68,15 @@
 	}
 }
 
+// confirmIntervalOf returns the longest wait of one watch; traces from before it
+// was a setting have none.
+func confirmIntervalOf(settings *pb.PlatformSettings) time.Duration {
+	if settings.GetConfirmIntervalMs() == 0 {
+		return confirmInterval
+	}
+	return time.Duration(settings.GetConfirmIntervalMs()) * time.Millisecond
+}
+
 // machine is the control state of one VM and the decisions on it. It is pure: an
 // event and a time go in, decisions come out. It is not safe for concurrent use.
 type machine struct {
--- /dev/null
+++ b/internal/e2e/users_test.go
@@ -0,0 +1,227 @@
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayreel/carawayreel/internal/standin/users"
+	"github.com/carawayreel/carawayreel/internal/testkit"
+)
+
+const shardsOfRoute = 4
+
+// routesDocument is the operator's configuration: a gathering route under /g/ and
+// an edit under /e/, which the given service serves.
+func routesDocument(version int, editor string) string {
+	var shards, services []string
+	for i := range shardsOfRoute {
+		shards = append(shards, fmt.Sprintf(`"s%d"`, i))
+		services = append(services, fmt.Sprintf(`{"name":"s%d","max_conns":26}`, i))
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[
+	  {"name":"g","host":"h","prefix":"/g/","route_type":"idempotent","timeout_ms":800,"target_latency_ms":200,"gather":[%s],"max_attempts":2,"top_k":4,"min_coverage":0.5},
+	  {"name":"e","host":"h","prefix":"/e/","route_type":"non_idempotent","timeout_ms":2500,"target_latency_ms":500,"service":"%s","max_attempts":2}],
+	  "services":[%s],"limits":{"max_header_bytes":16384,"max_body_bytes":262144}}`,
+		version, strings.Join(shards, ","), editor, strings.Join(services, ","))
+}
+
+func startUsers(t *testing.T) *testkit.UsersDeployment {
+	t.Helper()
+	d, err := testkit.StartUsers(testDir(t), "a", "b", "c")
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	for _, domain := range []string{"a", "b", "c"} {
+		for i := range shardsOfRoute {
+			d.AddTarget(fmt.Sprintf("s%d%s", i, domain), fmt.Sprintf("s%d", i), domain, bytes.Repeat([]byte{byte(i)}, 16))
+		}
+		d.AddTarget("old"+domain, "old", domain, []byte("old"))
+		d.AddTarget("new"+domain, "new", domain, []byte("new"))
+	}
+	d.Store.Put("op/config", routesDocument(1, "old"))
+	require.NoError(t, d.AwaitReady(context.Background()))
+	return d
+}
+
+var requestNumber atomic.Int64
+
+// ask sends one request and returns the status, the headers and the body; status 0
+// means that the connection ended.
+func ask(vm *testkit.UsersVM, client *http.Client, method, uri string) (int, http.Header, string) {
+	r, err := http.NewRequest(method, "http://"+vm.RouteAddress+uri, http.NoBody)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	r.Host = "h"
+	r.Header.Set("X-Attempt-Id", fmt.Sprintf("r%d", requestNumber.Add(1)))
+	r.Header.Set("X-Deadline-Ms", "2500")
+	response, err := client.Do(r)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	return response.StatusCode, response.Header, string(body)
+}
+
+func client() *http.Client {
+	return &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}
+}
+
+func TestUsersRoutesAreServedByEveryVM(t *testing.T) {
+	d := startUsers(t)
+	for _, vm := range d.VMs {
+		status, header, body := ask(vm, client(), "GET", "/g/x")
+		require.Equal(t, 200, status)
+		require.Equal(t, "0", header.Get("X-Missing-Parts"))
+		require.Len(t, body, shardsOfRoute*16)
+		require.Equal(t, byte(shardsOfRoute-1), body[0])
+		status, header, body = ask(vm, client(), "POST", "/e/x")
+		require.Equal(t, 200, status)
+		require.Equal(t, "old", body)
+		require.NotEmpty(t, header.Get("X-Server-Seal"))
+		status, _, _ = ask(vm, client(), "GET", "/none/")
+		require.Equal(t, 404, status)
+	}
+}
+
+// The store turns away two VMs in three: they learn a new configuration and that
+// a target leaves from the third.
+func TestUsersConfigurationSpreadsWhileTheStoreIsAway(t *testing.T) {
+	d := startUsers(t)
+	d.Store.Put("op/config", routesDocument(2, "new"))
+	for _, vm := range d.VMs {
+		require.NoError(t, testkit.Poll(context.Background(), 2*time.Second, func() bool {
+			_, _, body := ask(vm, client(), "POST", "/e/x")
+			return body == "new"
+		}))
+	}
+	d.Store.Fail(users.Silent)
+	time.Sleep(2 * time.Second)
+	for _, vm := range d.VMs {
+		status, _, body := ask(vm, client(), "POST", "/e/x")
+		require.Equal(t, 200, status, "an outage of the store stops nobody")
+		require.Equal(t, "new", body)
+	}
+	d.Store.Put("op/config", routesDocument(3, "old"))
+	d.Store.Compact()
+	d.Store.Fail(users.None)
+	for _, vm := range d.VMs {
+		require.NoError(t, testkit.Poll(context.Background(), 3*time.Second, func() bool {
+			_, _, body := ask(vm, client(), "POST", "/e/x")
+			return body == "old"
+		}), "the history since was dropped; all is listed again")
+	}
+}
+
+func TestUsersLeavingTargetGetsNothingMore(t *testing.T) {
+	d := startUsers(t)
+	leaving := d.Targets["olda"]
+	d.Store.Put("servers/olda", leaving.Report("draining", 2))
+	time.Sleep(1500 * time.Millisecond)
+	before := len(leaving.Runs())
+	for range 20 {
+		for _, vm := range d.VMs {
+			status, _, _ := ask(vm, client(), "POST", "/e/x")
+			require.Equal(t, 200, status)
+		}
+	}
+	require.Len(t, leaving.Runs(), before)
+}
+
+// A kept connection is used for requests all through a planned stop; each gets
+// its whole answer, and edits run once.
+func TestUsersPlannedStopCutsNoRequest(t *testing.T) {
+	d := startUsers(t)
+	for _, target := range d.Targets {
+		target.Behave(users.Behavior{Delay: 30 * time.Millisecond})
+	}
+	vm := d.VMs[0]
+	var cut, served atomic.Int64
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			own := client()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				status, _, _ := ask(vm, own, "POST", "/e/x")
+				switch {
+				case status == 200:
+					served.Add(1)
+				case status == 0 && vm.Ready():
+					cut.Add(1)
+				case status == 0:
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	vm.Process().Signal(syscall.SIGTERM)
+	require.NoError(t, testkit.Poll(context.Background(), time.Second, func() bool { return !vm.Ready() }))
+	ctx, cancel := context.WithTimeout(context.Background(), 7*time.Second)
+	defer cancel()
+	code, err := vm.Process().Wait(ctx)
+	close(stop)
+	callers.Wait()
+	require.NoError(t, err)
+	require.Zero(t, code, d.Log(vm))
+	require.Zero(t, cut.Load())
+	require.Greater(t, served.Load(), int64(300))
+	runs := map[string]int{}
+	for _, domain := range []string{"a", "b", "c"} {
+		for _, run := range d.Targets["old"+domain].Runs() {
+			runs[run.ID]++
+			require.Equal(t, 1, runs[run.ID], "run twice: %s", run.ID)
+		}
+	}
+}
+
+func TestUsersSettingsAreReloaded(t *testing.T) {
+	d := startUsers(t)
+	vm := d.VMs[0]
+	require.NoError(t, d.WriteSettings(vm, "[routes]\nextra_load_percent = 10"))
+	vm.Process().Signal(syscall.SIGHUP)
+	logged := func(text string) func() bool {
+		return func() bool { return strings.Contains(d.Log(vm), text) }
+	}
+	require.NoError(t, testkit.Poll(context.Background(), 3*time.Second, logged("settings reloaded")))
+	require.NoError(t, d.WriteSettings(vm, "[routes]\nextra_load_percent = many"))
+	require.NoError(t, testkit.Poll(context.Background(), 5*time.Second, logged("settings not reloaded")))
+	status, _, _ := ask(vm, client(), "GET", "/g/x")
+	require.Equal(t, 200, status)
+}
+
+func TestUsersVMsKilledTogetherServeAgain(t *testing.T) {
+	d := startUsers(t)
+	for _, vm := range d.VMs {
+		vm.Process().Kill()
+	}
+	for _, vm := range d.VMs {
+		require.NoError(t, d.StartVM(vm))
+	}
+	for _, vm := range d.VMs {
+		require.NoError(t, testkit.Poll(context.Background(), 3*time.Second, func() bool {
+			status, _, _ := ask(vm, client(), "GET", "/g/x")
+			return status == 200
+		}))
+	}
+}
--- a/internal/fanout/extra.go
+++ b/internal/fanout/extra.go
@@ -10,7 +10,7 @@
 const (
 	// earnedShare is the part of the allowed share that requests earn; the rest
 	// covers requests that the VMs count differently.
-	earnedShare = 0.85
+	earnedShare = 0.97
 	// burstShare is the part of the slack that a bucket holds, full at the start;
 	// the rest flows in over a window. A process that took another's place and
 	// its predecessor together then keep the slack.
--- /dev/null
+++ b/internal/fanout/machine_test.go
@@ -0,0 +1,164 @@
+package fanout_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/fanout"
+	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/routing"
+)
+
+var (
+	errLost    = errors.Wrap(backend.ErrLost, "connection reset")
+	errNotSent = errors.Wrap(backend.ErrNotSent, "connection refused")
+)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func TestTargetsOfTheOwnFailureDomainAreAskedFirst(t *testing.T) {
+	route := gathering(services(4))
+	actions := newMachine(ample(), route, start).Start(start)
+	require.Len(t, actions.Sends, 4)
+	for _, send := range actions.Sends {
+		require.Equal(t, "a", send.Target.FailureDomain)
+		require.Equal(t, route.TimeLimit, send.Left)
+	}
+}
+
+func TestAPausedTargetIsHedgedAndTheFirstReplyCounts(t *testing.T) {
+	m := newMachine(ample(), gathering(services(2)), start)
+	m.Start(start)
+	actions := m.Ended(at(5*time.Millisecond), 0, good("r0"), nil)
+	actions = m.Tick(actions.WakeAt)
+	require.Len(t, actions.Sends, 1)
+	hedge := actions.Sends[0]
+	require.Equal(t, fanout.Hedge, hedge.Reason)
+	require.Equal(t, 1, hedge.Leg)
+	require.NotEqual(t, "a", hedge.Target.FailureDomain)
+	actions = m.Ended(at(40*time.Millisecond), hedge.Attempt, good("r1"), nil)
+	require.Equal(t, fanout.Complete, actions.Answer.Outcome)
+	require.Len(t, actions.Answer.Replies, 2)
+	require.Nil(t, m.Ended(at(100*time.Millisecond), 1, good("late"), nil).Answer)
+}
+
+func TestAGatheredAnswerLeavesBeforeTheGoalWithWhatItCovers(t *testing.T) {
+	m := newMachine(ample(), gathering(services(4)), start)
+	m.Start(start)
+	for i := range 3 {
+		require.Nil(t, m.Ended(at(5*time.Millisecond), i, good("r"), nil).Answer)
+	}
+	actions := m.Tick(at(68 * time.Millisecond))
+	require.Equal(t, fanout.Partial, actions.Answer.Outcome)
+	require.Equal(t, 1, actions.Answer.Missing)
+	require.Len(t, actions.Answer.Replies, 3)
+}
+
+func TestBelowTheLeastCoverageItWaitsAndLeavesAsSoonAsItIsReached(t *testing.T) {
+	m := newMachine(ample(), gathering(services(4)), start)
+	m.Start(start)
+	m.Ended(at(5*time.Millisecond), 0, good("r"), nil)
+	m.Ended(at(5*time.Millisecond), 1, good("r"), nil)
+	require.Nil(t, m.Tick(at(70*time.Millisecond)).Answer)
+	require.Equal(t, fanout.Partial, m.Ended(at(90*time.Millisecond), 2, good("r"), nil).Answer.Outcome)
+}
+
+// All targets of more shards than an answer may lack are down: nothing is sent,
+// and the caller hears at once that its request did not run.
+func TestARequestThatCannotBeServedIsRejectedBeforeAnythingIsSent(t *testing.T) {
+	shards := services(4)
+	for _, service := range shards[:2] {
+		for _, target := range service.Targets {
+			target.Health.Begin(start)
+			target.Health.End(start, start, health.Unreachable, time.Millisecond)
+		}
+	}
+	actions := newMachine(ample(), gathering(shards), at(time.Millisecond)).Start(at(time.Millisecond))
+	require.Empty(t, actions.Sends)
+	require.Equal(t, fanout.NotRun, actions.Answer.Outcome)
+	require.Positive(t, actions.Answer.RetryAfter)
+	require.LessOrEqual(t, actions.Answer.RetryAfter, time.Second)
+}
+
+func TestARequestThatMayNotRepeatIsNeverSentAgainAfterItMayHaveRun(t *testing.T) {
+	m := newMachine(ample(), single(services(1)[0], false), start)
+	m.Start(start)
+	require.Empty(t, m.Tick(at(150*time.Millisecond)).Sends, "no hedge")
+	actions := m.Ended(at(160*time.Millisecond), 0, nil, errLost)
+	require.Empty(t, actions.Sends)
+	require.Equal(t, fanout.Failed, actions.Answer.Outcome)
+}
+
+func TestARequestThatMayNotRepeatGoesElsewhereAfterProofThatItDidNotRun(t *testing.T) {
+	m := newMachine(ample(), single(services(1)[0], false), start)
+	m.Start(start)
+	actions := m.Ended(at(time.Millisecond), 0, nil, errNotSent)
+	require.Len(t, actions.Sends, 1)
+	require.Equal(t, fanout.Elsewhere, actions.Sends[0].Reason)
+	actions = m.Ended(at(2*time.Millisecond), 1, notRun(), nil)
+	require.Len(t, actions.Sends, 1)
+	require.Equal(t, fanout.Retry, actions.Sends[0].Reason)
+	actions = m.Ended(at(3*time.Millisecond), 2, notRun(), nil)
+	require.Equal(t, fanout.NotRun, actions.Answer.Outcome)
+}
+
+func TestNotRunIsNeverSaidWhileAnAttemptMayRun(t *testing.T) {
+	m := newMachine(ample(), single(services(1)[0], true), start)
+	m.Start(start)
+	hedged := m.Tick(at(95 * time.Millisecond))
+	require.Len(t, hedged.Sends, 1)
+	m.Ended(at(96*time.Millisecond), 1, notRun(), nil)
+	actions := m.Tick(at(time.Second))
+	require.Equal(t, fanout.TimedOut, actions.Answer.Outcome)
+}
+
+func TestATargetsOwnFailureIsPassedOnWhenNoOtherTryIsLeft(t *testing.T) {
+	m := newMachine(ample(), single(services(1)[0], true), start)
+	m.Start(start)
+	actions := m.Ended(at(time.Millisecond), 0, failure(), nil)
+	require.Len(t, actions.Sends, 1)
+	actions = m.Ended(at(2*time.Millisecond), 1, failure(), nil)
+	require.Equal(t, fanout.Failed, actions.Answer.Outcome)
+	require.Equal(t, 500, actions.Answer.Replies[0].Status)
+}
+
+func TestNoMoreTargetsRunItThanTheRouteAllows(t *testing.T) {
+	m := newMachine(ample(), gathering(services(1)), start)
+	m.Start(start)
+	m.Tick(at(40 * time.Millisecond))
+	actions := m.Ended(at(50*time.Millisecond), 0, nil, errLost)
+	require.Empty(t, actions.Sends)
+	actions = m.Ended(at(51*time.Millisecond), 1, nil, errLost)
+	require.Equal(t, fanout.Failed, actions.Answer.Outcome)
+}
+
+func TestALapsedTargetIsALastResort(t *testing.T) {
+	service := services(1)[0]
+	service.Targets[0].Lapsed = true
+	actions := newMachine(ample(), single(service, true), start).Start(start)
+	require.False(t, actions.Sends[0].Target.Lapsed)
+	service.Targets = service.Targets[:1]
+	actions = newMachine(ample(), single(service, true), start).Start(start)
+	require.True(t, actions.Sends[0].Target.Lapsed)
+}
+
+func TestAColdTargetGetsThisVMsShareOfWhatItBears(t *testing.T) {
+	service := services(1)[0]
+	service.Targets = service.Targets[:1]
+	service.Targets[0].ColdUntil = at(10 * time.Second)
+	service.Targets[0].ColdPerSecond = 20
+	k, route := ample(), single(service, true)
+	sent := 0
+	for ms := range 1000 {
+		now := at(time.Duration(ms) * time.Millisecond)
+		actions := fanout.New(k, 4, fanout.Input{
+			Route: route, Legs: []*routing.Service{service}, Domain: "a", Received: now, Deadline: now.Add(time.Second),
+		}).Start(now)
+		sent += len(actions.Sends)
+	}
+	require.Equal(t, 5, sent)
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,256 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/gateway"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/standin/users"
+	"github.com/carawayreel/carawayreel/internal/view"
+	"github.com/carawayreel/carawayreel/platform"
+)
+
+// views holds the view of the tests.
+type views struct{ current atomic.Pointer[view.View] }
+
+func (v *views) Current() *view.View { return v.current.Load() }
+
+func (v *views) set(c *pb.Configuration) {
+	v.current.Store(view.Build(view.Input{Self: view.VM{ID: "vm", FailureDomain: "a", State: pb.MemberState_MEMBER_STATE_ALIVE}, Configuration: c}, nil))
+}
+
+type fixture struct {
+	gateway *gateway.Gateway
+	server  *httptest.Server
+	views   *views
+	targets map[string]*users.Target
+	log     *bytes.Buffer
+	metrics *metrics.Set
+}
+
+func records(greatest byte) []byte {
+	body := make([]byte, 0, 40)
+	for i := range byte(2) {
+		body = append(body, bytes.Repeat([]byte{greatest - i}, 16)...)
+	}
+	return append(body, "rest"...)
+}
+
+// newFixture starts a gateway with two shards g0 and g1 and a service u, each with
+// a target in the domains a and b.
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{views: &views{}, targets: map[string]*users.Target{}, log: &bytes.Buffer{}}
+	c := &pb.Configuration{Revision: 1, RouteTable: &pb.RouteTable{
+		Version: 3, Limits: &pb.CallerLimits{MaxBodyBytes: 1000, MaxHeaderBytes: 4096},
+		Routes: []*pb.Route{
+			{Name: "gather", Host: "h", Prefix: "/g/", Idempotent: true, Shards: []string{"g0", "g1"}, TimeLimitMs: 800, LatencyGoalMs: 300, MaxAttempts: 2, RowLimit: 3, LeastCoverage: 0.5},
+			{Name: "edit", Host: "h", Prefix: "/e/", Services: []*pb.WeightedService{{Service: "u", Weight: 1}}, TimeLimitMs: 800, LatencyGoalMs: 300, MaxAttempts: 2},
+			{Name: "fetch", Host: "h", Prefix: "/f/", Idempotent: true, Services: []*pb.WeightedService{{Service: "u", Weight: 1}}, TimeLimitMs: 800, LatencyGoalMs: 300, MaxAttempts: 2},
+		},
+	}}
+	for i, service := range []string{"g0", "g1", "u"} {
+		for _, domain := range []string{"a", "b"} {
+			id := service + domain
+			target := users.NewTarget(id, service, domain, records(byte(10*i+9)))
+			t.Cleanup(target.Server.Close)
+			f.targets[id] = target
+			c.Registrations = append(c.Registrations, &pb.Registration{
+				Id: id, Service: service, Address: target.Server.Listener.Addr().String(), FailureDomain: domain,
+				Slots: 2, State: pb.RegistrationState_REGISTRATION_STATE_READY, StartedUnixMs: 1, Revision: 1,
+			})
+		}
+	}
+	f.views.set(c)
+	set := metrics.NewSet()
+	f.metrics = set
+	f.gateway = gateway.New(gateway.Options{
+		Views: f.views, Dialect: platform.Headers{}, Client: backend.NewClient(platform.Headers{}, "", set),
+		Targets: health.NewBoard(), Metrics: set, Logger: zerolog.New(f.log),
+		Settings: &pb.Settings{
+			Routes: &pb.RouteSettings{ExtraLoadPercent: 20, ExtraLoadSlack: 50, ExtraLoadWindowMs: 10000, DrainMs: 3000, MaxWaitingRequests: 100},
+			Log:    &pb.LogSettings{LinesPerS: 100},
+		},
+	})
+	f.server = httptest.NewServer(f.gateway)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fixture) request(t *testing.T, ctx context.Context, method, uri, body string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, method, f.server.URL+uri, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("X-Attempt-Id", "r1")
+	r.Header.Set("X-Deadline-Ms", "700")
+	r.Header.Set("X-Own", "kept")
+	response, err := f.server.Client().Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+func (f *fixture) do(t *testing.T, method, uri, body string) (*http.Response, string) {
+	t.Helper()
+	response, text, err := f.request(t, context.Background(), method, uri, body)
+	require.NoError(t, err)
+	return response, text
+}
+
+func TestAGatheredAnswerHoldsTheGreatestRecordsAndItsReceipts(t *testing.T) {
+	f := newFixture(t)
+	response, body := f.do(t, "GET", "/g/x?q=1", "")
+	require.Equal(t, 200, response.StatusCode)
+	require.Equal(t, "g0a.1, g1a.1", response.Header.Get("X-Part-Seals"))
+	require.Equal(t, "0", response.Header.Get("X-Missing-Parts"))
+	want := string(bytes.Repeat([]byte{19}, 16)) + string(bytes.Repeat([]byte{18}, 16)) + string(bytes.Repeat([]byte{9}, 16))
+	require.Equal(t, want, body)
+	require.Equal(t, "/g/x?q=1", f.targets["g0a"].Runs()[0].URI)
+}
+
+func TestAPartialAnswerStatesWhatIsMissing(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"g1a", "g1b"} {
+		f.targets[id].Behave(users.Behavior{Delay: time.Second})
+	}
+	began := time.Now()
+	response, _ := f.do(t, "GET", "/g/x", "")
+	require.Equal(t, 200, response.StatusCode)
+	require.Equal(t, "1", response.Header.Get("X-Missing-Parts"))
+	require.Equal(t, "g0a.1", response.Header.Get("X-Part-Seals"))
+	require.Less(t, time.Since(began), 320*time.Millisecond, "it leaves before the response-time goal")
+}
+
+func TestAnEditIsPassedOnUnchangedAndRunsOnce(t *testing.T) {
+	f := newFixture(t)
+	response, body := f.do(t, "POST", "/e/x", "data")
+	require.Equal(t, 200, response.StatusCode)
+	require.Equal(t, "ua.1", response.Header.Get("X-Server-Seal"))
+	require.Equal(t, string(records(29)), body)
+	require.Equal(t, "data", f.targets["ua"].Runs()[0].Body)
+
+	for _, id := range []string{"ua", "ub"} {
+		f.targets[id].Behave(users.Behavior{Lose: true})
+	}
+	response, _ = f.do(t, "POST", "/e/x", "data")
+	require.Equal(t, 502, response.StatusCode, "it may have run, so that nothing is promised")
+	require.Equal(t, 2, len(f.targets["ua"].Runs())+len(f.targets["ub"].Runs()), "one run for each of the two requests")
+}
+
+func TestNotRunIsSaidOnlyWhenNoTargetRanIt(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"ua", "ub"} {
+		f.targets[id].Behave(users.Behavior{Shed: true})
+	}
+	response, _ := f.do(t, "POST", "/e/x", "data")
+	require.Equal(t, 503, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Empty(t, f.targets["ua"].Runs())
+	require.Empty(t, f.targets["ub"].Runs())
+}
+
+func TestRequestsThatCannotBeRoutedAreAnsweredAtOnce(t *testing.T) {
+	f := newFixture(t)
+	response, _ := f.do(t, "GET", "/none/", "")
+	require.Equal(t, 404, response.StatusCode)
+	response, _ = f.do(t, "POST", "/e/x", strings.Repeat("x", 1001))
+	require.Equal(t, 413, response.StatusCode)
+	f.views.set(nil)
+	response, _ = f.do(t, "GET", "/none/", "")
+	require.Equal(t, 503, response.StatusCode, "without a configuration nobody knows what exists")
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+}
+
+func TestWorkForACallerThatLeftIsCancelled(t *testing.T) {
+	f := newFixture(t)
+	for _, target := range f.targets {
+		target.Behave(users.Behavior{Delay: time.Second})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, _, err := f.request(t, ctx, "GET", "/g/x", "")
+	require.Error(t, err)
+	require.Eventually(t, func() bool {
+		return f.targets["g0a"].Gone() == 1 && f.targets["g1a"].Gone() == 1
+	}, 400*time.Millisecond, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return f.gateway.Running() == 0 }, time.Second, time.Millisecond)
+}
+
+func TestARequestIsAnsweredWhenItsTimeIsOver(t *testing.T) {
+	f := newFixture(t)
+	for _, target := range f.targets {
+		target.Behave(users.Behavior{Delay: 3 * time.Second})
+	}
+	began := time.Now()
+	response, _ := f.do(t, "POST", "/e/x", "data")
+	require.Equal(t, 504, response.StatusCode)
+	require.Less(t, time.Since(began), 750*time.Millisecond)
+}
+
+func TestAConfigurationInForceIsUsedByTheNextRequest(t *testing.T) {
+	f := newFixture(t)
+	f.do(t, "GET", "/f/x", "")
+	c := f.views.Current().Configuration
+	next := &pb.Configuration{Revision: 2, RouteTable: &pb.RouteTable{Version: 4}, Registrations: c.Registrations}
+	f.views.set(next)
+	response, _ := f.do(t, "GET", "/f/x", "")
+	require.Equal(t, 404, response.StatusCode)
+}
+
+func TestAnswersCloseTheirConnectionDuringAPlannedStop(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.Stop(time.Now().Add(200 * time.Millisecond))
+	response, _ := f.do(t, "GET", "/f/x", "")
+	require.Equal(t, 200, response.StatusCode)
+	require.True(t, response.Close)
+	for _, target := range f.targets {
+		target.Behave(users.Behavior{Delay: 3 * time.Second})
+	}
+	began := time.Now()
+	f.do(t, "GET", "/f/x", "")
+	require.Less(t, time.Since(began), 400*time.Millisecond, "no request outlasts the stop")
+}
+
+func TestEachUnusualRequestHasOneLineWithItsCause(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"ua", "ub"} {
+		f.targets[id].Behave(users.Behavior{Status: 500})
+	}
+	response, _ := f.do(t, "GET", "/f/x", "")
+	require.Equal(t, 500, response.StatusCode)
+	require.Eventually(t, func() bool { return f.gateway.Running() == 0 }, time.Second, time.Millisecond)
+	line := f.log.String()
+	for _, part := range []string{`"request":"r1"`, `"outcome":"failed"`, `"version":3`, `"reason":"retry"`, `"target":"ua"`, `"target":"ub"`} {
+		require.Contains(t, line, part)
+	}
+}
+
+func TestLinesBeyondTheLimitAreCountedInstead(t *testing.T) {
+	f := newFixture(t)
+	for range 150 {
+		f.do(t, "GET", "/none/", "")
+	}
+	require.Eventually(t, func() bool { return f.gateway.Running() == 0 }, time.Second, time.Millisecond)
+	require.LessOrEqual(t, strings.Count(f.log.String(), "\n"), 110)
+	var text bytes.Buffer
+	f.metrics.WritePrometheus(&text)
+	require.Regexp(t, `carawayreel_log_lines_dropped_total [1-9]`, text.String())
+}
--- a/internal/health/board.go
+++ b/internal/health/board.go
@@ -10,13 +10,16 @@
 )
 
 const (
-	// reportedFailures is the least failure rate that other VMs are told.
-	reportedFailures = 0.3
+	// reportedFailures is the least weight of failed requests that other VMs are
+	// told.
+	reportedFailures = 0.5
 	// reportedFor is how long evidence is passed on.
 	reportedFor = 2 * time.Second
 	// reportsPerMessage bounds the reports in one message, of some 25 bytes each.
 	reportsPerMessage = 32
-	percent           = 100
+	tenths            = 10
+	// heardVMs bounds the VMs whose outcomes are kept for a target.
+	heardVMs = 32
 )
 
 // Board holds the states of all targets and exchanges what is bad news with
@@ -67,24 +70,24 @@
 	return news
 }
 
-// Merge takes the reports of another VM; of each target the newest evidence
-// counts.
-func (b *Board) Merge(reports []*pb.TargetReport, now time.Time) {
+// Merge takes the reports of another VM.
+func (b *Board) Merge(from string, reports []*pb.TargetReport, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, report := range reports {
 		if state, ok := b.states[report.GetTarget()]; ok {
-			state.hear(report, now)
+			state.hear(from, report, now)
 		}
 	}
 }
 
 // weight orders reports; slow targets are met by more requests than failing ones.
 func weight(r *pb.TargetReport) uint32 {
+	const slow = 100
 	if r.LastSlowMs > 0 {
-		return r.FailurePercent + percent
+		return r.FailedTenths + slow
 	}
-	return r.FailurePercent
+	return r.FailedTenths
 }
 
 // report returns the news of a target that was slow or failed a short while ago,
@@ -103,20 +106,16 @@
 		report.FirstSlowMs, report.LastSlowMs = ago(s.streak.first), ago(s.streak.last)
 		report.QuickMs = ago(s.streak.quick)
 	}
-	newest := failures{rate: s.failureRate, at: s.failureAt}
-	if s.heard.at.After(newest.at) {
-		newest = s.heard
+	if failed, all := s.outcomes.faded(now); failed >= reportedFailures {
+		report.FailedTenths, report.AllTenths = uint32(failed*tenths), uint32(all*tenths)
 	}
-	if newest.rate >= reportedFailures && now.Sub(newest.at) < reportedFor {
-		report.FailurePercent, report.FailureAgeMs = uint32(newest.rate*percent), ago(newest.at)
-	}
-	if report.LastSlowMs+report.QuickMs+report.FailurePercent == 0 {
+	if report.LastSlowMs+report.QuickMs+report.FailedTenths == 0 {
 		return nil
 	}
 	return report
 }
 
-func (s *State) hear(report *pb.TargetReport, now time.Time) {
+func (s *State) hear(from string, report *pb.TargetReport, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
@@ -127,7 +126,22 @@
 		s.toldAt = later(s.toldAt, ago(last))
 		s.streak.slow(ago(report.GetFirstSlowMs()), ago(last), ago(last))
 	}
-	if at := ago(report.GetFailureAgeMs()); report.GetFailurePercent() > 0 && at.After(s.heard.at) {
-		s.heard = failures{rate: min(float64(report.GetFailurePercent())/percent, 1), at: at}
+	if report.GetFailedTenths() > 0 {
+		s.hearOutcomes(from, report, now)
+	}
+}
+
+func (s *State) hearOutcomes(from string, report *pb.TargetReport, now time.Time) {
+	for vm, heard := range s.heard {
+		if now.Sub(heard.at) > 2*reportedFor {
+			delete(s.heard, vm)
+		}
+	}
+	if s.heard == nil {
+		s.heard = map[string]outcomes{}
+	}
+	if _, known := s.heard[from]; known || len(s.heard) < heardVMs {
+		all := float64(report.GetAllTenths()) / tenths
+		s.heard[from] = outcomes{failed: min(float64(report.GetFailedTenths())/tenths, all), all: all, at: now}
 	}
 }
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -24,10 +24,11 @@
 	// overdueAfter is how many usual reply times a request may run before its
 	// target is held for stuck, in proportion to the excess.
 	overdueAfter = 2.0
-	// failureWeight is the weight of the newest outcome in the failure rate.
-	failureWeight = 0.2
-	// failureFades is the time in which the failure rate halves without use.
-	failureFades = 2 * time.Second
+	// failuresFade is the time in which outcomes count half.
+	failuresFade = 2 * time.Second
+	// priorRequests is the number of good outcomes that a target is credited
+	// with, so that one failure is no rate.
+	priorRequests = 3
 	// failureCost is how many times slower a target that always fails counts.
 	failureCost = 12
 	// failuresInRow is the number of failures in a row that sets a target aside.
@@ -69,9 +70,8 @@
 	ratio   float64
 	ratioAt time.Time
 
-	failureRate float64
-	failureAt   time.Time
-	inRow       int
+	outcomes outcomes
+	inRow    int
 
 	asideUntil time.Time
 	asides     int
@@ -83,13 +83,8 @@
 	streak streak
 	// toldAt is when this VM last knew of a slow request.
 	toldAt time.Time
-	heard  failures
-}
-
-// failures is what another VM reported last.
-type failures struct {
-	rate float64
-	at   time.Time
+	// heard holds the outcomes of other VMs' requests by VM.
+	heard map[string]outcomes
 }
 
 // New returns the state of a target that nothing is known of.
@@ -142,8 +137,7 @@
 
 func (s *State) answered(age, usual time.Duration, now time.Time) {
 	s.slow(age, usual, now)
-	s.failureRate = s.fadedFailures(now) * (1 - failureWeight)
-	s.failureAt = now
+	s.outcomes.add(0, now)
 	s.inRow, s.asides, s.down = 0, 0, false
 	s.asideUntil = time.Time{}
 	s.goodAt = now
@@ -164,8 +158,7 @@
 }
 
 func (s *State) fail(now time.Time) {
-	s.failureRate = s.fadedFailures(now)*(1-failureWeight) + failureWeight
-	s.failureAt = now
+	s.outcomes.add(1, now)
 	s.inRow++
 }
 
@@ -179,14 +172,14 @@
 	return 1 + (s.ratio-1)*faded(s.ratioAt, now, speedFades)
 }
 
-// fadedFailures is the failure rate by the newest evidence, of this VM or of
-// another.
-func (s *State) fadedFailures(now time.Time) float64 {
-	rate, at := s.failureRate, s.failureAt
-	if s.heard.at.After(at) {
-		rate, at = s.heard.rate, s.heard.at
+// failureRate is the share of failed requests, by all evidence.
+func (s *State) failureRate(now time.Time) float64 {
+	failed, all := s.outcomes.faded(now)
+	for _, heard := range s.heard {
+		f, a := heard.faded(now)
+		failed, all = failed+f, all+a
 	}
-	return rate * faded(at, now, failureFades)
+	return failed / (all + priorRequests)
 }
 
 func faded(since, now time.Time, half time.Duration) float64 {
@@ -209,7 +202,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cost := s.fadedRatio(now) * (1 + float64(len(s.inFlight))/float64(max(slots, 1)))
-	cost *= 1 + failureCost*s.fadedFailures(now)
+	cost *= 1 + failureCost*s.failureRate(now)
 	if len(s.inFlight) > 0 {
 		age := float64(now.Sub(s.inFlight[0])) / float64(max(usual, time.Millisecond)) / overdueAfter
 		cost *= max(age, 1)
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,205 @@
+package registry_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/registry"
+)
+
+// fakeStore keeps every change; beforePage runs before each page but the first.
+type fakeStore struct {
+	log        []registry.Entry
+	kept       uint64
+	pageSize   int
+	beforePage func(page int)
+	lists      int
+	down       bool
+}
+
+func (f *fakeStore) revision() uint64 { return uint64(len(f.log)) + 1 }
+
+func (f *fakeStore) put(e registry.Entry) {
+	e.Revision = f.revision() + 1
+	f.log = append(f.log, e)
+}
+
+func (f *fakeStore) remove(key string) { f.put(registry.Entry{Key: key, Deleted: true}) }
+
+func (f *fakeStore) server(id string, change func(*pb.Registration, *registry.Entry)) {
+	r := &pb.Registration{Id: id, Service: "s", Address: "10.0.0.1:80", Slots: 2, State: pb.RegistrationState_REGISTRATION_STATE_READY, StartedUnixMs: 1000}
+	e := registry.Entry{Key: "t/" + id, Registration: r, Sequence: 1}
+	if change != nil {
+		change(r, &e)
+	}
+	f.put(e)
+}
+
+func (f *fakeStore) routes(version uint64) {
+	f.put(registry.Entry{Key: "routes", RouteTable: &pb.RouteTable{Version: version}})
+}
+
+func (f *fakeStore) List(_ context.Context, after string) (registry.Page, error) {
+	if f.down {
+		return registry.Page{}, registry.ErrUnavailable
+	}
+	if after != "" && f.beforePage != nil {
+		f.beforePage(f.lists)
+	}
+	f.lists++
+	present := map[string]registry.Entry{}
+	for _, e := range f.log {
+		present[e.Key] = e
+	}
+	page := registry.Page{Revision: f.revision()}
+	for _, key := range sortedKeys(present) {
+		if e := present[key]; key > after && !e.Deleted {
+			if len(page.Entries) == f.pageSize {
+				page.More = true
+				break
+			}
+			page.Entries = append(page.Entries, e)
+		}
+	}
+	return page, nil
+}
+
+func sortedKeys(m map[string]registry.Entry) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		i := 0
+		for i < len(keys) && strings.Compare(keys[i], key) < 0 {
+			i++
+		}
+		keys = append(keys[:i], append([]string{key}, keys[i:]...)...)
+	}
+	return keys
+}
+
+func (f *fakeStore) Changes(_ context.Context, revision uint64, _ time.Duration) (registry.Changes, error) {
+	switch {
+	case f.down:
+		return registry.Changes{}, errors.Wrap(registry.ErrUnavailable, "down")
+	case revision < f.kept:
+		return registry.Changes{}, registry.ErrHistoryGone
+	}
+	changes := registry.Changes{Revision: f.revision()}
+	for _, e := range f.log {
+		if e.Revision > revision {
+			changes.Entries = append(changes.Entries, e)
+		}
+	}
+	return changes, nil
+}
+
+func watch(t *testing.T, s *registry.Source) *pb.Configuration {
+	t.Helper()
+	reading, err := s.Watch(context.Background(), 0)
+	require.NoError(t, err)
+	return reading.Configuration
+}
+
+func ids(c *pb.Configuration) []string {
+	var found []string
+	for _, r := range c.GetRegistrations() {
+		found = append(found, r.Id)
+	}
+	return found
+}
+
+// A key that is deleted between two pages of a listing would stay for ever if
+// the changes since the first page were not taken.
+func TestPagesAreNoSnapshot(t *testing.T) {
+	store := &fakeStore{pageSize: 2}
+	store.routes(7)
+	store.server("a", nil)
+	store.server("b", nil)
+	store.server("c", nil)
+	store.beforePage = func(int) { store.remove("t/a") }
+	c := watch(t, registry.NewSource(store, zerolog.Nop()))
+	require.Equal(t, []string{"b", "c"}, ids(c))
+	require.EqualValues(t, 7, c.RouteTable.Version)
+}
+
+func TestAReportThatArrivesLateChangesNothing(t *testing.T) {
+	store := &fakeStore{pageSize: 10}
+	store.routes(1)
+	draining := func(r *pb.Registration, e *registry.Entry) {
+		r.State = pb.RegistrationState_REGISTRATION_STATE_DRAINING
+		e.Sequence = 5
+	}
+	store.server("a", draining)
+	source := registry.NewSource(store, zerolog.Nop())
+	before := watch(t, source)
+	store.server("a", func(_ *pb.Registration, e *registry.Entry) { e.Sequence = 4 })
+	require.Nil(t, watch(t, source), "an older report of the same start")
+	store.server("a", func(r *pb.Registration, e *registry.Entry) { r.StartedUnixMs = 900; e.Sequence = 99 })
+	require.Nil(t, watch(t, source), "a report of an earlier start")
+	require.Equal(t, pb.RegistrationState_REGISTRATION_STATE_DRAINING, before.Registrations[0].State)
+	store.server("a", func(r *pb.Registration, e *registry.Entry) { r.StartedUnixMs = 2000; e.Sequence = 1 })
+	after := watch(t, source)
+	require.Equal(t, pb.RegistrationState_REGISTRATION_STATE_READY, after.Registrations[0].State)
+	require.Greater(t, after.Revision, before.Revision)
+}
+
+func TestAnUnreadableEntryNamesNoTargetAndHurtsNoOther(t *testing.T) {
+	store := &fakeStore{pageSize: 10}
+	store.routes(1)
+	store.server("a", nil)
+	store.server("b", nil)
+	source := registry.NewSource(store, zerolog.Nop())
+	require.Equal(t, []string{"a", "b"}, ids(watch(t, source)))
+	store.put(registry.Entry{Key: "t/a", Problem: "not JSON"})
+	store.put(registry.Entry{Key: "routes", Problem: "not JSON"})
+	c := watch(t, source)
+	require.Equal(t, []string{"b"}, ids(c))
+	require.EqualValues(t, 1, c.RouteTable.Version, "the routes before stay in force")
+}
+
+func TestDroppedHistoryIsListedAgainAndNeverGoesBack(t *testing.T) {
+	store := &fakeStore{pageSize: 10}
+	store.routes(1)
+	store.server("a", nil)
+	store.server("b", nil)
+	source := registry.NewSource(store, zerolog.Nop())
+	before := watch(t, source)
+	store.remove("t/a")
+	store.kept = store.revision()
+	after := watch(t, source)
+	require.Equal(t, []string{"b"}, ids(after))
+	require.Greater(t, after.Revision, before.Revision)
+	require.GreaterOrEqual(t, after.RemovalsSince, before.Revision, "what was removed in the gap is not known")
+}
+
+func TestColdStartThatCountsDownIsNoChange(t *testing.T) {
+	store := &fakeStore{pageSize: 10}
+	store.routes(1)
+	store.server("a", func(r *pb.Registration, _ *registry.Entry) { r.ColdLeftMs = 3000 })
+	source := registry.NewSource(store, zerolog.Nop())
+	watch(t, source)
+	store.server("a", func(r *pb.Registration, e *registry.Entry) { r.ColdLeftMs = 1800; e.Sequence = 2 })
+	require.Nil(t, watch(t, source))
+	store.server("a", func(_ *pb.Registration, e *registry.Entry) { e.Sequence = 3 })
+	require.NotNil(t, watch(t, source), "the cold start is over")
+}
+
+func TestAnOutageKeepsTheState(t *testing.T) {
+	store := &fakeStore{pageSize: 10}
+	store.routes(1)
+	store.server("a", nil)
+	source := registry.NewSource(store, zerolog.Nop())
+	watch(t, source)
+	store.down = true
+	_, err := source.Watch(context.Background(), 0)
+	require.ErrorIs(t, err, registry.ErrUnavailable)
+	store.down = false
+	store.server("b", nil)
+	require.Equal(t, []string{"a", "b"}, ids(watch(t, source)))
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,105 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/routing"
+)
+
+const ready = pb.RegistrationState_REGISTRATION_STATE_READY
+
+var start = time.Unix(1000, 0)
+
+func configuration(registrations ...*pb.Registration) *pb.Configuration {
+	return &pb.Configuration{
+		Revision: 1,
+		RouteTable: &pb.RouteTable{
+			Version: 1,
+			Routes: []*pb.Route{
+				{Name: "short", Host: "h", Prefix: "/a/", Services: []*pb.WeightedService{{Service: "s", Weight: 1}}},
+				{Name: "long", Host: "h", Prefix: "/a/b/", Shards: []string{"s", "t"}},
+			},
+			Services: []*pb.RouteService{{Name: "s", MaxConnections: 26}},
+		},
+		Registrations: registrations,
+	}
+}
+
+func registration(id string) *pb.Registration {
+	return &pb.Registration{Id: id, Service: "s", Address: "10.0.0.1:80", FailureDomain: "a", Slots: 2, State: ready, StartedUnixMs: 1}
+}
+
+func targets(t *routing.Table) []string {
+	var found []string
+	for _, target := range t.Match("h", "/a/x").Parts[0].Service.Targets {
+		found = append(found, target.ID)
+	}
+	return found
+}
+
+func TestTheLongestPrefixOfTheHostMatches(t *testing.T) {
+	table := routing.NewCompiler(health.NewBoard(), 0).Compile(configuration(), 1, start)
+	require.Equal(t, "short", table.Match("h", "/a/x").Name)
+	require.Equal(t, "long", table.Match("h", "/a/b/x").Name)
+	require.Nil(t, table.Match("h", "/ab/"))
+	require.Nil(t, table.Match("other", "/a/x"))
+}
+
+func TestConnectionsAreSharedByTheVMs(t *testing.T) {
+	compiler := routing.NewCompiler(health.NewBoard(), 0)
+	table := compiler.Compile(configuration(registration("x")), 9, start)
+	require.Equal(t, 2, table.Match("h", "/a/x").Parts[0].Service.Targets[0].Connections)
+	table = compiler.Compile(configuration(registration("x")), 100, start)
+	require.Equal(t, 1, table.Match("h", "/a/x").Parts[0].Service.Targets[0].Connections)
+}
+
+func TestLeavingTargetsAndDomainsTakenOutGetNothing(t *testing.T) {
+	compiler := routing.NewCompiler(health.NewBoard(), time.Second)
+	leaving := registration("x")
+	leaving.State = pb.RegistrationState_REGISTRATION_STATE_DRAINING
+	away := registration("y")
+	away.FailureDomain = "b"
+	c := configuration(leaving, away, registration("z"))
+	c.FailureDomains = []*pb.FailureDomain{{Name: "b", State: pb.ServingState_SERVING_STATE_TAKEN_OUT}}
+	require.Equal(t, []string{"z"}, targets(compiler.Compile(c, 1, start)))
+}
+
+// The registrations of all targets are gone when a store comes back that was
+// away longer than they last; the targets live on and report again.
+func TestTargetsWhoseRegistrationEndsWithoutNoticeStayForAWhile(t *testing.T) {
+	compiler := routing.NewCompiler(health.NewBoard(), time.Second)
+	compiler.Compile(configuration(registration("x")), 1, start)
+	table := compiler.Compile(configuration(), 1, start.Add(time.Minute))
+	require.Equal(t, []string{"x"}, targets(table))
+	require.True(t, table.Match("h", "/a/x").Parts[0].Service.Targets[0].Lapsed)
+	end := compiler.NextChange()
+	require.Equal(t, start.Add(time.Minute+time.Second), end)
+	require.Empty(t, targets(compiler.Compile(configuration(), 1, end)))
+}
+
+func TestALeavingTargetIsGoneAtOnceWhenItsRegistrationEnds(t *testing.T) {
+	compiler := routing.NewCompiler(health.NewBoard(), time.Second)
+	leaving := registration("x")
+	leaving.State = pb.RegistrationState_REGISTRATION_STATE_DRAINING
+	compiler.Compile(configuration(leaving), 1, start)
+	require.Empty(t, targets(compiler.Compile(configuration(), 1, start)))
+}
+
+func TestANewStartOfATargetIsJudgedAnew(t *testing.T) {
+	compiler := routing.NewCompiler(health.NewBoard(), 0)
+	table := compiler.Compile(configuration(registration("x")), 1, start)
+	before := table.Match("h", "/a/x").Parts[0].Service.Targets[0].Health
+	table = compiler.Compile(configuration(registration("x")), 1, start)
+	require.Same(t, before, table.Match("h", "/a/x").Parts[0].Service.Targets[0].Health)
+	again := registration("x")
+	again.StartedUnixMs = 2
+	table = compiler.Compile(configuration(again), 1, start)
+	require.NotSame(t, before, table.Match("h", "/a/x").Parts[0].Service.Targets[0].Health)
+	require.True(t, table.HasTarget("x", 2))
+	require.False(t, table.HasTarget("x", 1))
+}
--- /dev/null
+++ b/internal/testkit/users.go
@@ -0,0 +1,153 @@
+package testkit
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carawayreel/carawayreel/internal/standin/users"
+)
+
+// UsersVM is one VM that runs on the stand-in of the users' platform.
+type UsersVM struct {
+	ID, Domain                 string
+	RouteAddress, ReadyAddress string
+	CallerAddress, PeerAddress string
+	Settings                   string
+	process                    *Process
+}
+
+// UsersDeployment is VMs as processes on a stand-in of the users' platform that
+// runs in this process.
+type UsersDeployment struct {
+	Store   *users.Store
+	Targets map[string]*users.Target
+	VMs     []*UsersVM
+	dir     string
+	server  *httptest.Server
+}
+
+// StartUsers starts one VM in each of the failure domains. The store is empty.
+func StartUsers(dir string, domains ...string) (*UsersDeployment, error) {
+	d := &UsersDeployment{Store: users.NewStore(), Targets: map[string]*users.Target{}, dir: dir}
+	d.server = httptest.NewServer(d.Store)
+	const addressesPerVM = 4
+	addresses, err := FreeAddresses(len(domains) * addressesPerVM)
+	if err != nil {
+		return nil, err
+	}
+	for i, domain := range domains {
+		own := addresses[i*addressesPerVM : (i+1)*addressesPerVM]
+		d.VMs = append(d.VMs, &UsersVM{
+			ID: "vm-" + domain, Domain: domain, RouteAddress: own[0], ReadyAddress: own[1],
+			CallerAddress: own[2], PeerAddress: own[3], Settings: filepath.Join(dir, "vm-"+domain+".ini"),
+		})
+	}
+	for _, vm := range d.VMs {
+		if err := d.WriteSettings(vm, ""); err != nil {
+			return nil, err
+		}
+		if err := d.StartVM(vm); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// WriteSettings writes a VM's settings file, with further lines at its end.
+func (d *UsersDeployment) WriteSettings(vm *UsersVM, further string) error {
+	text := fmt.Sprintf(`[vm]
+id = %s
+failure_domain = %s
+[listen]
+caller_address = %s
+peer_address = %s
+route_address = %s
+ready_address = %s
+[platform]
+protocol = users
+address = %s
+[peers]
+seeds = %s
+[limits]
+stop_timeout_ms = 6000
+[log]
+decision_sample = 1
+%s
+`, vm.ID, vm.Domain, vm.CallerAddress, vm.PeerAddress, vm.RouteAddress, vm.ReadyAddress,
+		strings.TrimPrefix(d.server.URL, "http://"), d.VMs[0].PeerAddress, further)
+	return errors.Wrap(os.WriteFile(vm.Settings, []byte(text), 0o600), "settings")
+}
+
+// StartVM starts the VM's process.
+func (d *UsersDeployment) StartVM(vm *UsersVM) error {
+	process, err := start(d.dir, vm.ID, daemonBinary, "run", vm.Settings)
+	vm.process = process
+	return err
+}
+
+// Process returns the VM's process.
+func (vm *UsersVM) Process() *Process { return vm.process }
+
+// AddTarget starts a target and registers it.
+func (d *UsersDeployment) AddTarget(id, service, domain string, records []byte) *users.Target {
+	target := users.NewTarget(id, service, domain, records)
+	d.Targets[id] = target
+	d.Store.Put("servers/"+id, target.Report("ready", 1))
+	return target
+}
+
+// Ready reports whether the balancer would send callers to the VM.
+func (vm *UsersVM) Ready() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + vm.ReadyAddress + "/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// AwaitReady waits until all VMs are ready.
+func (d *UsersDeployment) AwaitReady(ctx context.Context) error {
+	const limit = 20 * time.Second
+	return Poll(ctx, limit, func() bool {
+		for _, vm := range d.VMs {
+			if !vm.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Log returns what a VM wrote.
+func (d *UsersDeployment) Log(vm *UsersVM) string {
+	text, err := os.ReadFile(filepath.Join(d.dir, vm.ID+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+// Close ends all processes.
+func (d *UsersDeployment) Close() {
+	for _, vm := range d.VMs {
+		if vm.process != nil {
+			vm.process.Kill()
+		}
+	}
+	for _, target := range d.Targets {
+		target.Server.CloseClientConnections()
+		target.Server.Close()
+	}
+	d.server.CloseClientConnections()
+	d.server.Close()
+}
