VMs find each other through the store when no seed is up

Cause: in a process test whose seed had failed to start, the other two VMs never learned of each other and counted as one VM each, so that together they could exceed every shared limit. Settings name three seeds at most, which may be down.

Ports of the process tests are reserved below those that the system hands out: TestUsersLeavingTargetGetsNothingMore had failed in 1 of 12 loops with 'address already in use' (kept log of vm-a).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/carawayreel/carawayreel/internal/peer"
 	"github.com/carawayreel/carawayreel/internal/platform"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
+	"github.com/carawayreel/carawayreel/internal/registry"
 	"github.com/carawayreel/carawayreel/internal/server"
 	"github.com/carawayreel/carawayreel/internal/statement"
 	"github.com/carawayreel/carawayreel/internal/transport"
@@ -46,6 +47,8 @@
 	callers     *transport.Server
 	others      *transport.Server
 
+	// members announces this VM in the users' store; nil on the product's own.
+	members *registry.Members
 	// gateway serves routes; nil when the settings name no address for them.
 	gateway   *gateway.Gateway
 	routes    *transport.Server
@@ -201,6 +204,9 @@
 	for _, service := range []suture.Service{d.control, d.owner, d.callers, d.others} {
 		supervisor.Add(service)
 	}
+	if d.members != nil {
+		supervisor.Add(d.members)
+	}
 	for _, service := range beside {
 		supervisor.Add(service)
 	}
--- a/internal/daemon/users.go
+++ b/internal/daemon/users.go
@@ -21,16 +21,22 @@
 // operators keep.
 var errOperatorsOnly = errors.New("operators write the configuration to the platform themselves")
 
-// usersStore follows the users' store. The product's own values are not kept
-// there.
+// usersStore follows the users' store and lists the VMs in it.
 type usersStore struct {
+	*registry.Members
 	source *registry.Source
 }
 
 func (d *Daemon) newUsersStore(client *http.Client) usersStore {
 	settings := d.settings.Platform
 	timeout := time.Duration(settings.CallTimeoutMs) * time.Millisecond
-	return usersStore{source: registry.NewSource(users.NewStore(client, settings.Address, timeout), d.logger)}
+	store := users.NewStore(client, settings.Address, timeout)
+	self := selfVM(d.settings)
+	listed := &pb.ListedVm{
+		Vm: self.ID, FailureDomain: self.FailureDomain, PeerAddress: self.PeerAddress, State: pb.VmState_VM_STATE_LIVE,
+	}
+	d.members = registry.NewMembers(store, listed, d.logger)
+	return usersStore{Members: d.members, source: registry.NewSource(store, d.logger)}
 }
 
 // Watch implements control.Source; the registry keeps its own place.
@@ -38,9 +44,6 @@
 	return u.source.Watch(ctx, wait)
 }
 
-// ListVMs implements platform.VMList: VMs find each other by their seeds.
-func (usersStore) ListVMs(context.Context) ([]*pb.ListedVm, error) { return nil, nil }
-
 // readOnly is a platform.Store that refuses everything.
 type readOnly struct{}
 
--- a/internal/e2e/users_test.go
+++ b/internal/e2e/users_test.go
@@ -225,3 +225,19 @@
 		}))
 	}
 }
+
+// The only seed is down: the other VMs find each other through the store.
+func TestUsersVMsFindEachOtherWithoutSeeds(t *testing.T) {
+	d := startUsers(t)
+	for _, vm := range d.VMs {
+		vm.Process().Kill()
+	}
+	for _, vm := range d.VMs[1:] {
+		require.NoError(t, d.StartVM(vm))
+	}
+	sharing := func() bool { return strings.Contains(d.Log(d.VMs[1]), `"vms":2`) }
+	require.NoError(t, testkit.Poll(context.Background(), 10*time.Second, func() bool {
+		_, _, _ = ask(d.VMs[1], client(), "GET", "/g/x")
+		return sharing()
+	}), "the second VM shares its limits with the third")
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -24,6 +24,8 @@
 	// ErrHistoryGone means that the changes after the revision are not kept any
 	// more.
 	ErrHistoryGone = errors.New("the store dropped the history after this revision")
+	// ErrLeaseGone means that a lease has ended, and its keys with it.
+	ErrLeaseGone = errors.New("the lease has ended")
 	// ErrUnavailable means that the store did not answer, or refused to.
 	ErrUnavailable = errors.New("the store is unavailable")
 )
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -116,6 +116,10 @@
 		s.serveRange(w, r)
 	case "/-/kv-watch":
 		s.serveWatch(w, r)
+	case "/-/kv-lease":
+		reply(w, map[string]int{"lease": 1, "ttl_ms": 1000})
+	case "/-/kv-txn":
+		s.serveWrite(w, r)
 	default:
 		http.NotFound(w, r)
 	}
@@ -143,6 +147,21 @@
 	reply(w, map[string]any{"items": items, "has_more": more, "as_of": s.revision()})
 }
 
+// serveWrite takes writes without conditions; leases are not kept.
+func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request) {
+	var change struct {
+		Writes []item `json:"writes"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&change); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for _, i := range change.Writes {
+		s.append(item{Key: i.Key, Value: i.Value})
+	}
+	reply(w, map[string]int{"revision": 1})
+}
+
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
--- a/internal/testkit/users.go
+++ b/internal/testkit/users.go
@@ -32,6 +32,7 @@
 	VMs     []*UsersVM
 	dir     string
 	server  *httptest.Server
+	ports   *portRange
 }
 
 // StartUsers starts one VM in each of the failure domains. The store is empty.
@@ -39,12 +40,16 @@
 	d := &UsersDeployment{Store: users.NewStore(), Targets: map[string]*users.Target{}, dir: dir}
 	d.server = httptest.NewServer(d.Store)
 	const addressesPerVM = 4
-	addresses, err := FreeAddresses(len(domains) * addressesPerVM)
+	ports, err := reservePorts(portsPerProfile)
 	if err != nil {
 		return nil, err
 	}
+	d.ports = ports
 	for i, domain := range domains {
-		own := addresses[i*addressesPerVM : (i+1)*addressesPerVM]
+		var own [addressesPerVM]string
+		for j := range own {
+			own[j] = fmt.Sprintf("127.0.0.1:%d", ports.base+i*addressesPerVM+j)
+		}
 		d.VMs = append(d.VMs, &UsersVM{
 			ID: "vm-" + domain, Domain: domain, RouteAddress: own[0], ReadyAddress: own[1],
 			CallerAddress: own[2], PeerAddress: own[3], Settings: filepath.Join(dir, "vm-"+domain+".ini"),
@@ -150,4 +155,5 @@
 	}
 	d.server.CloseClientConnections()
 	d.server.Close()
+	d.ports.release()
 }
