Configurations are compiled when they are put in force, not by the next request

Change: control tells the gateway of a configuration in force, which compiles it at once. The test fails without it.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -71,7 +71,10 @@
 	Peers      Peers
 	Quarantine Quarantine // may be nil
 	Targets    Targets    // may be nil
-	Logger     zerolog.Logger
+	// Published is called after a configuration was put in force; it must not
+	// wait. It may be nil.
+	Published func()
+	Logger    zerolog.Logger
 	// Trace receives events and decisions as JSON lines for replay; may be nil.
 	Trace io.Writer
 }
@@ -327,6 +330,9 @@
 	c.rebuildDue = false
 	c.current.Store(next)
 	c.logChange(before, next)
+	if c.options.Published != nil && c.built.configuration != published.configuration {
+		c.options.Published()
+	}
 	c.built = published
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,7 +116,7 @@
 	var err error
 	d.control, err = control.New(control.Options{
 		Settings: settings, Self: self, Store: store, Source: source, VMList: list,
-		Peers: controlPeers{d.peers}, Quarantine: d.poison, Targets: d.targets, Logger: d.logger, Trace: d.traces.control.writer(),
+		Peers: controlPeers{d.peers}, Quarantine: d.poison, Targets: d.targets, Published: d.published, Logger: d.logger, Trace: d.traces.control.writer(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "control")
@@ -207,6 +207,9 @@
 	if d.members != nil {
 		supervisor.Add(d.members)
 	}
+	if d.gateway != nil {
+		supervisor.Add(d.gateway)
+	}
 	for _, service := range beside {
 		supervisor.Add(service)
 	}
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -52,3 +52,10 @@
 	d.readiness = server
 	return errors.Wrap(err, "ready address")
 }
+
+// published tells the gateway of a configuration in force.
+func (d *Daemon) published() {
+	if d.gateway != nil {
+		d.gateway.Notify()
+	}
+}
--- a/internal/e2e/users_test.go
+++ b/internal/e2e/users_test.go
@@ -24,7 +24,8 @@
 // routesDocument is the operator's configuration: a gathering route under /g/ and
 // an edit under /e/, which the given service serves.
 func routesDocument(version int, editor string) string {
-	var shards, services []string
+	shards := make([]string, 0, shardsOfRoute)
+	services := make([]string, 0, shardsOfRoute)
 	for i := range shardsOfRoute {
 		shards = append(shards, fmt.Sprintf(`"s%d"`, i))
 		services = append(services, fmt.Sprintf(`{"name":"s%d","max_conns":26}`, i))
--- a/internal/fanout/fixture_test.go
+++ b/internal/fanout/fixture_test.go
@@ -26,7 +26,7 @@
 
 // services returns n services with one target in each of three failure domains.
 func services(n int) []*routing.Service {
-	var all []*routing.Service
+	all := make([]*routing.Service, 0, n)
 	for i := range n {
 		name := fmt.Sprintf("s%d", i)
 		service := &routing.Service{Name: name}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,8 +3,8 @@
 // out and writes the answer.
 //
 // Each request has one goroutine, which alone uses the request's machine, and
-// one for each attempt. The table of routes is compiled when the view changed,
-// by the first request that finds it so.
+// one for each attempt. The table of routes is compiled when the view changed, by
+// Serve or by the first request that finds it so.
 package gateway
 
 import (
@@ -65,6 +65,8 @@
 	compiled atomic.Pointer[compiled]
 
 	counters counters
+	// changed holds an element when a configuration waits to be compiled.
+	changed chan struct{}
 }
 
 // compiled is a table with what it was made from.
@@ -82,6 +84,7 @@
 		knowledge: fanout.NewKnowledge(),
 		journal:   newJournal(options.Logger, options.Settings.GetLog(), options.Metrics),
 		counters:  newCounters(options.Metrics),
+		changed:   make(chan struct{}, 1),
 	}
 	lapse := time.Duration(float64(options.Settings.GetRoutes().GetDrainMs())*lapseShare) * time.Millisecond
 	g.compiler = routing.NewCompiler(options.Targets, lapse)
@@ -90,6 +93,28 @@
 	return g
 }
 
+// Notify tells that a configuration was put in force. It does not wait.
+func (g *Gateway) Notify() {
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Serve compiles each configuration when it is put in force, until the context
+// ends. Requests would do so too, but a VM that gets none for a while has to
+// count from now on the time that a target whose registration ended has left.
+func (g *Gateway) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-g.changed:
+			g.table(time.Now())
+		}
+	}
+}
+
 // Reload puts new limits in force.
 func (g *Gateway) Reload(settings *pb.Settings) {
 	g.settings.Store(settings.GetRoutes())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,6 +24,12 @@
 	"github.com/carawayreel/carawayreel/platform"
 )
 
+const (
+	drainMs = 500
+	// lapse is how long a target may be used after its registration ended.
+	lapse = drainMs * 6 / 10 * time.Millisecond
+)
+
 // views holds the view of the tests.
 type views struct{ current atomic.Pointer[view.View] }
 
@@ -82,7 +88,7 @@
 		Views: f.views, Dialect: platform.Headers{}, Client: backend.NewClient(platform.Headers{}, "", set),
 		Targets: health.NewBoard(), Metrics: set, Logger: zerolog.New(f.log),
 		Settings: &pb.Settings{
-			Routes: &pb.RouteSettings{ExtraLoadPercent: 20, ExtraLoadSlack: 50, ExtraLoadWindowMs: 10000, DrainMs: 3000, MaxWaitingRequests: 100},
+			Routes: &pb.RouteSettings{ExtraLoadPercent: 20, ExtraLoadSlack: 50, ExtraLoadWindowMs: 10000, DrainMs: drainMs, MaxWaitingRequests: 100},
 			Log:    &pb.LogSettings{LinesPerS: 100},
 		},
 	})
@@ -91,7 +97,14 @@
 	return f
 }
 
-func (f *fixture) request(t *testing.T, ctx context.Context, method, uri, body string) (*http.Response, string, error) {
+// answered is what a caller got.
+type answered struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool
+}
+
+func (f *fixture) request(t *testing.T, ctx context.Context, method, uri, body string) (answered, string, error) {
 	t.Helper()
 	r, err := http.NewRequestWithContext(ctx, method, f.server.URL+uri, strings.NewReader(body))
 	require.NoError(t, err)
@@ -101,14 +114,14 @@
 	r.Header.Set("X-Own", "kept")
 	response, err := f.server.Client().Do(r)
 	if err != nil {
-		return nil, "", err
+		return answered{}, "", err
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
-	return response, string(text), err
+	return answered{StatusCode: response.StatusCode, Header: response.Header, Close: response.Close}, string(text), err
 }
 
-func (f *fixture) do(t *testing.T, method, uri, body string) (*http.Response, string) {
+func (f *fixture) do(t *testing.T, method, uri, body string) (answered, string) {
 	t.Helper()
 	response, text, err := f.request(t, context.Background(), method, uri, body)
 	require.NoError(t, err)
@@ -254,3 +267,28 @@
 	f.metrics.WritePrometheus(&text)
 	require.Regexp(t, `carawayreel_log_lines_dropped_total [1-9]`, text.String())
 }
+
+// A VM that gets no request for a while hears that a target is gone all the same
+// (casgen-reel-grown fresh-fde2: a request reached a target 5.2 s after its
+// registration had ended, on a VM that had got none for 2.7 s).
+func TestATargetThatIsGoneGetsNothingThoughNoRequestCameMeanwhile(t *testing.T) {
+	f := newFixture(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = f.gateway.Serve(ctx) }()
+	f.do(t, "GET", "/f/x", "")
+	c := f.views.Current().Configuration
+	next := &pb.Configuration{Revision: 2, RouteTable: c.RouteTable}
+	for _, r := range c.Registrations {
+		if r.Service != "u" {
+			next.Registrations = append(next.Registrations, r)
+		}
+	}
+	f.views.set(next)
+	f.gateway.Notify()
+	time.Sleep(lapse + 100*time.Millisecond)
+	before := len(f.targets["ua"].Runs()) + len(f.targets["ub"].Runs())
+	response, _ := f.do(t, "GET", "/f/x", "")
+	require.Equal(t, 503, response.StatusCode)
+	require.Equal(t, before, len(f.targets["ua"].Runs())+len(f.targets["ub"].Runs()))
+}
--- a/internal/registry/fold.go
+++ b/internal/registry/fold.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
@@ -15,6 +16,7 @@
 
 // fold is the state of the store at one revision.
 type fold struct {
+	logger zerolog.Logger
 	// revision is the store's revision up to which all changes are in.
 	revision uint64
 	// changed is the revision of the newest change that is in.
@@ -35,8 +37,8 @@
 
 // newFold returns an empty state. The routes of the state before stay in force
 // until readable ones are found.
-func newFold(before *fold) *fold {
-	f := &fold{registrations: map[string]registered{}, takenOut: map[string]string{}}
+func newFold(before *fold, logger zerolog.Logger) *fold {
+	f := &fold{logger: logger, registrations: map[string]registered{}, takenOut: map[string]string{}}
 	if before != nil {
 		f.table = before.table
 	}
@@ -102,6 +104,10 @@
 func (f *fold) register(entry Entry) bool {
 	known, ok := f.registrations[entry.Key]
 	if ok && late(entry, known) {
+		f.logger.Info().Str("target", known.Id).Uint64("revision", entry.Revision).
+			Uint64("sequence", entry.Sequence).Uint64("known_sequence", known.sequence).
+			Int64("started", entry.Registration.StartedUnixMs).Int64("known_started", known.StartedUnixMs).
+			Str("state", entry.Registration.State.String()).Msg("late report of a target ignored")
 		return false
 	}
 	next, _ := proto.Clone(entry.Registration).(*pb.Registration)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return configstore.Reading{}, err
 	}
-	next := newFold(s.fold)
+	next := newFold(s.fold, s.logger)
 	next.list(entries, first)
 	changes, err := s.store.Changes(ctx, first, 0)
 	if err != nil {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -109,7 +109,7 @@
 }
 
 func ids(c *pb.Configuration) []string {
-	var found []string
+	found := make([]string, 0, len(c.GetRegistrations()))
 	for _, r := range c.GetRegistrations() {
 		found = append(found, r.Id)
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -35,8 +35,9 @@
 }
 
 func targets(t *routing.Table) []string {
-	var found []string
-	for _, target := range t.Match("h", "/a/x").Parts[0].Service.Targets {
+	all := t.Match("h", "/a/x").Parts[0].Service.Targets
+	found := make([]string, 0, len(all))
+	for _, target := range all {
 		found = append(found, target.ID)
 	}
 	return found
