--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -75,11 +75,6 @@
 	}
 }
 
-// Free reports whether a request could be sent to the target now.
-func (c *Client) Free(t *Target) bool {
-	return c.pool(t).free(t.Connections)
-}
-
 func (c *Client) pool(t *Target) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -196,11 +191,12 @@
 	if conn.reader.Buffered() > 0 {
 		c.strays.Inc()
 	}
-	conn.keep = !response.Close && response.ContentLength >= -1 && conn.reader.Buffered() == 0 && !endsWithConnection(response)
+	conn.keep = !response.Close && conn.reader.Buffered() == 0 && !endsWithConnection(response)
 	conn.idleFor = idleTimeout(response.Header)
 	return &Reply{Status: response.StatusCode, Header: response.Header, Body: body, Statement: statement}, nil
 }
 
+// endsWithConnection reports whether the reply had neither a length nor chunks.
 func endsWithConnection(r *http.Response) bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -80,12 +80,6 @@
 	return nil
 }
 
-func (p *pool) free(limit int) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.parked) > 0 || p.open < limit
-}
-
 // reserve takes a place for a new connection.
 func (p *pool) reserve(limit int) bool {
 	p.mu.Lock()
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -243,7 +243,7 @@
 func (m *Machine) hedge(index int) {
 	l := &m.legs[index]
 	l.hedgeAt = time.Time{}
-	if l.running == 0 || !m.in.Route.Idempotent || m.in.Alone || !m.maySend(l) {
+	if l.running == 0 || !m.in.Route.Idempotent || !m.maySend(l) {
 		return
 	}
 	target := m.choose(l)
--- a/internal/fanout/types.go
+++ b/internal/fanout/types.go
@@ -24,8 +24,6 @@
 	Received time.Time
 	// Deadline is when the caller has to have an answer.
 	Deadline time.Time
-	// Alone is true when the request runs on one target at a time.
-	Alone bool
 }
 
 // Reason states why an attempt is made.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -29,8 +29,8 @@
 	story    story
 }
 
-// expectedSends is the usual number of sends for each leg; the channel of ends
-// has room for more.
+// endsPerLeg is the room for ends of attempts; it is above the sends that a
+// machine makes for one leg, so that no attempt waits to report.
 const endsPerLeg = 6
 
 // run serves the request through its machine.
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -78,7 +78,6 @@
 	// down is true when the target is aside because nothing reaches it.
 	down    bool
 	probing bool
-	goodAt  time.Time
 
 	streak streak
 	// toldAt is when this VM last knew of a slow request.
@@ -140,7 +139,6 @@
 	s.outcomes.add(0, now)
 	s.inRow, s.asides, s.down = 0, 0, false
 	s.asideUntil = time.Time{}
-	s.goodAt = now
 }
 
 // slow adds a reply time to the speed; the reply may still be outstanding.
@@ -233,10 +231,3 @@
 	defer s.mu.Unlock()
 	return s.asideUntil
 }
-
-// GoodSince reports whether a good reply came after the given time.
-func (s *State) GoodSince(at time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.goodAt.After(at)
-}
