--- a/internal/e2e/users_test.go
+++ b/internal/e2e/users_test.go
@@ -131,7 +131,7 @@
 func TestUsersLeavingTargetGetsNothingMore(t *testing.T) {
 	d := startUsers(t)
 	leaving := d.Targets["olda"]
-	d.Store.Put("servers/olda", leaving.Report("draining", 2))
+	d.Store.Register(leaving, users.Draining, 2)
 	time.Sleep(1500 * time.Millisecond)
 	before := len(leaving.Runs())
 	for range 20 {
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -46,12 +46,18 @@
 	return t
 }
 
-// Report is what the target writes to the store about itself.
-func (t *Target) Report(state string, sequence int) map[string]any {
-	return map[string]any{
+// States that targets report.
+const (
+	Ready    = "ready"
+	Draining = "draining"
+)
+
+// Register writes what the target reports of itself.
+func (s *Store) Register(t *Target, state string, sequence int) {
+	s.Put("servers/"+t.ID, map[string]any{
 		"service": t.Service, "address": t.Server.Listener.Addr().String(), "zone": t.Domain, "version": "v1",
 		"slots": 2, "state": state, "cold_left_ms": 0, "seq": sequence, "born": 1000,
-	}
+	})
 }
 
 // Behave changes how the target serves.
--- a/internal/testkit/users.go
+++ b/internal/testkit/users.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/carawayreel/carawayreel/internal/standin/users"
+	"github.com/carawayreel/carawayreel/platform"
 )
 
 // UsersVM is one VM that runs on the stand-in of the users' platform.
@@ -105,14 +106,14 @@
 func (d *UsersDeployment) AddTarget(id, service, domain string, records []byte) *users.Target {
 	target := users.NewTarget(id, service, domain, records)
 	d.Targets[id] = target
-	d.Store.Put("servers/"+id, target.Report("ready", 1))
+	d.Store.Register(target, users.Ready, 1)
 	return target
 }
 
 // Ready reports whether the balancer would send callers to the VM.
 func (vm *UsersVM) Ready() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + vm.ReadyAddress + "/-/ready")
+	response, err := client.Get("http://" + vm.ReadyAddress + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
