Settings take fractions and units; the store is read more cheaply

The share of extra requests was not taken from the platform at all. Times were written by appending 000 to seconds, which a fraction breaks.

Change: numbers of extra requests may be fractions, times may have a unit, an empty number is its default; the share comes from the platform. The first listing may lag, its changes follow by a watch; pages of different age are completed from the oldest; when that history is gone the listing is read anew. The registration's field is named cold_for_ms, as the platform's own word does not belong there.

Tests: settings, two of the registry for listings that lag.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -135,6 +135,7 @@
 	ready    bool
 	reason   string
 	leftTold bool
+	watches  bool
 	members  []*pb.Member
 	counts   counts
 }
@@ -201,6 +202,10 @@
 	return s.ready, s.reason
 }
 
+// WatchesStore reports whether this VM is one of those of its failure domain that
+// follow the store.
+func (c *Control) WatchesStore() bool { return c.status.Load().watches }
+
 // Members returns what is believed of every VM. The caller must not change it.
 func (c *Control) Members() []*pb.Member { return c.status.Load().members }
 
@@ -289,7 +294,7 @@
 }
 
 func (c *Control) setStatus() {
-	next := &status{leftTold: c.machine.leftTold}
+	next := &status{leftTold: c.machine.leftTold, watches: c.machine.watches()}
 	next.ready, next.reason = c.machine.ready()
 	next.counts = counts{machine: c.machine.stats, table: c.machine.table.Stats()}
 	before := c.status.Load()
--- a/internal/control/distribute.go
+++ b/internal/control/distribute.go
@@ -16,8 +16,12 @@
 	// confirmInterval is the default of the longest wait of one watch: its end confirms that
 	// the configuration is current, and a lost watch is noticed by then.
 	confirmInterval = 500 * time.Millisecond
-	// watchSpacing is the least time between two watches that saw no change.
+	// watchSpacing is the least time between the starts of two watches, so that
+	// changes which come in a row are read together.
 	watchSpacing = 250 * time.Millisecond
+	// spacingShare is the part of a watch's longest wait that the spacing has at
+	// least.
+	spacingShare = 5
 	// failureSpacing is the time between two tries while the platform is down.
 	failureSpacing = 500 * time.Millisecond
 	// startSpacing is the time between two readings by a VM that does not watch
@@ -28,6 +32,9 @@
 	// seldomLists times the interval is how often a VM that does not watch reads
 	// the VM list.
 	seldomLists = 12
+	// aloneListSpacing is the time between two readings of the list by a VM that
+	// knows no live VM: the others may have announced themselves since.
+	aloneListSpacing = 5 * time.Second
 	// fanOut is the number of VMs that one VM hands a revision to.
 	fanOut = 4
 	// maxHops bounds how often a revision is handed on.
@@ -110,10 +117,15 @@
 // listSpacing is the time until the list is read again. VMs that do not watch
 // hear of new VMs from the others and read it seldom.
 func (m *machine) listSpacing() time.Duration {
-	if anywhere, _ := m.table.HasLivePeer(); anywhere && !m.watches() {
+	anywhere, _ := m.table.HasLivePeer()
+	switch {
+	case !anywhere:
+		return min(aloneListSpacing, m.config.listInterval)
+	case !m.watches():
 		return seldomLists * m.config.listInterval
+	default:
+		return m.config.listInterval
 	}
-	return m.config.listInterval
 }
 
 func (m *machine) storeRead(read *pb.StoreRead) {
@@ -126,7 +138,7 @@
 		return
 	}
 	m.watch.okAt = sentAt
-	m.watch.nextAt = sentAt.Add(watchSpacing)
+	m.watch.nextAt = sentAt.Add(max(watchSpacing, m.config.watchWait/spacingShare))
 	if !m.watches() {
 		m.watch.nextAt = m.now.Add(m.ownReadSpacing())
 	}
--- a/internal/daemon/users.go
+++ b/internal/daemon/users.go
@@ -35,10 +35,14 @@
 	listed := &pb.ListedVm{
 		Vm: self.ID, FailureDomain: self.FailureDomain, PeerAddress: self.PeerAddress, State: pb.VmState_VM_STATE_LIVE,
 	}
-	d.members = registry.NewMembers(store, listed, d.logger)
+	d.members = registry.NewMembers(store, listed, d.watchesStore, d.logger)
 	return usersStore{Members: d.members, source: registry.NewSource(store, d.logger)}
 }
 
+// watchesStore reports whether this VM is one of those of its failure domain that
+// follow the store.
+func (d *Daemon) watchesStore() bool { return d.control.WatchesStore() }
+
 // Watch implements control.Source; the registry keeps its own place.
 func (u usersStore) Watch(ctx context.Context, _ uint64, wait time.Duration, _ *pb.Configuration) (configstore.Reading, error) {
 	return u.source.Watch(ctx, wait)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,7 +33,6 @@
 	// unknownVMs is the number of VMs that limits are shared by while the others
 	// are not known.
 	unknownVMs = 12
-	percent    = 100
 )
 
 // Options are what a Gateway works with.
@@ -157,8 +156,8 @@
 
 func limitsOf(settings *pb.RouteSettings, vms int) fanout.Limits {
 	return fanout.Limits{
-		Share:  float64(settings.GetExtraLoadPercent()) / percent,
-		Slack:  float64(settings.GetExtraLoadSlack()) / float64(vms),
+		Share:  settings.GetExtraLoadShare(),
+		Slack:  settings.GetExtraLoadSlack() / float64(vms),
 		Window: time.Duration(settings.GetExtraLoadWindowMs()) * time.Millisecond,
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -88,7 +88,7 @@
 		Views: f.views, Dialect: platform.Headers{}, Client: backend.NewClient(platform.Headers{}, "", set),
 		Targets: health.NewBoard(), Metrics: set, Logger: zerolog.New(f.log),
 		Settings: &pb.Settings{
-			Routes: &pb.RouteSettings{ExtraLoadPercent: 20, ExtraLoadSlack: 50, ExtraLoadWindowMs: 10000, DrainMs: drainMs, MaxWaitingRequests: 100},
+			Routes: &pb.RouteSettings{ExtraLoadShare: 0.2, ExtraLoadSlack: 50, ExtraLoadWindowMs: 10000, DrainMs: drainMs, MaxWaitingRequests: 100},
 			Log:    &pb.LogSettings{LinesPerS: 100},
 		},
 	})
--- a/internal/registry/fold.go
+++ b/internal/registry/fold.go
@@ -114,7 +114,7 @@
 	if ok {
 		next.Revision = known.Revision
 		if warming(next, known.Registration) {
-			next.ColdLeftMs = known.ColdLeftMs
+			next.ColdForMs = known.ColdForMs
 		}
 		if proto.Equal(next, known.Registration) {
 			f.registrations[entry.Key] = registered{Registration: known.Registration, sequence: entry.Sequence}
@@ -129,7 +129,7 @@
 // warming reports whether the target is still in the cold start that is known,
 // whose end does not move.
 func warming(next, known *pb.Registration) bool {
-	return next.ColdLeftMs > 0 && next.ColdLeftMs <= known.ColdLeftMs
+	return next.ColdForMs > 0 && next.ColdForMs <= known.ColdForMs
 }
 
 func late(entry Entry, known registered) bool {
--- a/internal/registry/members.go
+++ b/internal/registry/members.go
@@ -20,8 +20,9 @@
 	memberLifetime = 5 * time.Minute
 	// renewals is the number of renewals in a lifetime.
 	renewals = 3
-	// announceRetry is the time between two tries while the store is down.
-	announceRetry = 2 * time.Second
+	// announceDelay is the time until the first announcement, and between two
+	// looks at whether one is due: a few heartbeat intervals.
+	announceDelay = 2 * time.Second
 )
 
 // Lease names a lease of the store.
@@ -29,6 +30,7 @@
 
 // Values reads and writes the product's own keys of the store. Errors are caused
 // by ErrLeaseGone or ErrUnavailable; after the latter a write may take effect yet.
+// What is read may be seconds old.
 type Values interface {
 	Values(ctx context.Context, prefix string) (map[string][]byte, error)
 	Grant(ctx context.Context, lifetime time.Duration) (Lease, error)
@@ -41,12 +43,15 @@
 type Members struct {
 	values Values
 	self   *pb.ListedVm
+	chosen func() bool
 	logger zerolog.Logger
 }
 
-// NewMembers returns the list as this VM sees it.
-func NewMembers(values Values, self *pb.ListedVm, logger zerolog.Logger) *Members {
-	return &Members{values: values, self: self, logger: logger}
+// NewMembers returns the list as this VM sees it. The VM announces itself once it
+// is chosen to: a few VMs of each failure domain are enough to be found by, as
+// they know all others.
+func NewMembers(values Values, self *pb.ListedVm, chosen func() bool, logger zerolog.Logger) *Members {
+	return &Members{values: values, self: self, chosen: chosen, logger: logger}
 }
 
 // ListVMs returns the VMs that announced themselves. Entries that cannot be read
@@ -68,22 +73,28 @@
 	return vms, nil
 }
 
-// Serve announces this VM until the context ends.
+// Serve announces this VM while it is chosen to, until the context ends.
 func (m *Members) Serve(ctx context.Context) error {
 	var lease Lease
+	// The first look comes after the VMs had time to find each other, since one
+	// that knows no other chooses itself.
+	wait := announceDelay
 	for {
-		wait := memberLifetime / renewals
-		next, err := m.announce(ctx, lease)
-		if err != nil {
-			m.logger.Warn().Err(err).Msg("VM not announced in the store")
-			wait = announceRetry
-		}
-		lease = next
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(wait):
 		}
+		if wait = announceDelay; !m.chosen() {
+			continue
+		}
+		next, err := m.announce(ctx, lease)
+		lease = next
+		if err != nil {
+			m.logger.Warn().Err(err).Msg("VM not announced in the store")
+			continue
+		}
+		wait = memberLifetime / renewals
 	}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -81,8 +82,10 @@
 // Store is the store that is followed. Implementations are safe for concurrent
 // use and return ErrHistoryGone or errors caused by ErrUnavailable.
 type Store interface {
-	// List returns the entries whose keys follow after; empty begins.
-	List(ctx context.Context, after string) (Page, error)
+	// List returns the entries whose keys follow after; empty begins. A reading
+	// that may lag is cheaper and may be seconds old; its page has the revision
+	// that it was read at.
+	List(ctx context.Context, after string, mayLag bool) (Page, error)
 	// Changes waits until something changes after the revision, at most for the
 	// given time.
 	Changes(ctx context.Context, revision uint64, wait time.Duration) (Changes, error)
@@ -112,12 +115,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fold == nil {
-		return s.readAll(ctx)
+		return s.readFirst(ctx)
 	}
 	changes, err := s.store.Changes(ctx, s.fold.revision, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		s.logger.Info().Uint64("after_revision", s.fold.revision).Msg("store history dropped; listing all entries")
-		return s.readAll(ctx)
+		return s.readAll(ctx, false)
 	}
 	if err != nil {
 		return configstore.Reading{}, err
@@ -125,7 +128,7 @@
 	if missed := changes.missed(s.fold.revision); missed > 0 {
 		s.logger.Warn().Uint64("after_revision", s.fold.revision).Uint64("revision", changes.Revision).
 			Uint64("missed", missed).Msg("watch left changes out; listing all entries")
-		return s.readAll(ctx)
+		return s.readAll(ctx, false)
 	}
 	s.logProblems(changes.Entries)
 	if !s.fold.apply(changes) {
@@ -138,12 +141,23 @@
 	return configstore.Reading{Configuration: s.fold.configuration(), Version: s.fold.revision}
 }
 
-// readAll lists all entries and takes the changes since the first page, so that
+// readFirst reads all entries from a listing that may lag, which every VM does at
+// its start, and anew when the history since that listing is gone.
+func (s *Source) readFirst(ctx context.Context) (configstore.Reading, error) {
+	reading, err := s.readAll(ctx, true)
+	if errors.Is(err, ErrHistoryGone) {
+		s.logger.Info().Msg("store history since the first listing dropped; listing all entries anew")
+		return s.readAll(ctx, false)
+	}
+	return reading, err
+}
+
+// readAll lists all entries and takes the changes since the oldest page, so that
 // the result is the state at one revision.
-func (s *Source) readAll(ctx context.Context) (configstore.Reading, error) {
+func (s *Source) readAll(ctx context.Context, mayLag bool) (configstore.Reading, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	entries, first, err := s.list(ctx)
+	entries, first, err := s.list(ctx, mayLag)
 	if err != nil {
 		return configstore.Reading{}, err
 	}
@@ -164,22 +178,21 @@
 	return s.reading(), nil
 }
 
-// list returns the entries of all pages and the revision of the first.
-func (s *Source) list(ctx context.Context) ([]Entry, uint64, error) {
+// list returns the entries of all pages and the revision of the oldest: pages
+// that may lag need not lag alike.
+func (s *Source) list(ctx context.Context, mayLag bool) ([]Entry, uint64, error) {
 	var entries []Entry
-	var first uint64
+	oldest := uint64(math.MaxUint64)
 	after := ""
 	for {
-		page, err := s.store.List(ctx, after)
+		page, err := s.store.List(ctx, after, mayLag)
 		if err != nil {
 			return nil, 0, err
 		}
-		if first == 0 {
-			first = page.Revision
-		}
+		oldest = min(oldest, page.Revision)
 		entries = append(entries, page.Entries...)
 		if !page.More || len(page.Entries) == 0 {
-			return entries, first, nil
+			return entries, oldest, nil
 		}
 		after = page.Entries[len(page.Entries)-1].Key
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -24,6 +24,10 @@
 	down       bool
 	// deaf makes watches end without the changes that there were.
 	deaf bool
+	// lag is the number of changes that a listing which may lag does not have yet.
+	lag int
+	// fresh counts the pages that had to be current.
+	fresh int
 }
 
 func (f *fakeStore) revision() uint64 { return uint64(len(f.log)) + 1 }
@@ -48,19 +52,25 @@
 	f.put(registry.Entry{Key: "r", RouteTable: &pb.RouteTable{Version: version}})
 }
 
-func (f *fakeStore) List(_ context.Context, after string) (registry.Page, error) {
+func (f *fakeStore) List(_ context.Context, after string, mayLag bool) (registry.Page, error) {
 	if f.down {
 		return registry.Page{}, registry.ErrUnavailable
 	}
+	log := f.log
+	if mayLag {
+		log = f.log[:len(f.log)-f.lag]
+	} else {
+		f.fresh++
+	}
 	if after != "" && f.beforePage != nil {
 		f.beforePage(f.lists)
 	}
 	f.lists++
 	present := map[string]registry.Entry{}
-	for _, e := range f.log {
+	for _, e := range log {
 		present[e.Key] = e
 	}
-	page := registry.Page{Revision: f.revision()}
+	page := registry.Page{Revision: uint64(len(log)) + 1}
 	for _, key := range sortedKeys(present) {
 		if e := present[key]; key > after && !e.Deleted {
 			if len(page.Entries) == f.pageSize {
@@ -130,6 +140,37 @@
 	require.EqualValues(t, 7, c.RouteTable.Version)
 }
 
+// Every VM reads the store at its start; most of what it reads may be old, since
+// the changes since then follow.
+func TestTheFirstListingMayLag(t *testing.T) {
+	store := &fakeStore{pageSize: 2}
+	store.routes(7)
+	store.server("a", nil)
+	store.server("b", nil)
+	store.server("c", nil)
+	store.remove("t/a")
+	store.routes(8)
+	store.lag = 2
+	// The second page lags more than the first.
+	store.beforePage = func(int) { store.lag = 3 }
+	c := watch(t, registry.NewSource(store, zerolog.Nop()))
+	require.Equal(t, []string{"b", "c"}, ids(c))
+	require.EqualValues(t, 8, c.RouteTable.Version)
+	require.Zero(t, store.fresh)
+}
+
+func TestAListingThatLagsBehindTheHistoryIsReadAnew(t *testing.T) {
+	store := &fakeStore{pageSize: 10}
+	store.routes(7)
+	store.server("a", nil)
+	store.remove("t/a")
+	store.lag = 1
+	store.kept = store.revision()
+	c := watch(t, registry.NewSource(store, zerolog.Nop()))
+	require.Empty(t, ids(c))
+	require.Equal(t, 1, store.fresh)
+}
+
 func TestAReportThatArrivesLateChangesNothing(t *testing.T) {
 	store := &fakeStore{pageSize: 10}
 	store.routes(1)
@@ -183,10 +224,10 @@
 func TestColdStartThatCountsDownIsNoChange(t *testing.T) {
 	store := &fakeStore{pageSize: 10}
 	store.routes(1)
-	store.server("a", func(r *pb.Registration, _ *registry.Entry) { r.ColdLeftMs = 3000 })
+	store.server("a", func(r *pb.Registration, _ *registry.Entry) { r.ColdForMs = 3000 })
 	source := registry.NewSource(store, zerolog.Nop())
 	watch(t, source)
-	store.server("a", func(r *pb.Registration, e *registry.Entry) { r.ColdLeftMs = 1800; e.Sequence = 2 })
+	store.server("a", func(r *pb.Registration, e *registry.Entry) { r.ColdForMs = 1800; e.Sequence = 2 })
 	require.Nil(t, watch(t, source))
 	store.server("a", func(_ *pb.Registration, e *registry.Entry) { e.Sequence = 3 })
 	require.NotNil(t, watch(t, source), "the cold start is over")
--- a/internal/routing/compiler.go
+++ b/internal/routing/compiler.go
@@ -108,7 +108,7 @@
 		e = &entry{health: c.board.Start(registration.Id)}
 		c.known[registration.Id] = e
 	}
-	if cold := milliseconds(registration.ColdLeftMs); !same || e.registration.ColdLeftMs != registration.ColdLeftMs {
+	if cold := milliseconds(registration.ColdForMs); !same || e.registration.ColdForMs != registration.ColdForMs {
 		e.coldUntil = time.Time{}
 		if cold > 0 {
 			e.coldUntil = now.Add(cold)
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -13,7 +13,8 @@
 // default that must be set stand there empty.
 func Defaults() string {
 	var text strings.Builder
-	text.WriteString("; Settings of carawayreeld. `carawayreeld check FILE` checks a file.\n")
+	text.WriteString("; Settings of carawayreeld. `carawayreeld check FILE` checks a file.\n" +
+		"; Times, whose keys end in _ms, may be written with a unit, such as 6s.\n")
 	sections := (&pb.Settings{}).ProtoReflect().Descriptor().Fields()
 	for i := range sections.Len() {
 		section := sections.Get(i)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,9 +8,11 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"strconv"
 	"strings"
+	"time"
 
 	"buf.build/go/protovalidate"
 	"github.com/pkg/errors"
@@ -120,12 +122,15 @@
 	options := Options(field)
 	text := options.GetDefaultValue()
 	if section.HasKey(string(field.Name())) {
-		text = strings.TrimSpace(section.Key(string(field.Name())).Value())
+		written := strings.TrimSpace(section.Key(string(field.Name())).Value())
+		if written != "" || field.Kind() == protoreflect.StringKind {
+			text = written
+		}
 	}
 	if text == "" && field.Kind() == protoreflect.StringKind {
 		return nil
 	}
-	value, err := parse(field.Kind(), text)
+	value, err := parse(field, text)
 	if err != nil {
 		return l.fault(section.Name(), field, text, "wrong type")
 	}
@@ -177,21 +182,51 @@
 	return options
 }
 
-func parse(kind protoreflect.Kind, text string) (protoreflect.Value, error) {
-	switch kind {
+func parse(field protoreflect.FieldDescriptor, text string) (protoreflect.Value, error) {
+	switch kind := field.Kind(); kind {
 	case protoreflect.StringKind:
 		return protoreflect.ValueOfString(text), nil
 	case protoreflect.BoolKind:
 		value, err := strconv.ParseBool(text)
 		return protoreflect.ValueOfBool(value), err
+	case protoreflect.DoubleKind:
+		value, err := strconv.ParseFloat(text, 64)
+		return protoreflect.ValueOfFloat64(value), err
 	case protoreflect.Uint32Kind:
-		value, err := strconv.ParseUint(text, 10, 32)
-		return protoreflect.ValueOfUint32(uint32(value)), err
+		value, err := parseWhole(field, text)
+		return protoreflect.ValueOfUint32(value), err
 	default:
 		return protoreflect.Value{}, errors.Errorf("no settings of kind %s", kind)
 	}
 }
 
+// millisecondsSuffix ends the names of keys that hold a time in milliseconds.
+const millisecondsSuffix = "_ms"
+
+// parseWhole reads a whole number. Times may also have a unit, such as 6s, or a
+// fraction, of which the whole milliseconds count.
+func parseWhole(field protoreflect.FieldDescriptor, text string) (uint32, error) {
+	value, err := strconv.ParseUint(text, 10, 32)
+	if err == nil || !strings.HasSuffix(string(field.Name()), millisecondsSuffix) {
+		return uint32(value), err
+	}
+	if number, failed := strconv.ParseFloat(text, 64); failed == nil {
+		return wholeMilliseconds(number)
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, err
+	}
+	return wholeMilliseconds(float64(duration) / float64(time.Millisecond))
+}
+
+func wholeMilliseconds(number float64) (uint32, error) {
+	if !(number >= 0 && number <= math.MaxUint32) {
+		return 0, errors.Errorf("%v ms is out of range", number)
+	}
+	return uint32(number), nil
+}
+
 func fieldNames(message protoreflect.MessageDescriptor) string {
 	fields := message.Fields()
 	names := make([]string, 0, fields.Len())
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -63,6 +63,31 @@
 	}
 }
 
+// A platform may state its limits as fractions and leave out what is not in
+// force, and its template then writes them so.
+func TestTimesTakeUnitsAndFractionsAndEmptyNumbersTheirDefault(t *testing.T) {
+	s, err := settings.Load(write(t, minimal+`[limits]
+stop_timeout_ms = 6.5s
+[routes]
+extra_load_share = 0.15
+extra_load_slack = 37.91666666666667
+extra_load_window_ms = 10s
+drain_ms = 3000.5
+max_waiting_requests =
+`))
+	require.NoError(t, err)
+	require.EqualValues(t, 6500, s.Limits.StopTimeoutMs)
+	require.InDelta(t, 0.15, s.Routes.ExtraLoadShare, 1e-9)
+	require.InDelta(t, 37.9167, s.Routes.ExtraLoadSlack, 1e-3)
+	require.EqualValues(t, 10000, s.Routes.ExtraLoadWindowMs)
+	require.EqualValues(t, 3000, s.Routes.DrainMs)
+	require.EqualValues(t, 1000, s.Routes.MaxWaitingRequests)
+	for _, bad := range []string{"-1", "-1s", "1e99", "NaN", "soon"} {
+		_, err := settings.Load(write(t, minimal+"[routes]\ndrain_ms = "+bad+"\n"))
+		require.Error(t, err, bad)
+	}
+}
+
 func TestDefaultsNameOnlyTheMissingAddresses(t *testing.T) {
 	_, err := settings.Load(write(t, settings.Defaults()))
 	var fault *settings.Error
