Cut failure domains, failing targets and connections in use cost less

After a loss of power the connections of before, most of them for hedges seconds ago, still count at the targets, which reset 10,055 new ones.

Change: four targets of a failure domain without a sign show that it is cut; one request in 250 ms tries it, and all its targets return with it. A set-up without an answer ends after 100 ms. A target whose pooled failures are above 15 % is held to fail for 3 s, which VMs pass on. A lost reply is asked for again at targets that may have run it. A request waits 20 ms for a connection in use, and 25 ms for targets that all turned it away. Where a target takes fewer connections than there are VMs, those to targets of other failure domains close after 1 s unused; a VM without a near target keeps to one. The schema's max_attempts counts targets and is named so.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -21,6 +21,9 @@
 	ErrLost    = errors.New("reply lost")
 	// ErrBusy is an ErrNotSent for want of a free connection.
 	ErrBusy = errors.New("all connections to the target are in use")
+	// ErrNoRoute is an ErrNotSent without any sign of the target: the connection
+	// was neither made nor refused in time.
+	ErrNoRoute = errors.New("no answer to the connection set-up")
 )
 
 // Statement is what a reply's headers say of it.
@@ -86,4 +89,7 @@
 	Address string
 	// Connections bounds this VM's connections to the target.
 	Connections int
+	// IdleLimit is how long an unused connection is kept at most; zero keeps it as
+	// long as the target does.
+	IdleLimit time.Duration
 }
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -20,8 +20,13 @@
 const (
 	// maxReplyBytes bounds a reply that is kept in memory.
 	maxReplyBytes = 16 << 20
-	// dialTimeout bounds a connection set-up; targets take some milliseconds.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout bounds a connection set-up. Targets take some milliseconds; an
+	// opening packet that was dropped is repeated only after a second.
+	dialTimeout = 100 * time.Millisecond
+	// connectionWait is how long a request waits for a connection in use: about
+	// the reply time of one request. A connection that is in use for longer waits
+	// for a target that has stopped for a moment.
+	connectionWait = 20 * time.Millisecond
 	// userTimeout bounds how long sent bytes may stay unacknowledged.
 	userTimeout = 2 * time.Second
 	// idleLimit is how long a connection may stay idle when the target does not
@@ -75,6 +80,15 @@
 	}
 }
 
+// CloseIdle closes the connections that have been unused for their time.
+func (c *Client) CloseIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.closeIdle(now)
+	}
+}
+
 func (c *Client) pool(t *Target) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,7 +105,7 @@
 
 // Send sends the request once and returns the whole reply. Left is told to the
 // target. The connection is closed when ctx ends first. Errors are caused by
-// ErrNotSent, ErrBusy or ErrLost.
+// ErrNotSent, ErrBusy, ErrNoRoute or ErrLost.
 func (c *Client) Send(ctx context.Context, t *Target, r *Request, left time.Duration) (*Reply, error) {
 	p := c.pool(t)
 	conn, err := c.connect(ctx, p, t)
@@ -104,26 +118,39 @@
 		// The context ended; the deadlines that it set stay on the connection.
 		conn.keep = false
 	}
+	if t.IdleLimit > 0 {
+		conn.idleFor = min(conn.idleFor, t.IdleLimit)
+	}
 	p.release(conn, err == nil && conn.keep)
 	return reply, err
 }
 
 func (c *Client) connect(ctx context.Context, p *pool, t *Target) (*conn, error) {
-	if conn := p.idle(time.Now()); conn != nil {
-		return conn, nil
+	conn, err := p.acquire(ctx, t.Connections)
+	if err != nil {
+		return nil, errors.Wrap(err, t.ID)
 	}
-	if !p.reserve(t.Connections) {
-		return nil, errors.Wrap(ErrBusy, t.ID)
+	if conn != nil {
+		return conn, nil
 	}
 	c.dials.Inc()
 	inner, err := c.dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
-		p.unreserve()
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+		p.passPlace()
+		return nil, dialError(err)
 	}
 	return newConn(inner), nil
 }
 
+// dialError tells a target that gave no sign from one that refused.
+func dialError(err error) error {
+	var timed net.Error
+	if errors.As(err, &timed) && timed.Timeout() {
+		return errors.Wrap(ErrNoRoute, err.Error())
+	}
+	return errors.Wrap(ErrNotSent, err.Error())
+}
+
 // exchange writes the request and reads the reply.
 func (c *Client) exchange(conn *conn, t *Target, r *Request, left time.Duration) (*Reply, error) {
 	written := make(chan error, 1)
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -206,6 +206,48 @@
 	require.NoError(t, <-done)
 }
 
+// With one connection to a target, two requests at a time are usual on a large
+// deployment; the second one would else go to a target further away.
+func TestARequestWaitsAWhileForAConnectionInUse(t *testing.T) {
+	s := serve(t, func(_ int, c net.Conn, r *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		_, _ = io.WriteString(c, ok(r.Header.Get("Id"), ""))
+	})
+	c := client()
+	one := *s.target()
+	one.Connections = 1
+	done := make(chan error, 3)
+	for _, id := range []string{"1", "2", "3"} {
+		go func() {
+			_, err := c.Send(context.Background(), &one, request(id), time.Second)
+			done <- err
+		}()
+	}
+	for range 3 {
+		require.NoError(t, <-done)
+	}
+	require.EqualValues(t, 1, s.connections.Load())
+}
+
+func TestConnectionsUnusedForTheirTimeAreClosed(t *testing.T) {
+	s := serve(t, func(_ int, c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, ok(r.Header.Get("Id"), ""))
+	})
+	c := client()
+	short := *s.target()
+	short.IdleLimit = 100 * time.Millisecond
+	for _, id := range []string{"1", "2"} {
+		_, err := c.Send(context.Background(), &short, request(id), time.Second)
+		require.NoError(t, err)
+		c.CloseIdle(time.Now())
+	}
+	require.EqualValues(t, 1, s.connections.Load())
+	c.CloseIdle(time.Now().Add(short.IdleLimit))
+	_, err := c.Send(context.Background(), &short, request("3"), time.Second)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, s.connections.Load())
+}
+
 func TestACancelledRequestClosesItsConnection(t *testing.T) {
 	closed := make(chan struct{})
 	s := serve(t, func(_ int, c net.Conn, _ *http.Request) {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -55,15 +57,41 @@
 	started int64
 	address string
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// parked holds the idle connections, the one that was used last at the end.
 	parked []*conn
-	// open counts the connections, those in use included.
+	// waiting holds the requests that wait for a connection or the place of one.
+	waiting []chan *conn
+	// open counts the connections, those in use and being set up included.
 	open   int
 	closed bool
 }
 
-// idle returns the connection that was used last, if one is in order.
-func (p *pool) idle(now time.Time) *conn {
+// acquire returns the idle connection that was used last, or nil when the caller
+// has to set one up, for which it holds a place. It waits for either for
+// connectionWait, and then returns ErrBusy.
+func (p *pool) acquire(ctx context.Context, limit int) (*conn, error) {
+	c, turn := p.tryAcquire(time.Now(), limit)
+	if turn == nil {
+		return c, nil
+	}
+	timer := time.NewTimer(connectionWait)
+	defer timer.Stop()
+	select {
+	case c = <-turn:
+		return c, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if p.leaveQueue(turn) {
+		return nil, ErrBusy
+	}
+	return <-turn, nil
+}
+
+// tryAcquire returns a connection, or nil for a place, or the channel that
+// either comes by.
+func (p *pool) tryAcquire(now time.Time, limit int) (*conn, chan *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.parked) > 0 {
@@ -72,42 +100,86 @@
 		p.parked = p.parked[:last]
 		if now.Sub(c.idleSince) < c.idleFor && c.quiet() {
 			c.sent.Store(0)
-			return c
+			return c, nil
 		}
 		_ = c.Close()
 		p.open--
 	}
-	return nil
+	if p.open < limit {
+		p.open++
+		return nil, nil
+	}
+	turn := make(chan *conn, 1)
+	p.waiting = append(p.waiting, turn)
+	return nil, turn
 }
 
-// reserve takes a place for a new connection.
-func (p *pool) reserve(limit int) bool {
+// leaveQueue reports false when the request already got its turn.
+func (p *pool) leaveQueue(turn chan *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open >= limit {
+	i := slices.Index(p.waiting, turn)
+	if i < 0 {
 		return false
 	}
-	p.open++
+	p.waiting = slices.Delete(p.waiting, i, i+1)
 	return true
 }
 
-func (p *pool) unreserve() {
+// passPlace gives the place of a connection that could not be set up to the next
+// request that waits.
+func (p *pool) passPlace() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
+	p.giveUpPlace()
+}
+
+func (p *pool) giveUpPlace() {
+	if !p.next(nil) {
+		p.open--
+	}
+}
+
+// next hands a connection, or with nil its place, to the request that has waited
+// longest; it reports false when none waits.
+func (p *pool) next(c *conn) bool {
+	if len(p.waiting) == 0 {
+		return false
+	}
+	p.waiting[0] <- c
+	p.waiting = p.waiting[1:]
+	return true
 }
 
 // release takes a connection back after an attempt.
 func (p *pool) release(c *conn, keep bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if keep && !p.closed {
-		c.idleSince = time.Now()
-		p.parked = append(p.parked, c)
+	if !keep || p.closed {
+		_ = c.Close()
+		p.giveUpPlace()
+		return
+	}
+	c.sent.Store(0)
+	if p.next(c) {
 		return
 	}
-	p.open--
-	_ = c.Close()
+	c.idleSince = time.Now()
+	p.parked = append(p.parked, c)
+}
+
+// closeIdle closes the connections that have been unused for their time.
+func (p *pool) closeIdle(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.parked = slices.DeleteFunc(p.parked, func(c *conn) bool {
+		expired := now.Sub(c.idleSince) >= c.idleFor
+		if expired {
+			_ = c.Close()
+			p.open--
+		}
+		return expired
+	})
 }
 
 // close closes the idle connections, and the others when they are released.
--- a/internal/fanout/finish.go
+++ b/internal/fanout/finish.go
@@ -82,7 +82,7 @@
 // mayHaveRun reports whether a target may have run the request, or may still do.
 func (m *Machine) mayHaveRun() bool {
 	for i := range m.legs {
-		if m.legs[i].reply != nil || m.legs[i].mayHaveRun > 0 || m.legs[i].running > 0 {
+		if m.legs[i].reply != nil || m.legs[i].mayHaveRun() || m.legs[i].running > 0 {
 			return true
 		}
 	}
@@ -108,7 +108,7 @@
 	for i := range m.legs {
 		l := &m.legs[i]
 		if l.reply == nil && !l.over {
-			at = earlier(at, l.hedgeAt)
+			at = earlier(earlier(at, l.hedgeAt), l.waitUntil)
 		}
 	}
 	m.actions.WakeAt = at
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -1,7 +1,6 @@
 package fanout
 
 import (
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,11 +27,11 @@
 	// hedgeRetry is the wait before a hedge is tried again that the budget or
 	// the targets did not allow, in usual reply times.
 	hedgeRetry = 0.5
-	// sendsPerLeg bounds the sends of one leg, those that targets turned away
-	// included.
-	sendsPerLeg = 5
 	// leastTimeLeft is the least time in which a target can reply.
 	leastTimeLeft = 2 * time.Millisecond
+	// patienceShare is the part of a request's time in which it waits for targets
+	// that turned it away; the rest is for the reply.
+	patienceShare = 4
 	// coverageSlack absorbs rounding in shares of shards.
 	coverageSlack = 1e-9
 )
@@ -45,23 +44,6 @@
 	ended  bool
 }
 
-// leg is one service that is asked.
-type leg struct {
-	service *routing.Service
-	reply   *backend.Reply
-	// failure is the last reply that was no success.
-	failure *backend.Reply
-	tried   []string
-	running int
-	sends   int
-	// mayHaveRun counts the attempts that their targets may have run.
-	mayHaveRun int
-	hedgeAt    time.Time
-	// over is true when no further attempt will be made.
-	over  bool
-	cause string
-}
-
 // Machine decides one request. It is used by one goroutine.
 type Machine struct {
 	in        Input
@@ -71,6 +53,8 @@
 	// leaveAt is when an answer that covers enough leaves; zero for routes that
 	// one target answers.
 	leaveAt time.Time
+	// patientUntil is until when a leg waits for targets that turned it away.
+	patientUntil time.Time
 
 	legs     []leg
 	attempts []attempt
@@ -90,6 +74,10 @@
 	if goal := in.Route.Goal; in.Route.Gathers() && goal > 0 {
 		m.leaveAt = in.Received.Add(goal - min(answerMargin, goal/goalShare))
 	}
+	m.patientUntil = in.Received.Add(in.Deadline.Sub(in.Received) / patienceShare)
+	if !m.leaveAt.IsZero() && m.leaveAt.Before(m.patientUntil) {
+		m.patientUntil = m.leaveAt
+	}
 	return m
 }
 
@@ -126,8 +114,8 @@
 	a := &m.attempts[id]
 	a.ended = true
 	l := &m.legs[a.leg]
-	l.running--
 	outcome := outcomeOf(reply, err)
+	l.end(a.target.ID, outcome.MayHaveRun(), now)
 	a.target.Health.End(a.sentAt, now, outcome, m.times.usual)
 	if outcome == health.Answered {
 		m.knowledge.replied(m.in.Route, now.Sub(a.sentAt))
@@ -142,7 +130,7 @@
 func (m *Machine) Abandon(now time.Time, id int, outcome health.Outcome) {
 	a := &m.attempts[id]
 	a.ended = true
-	m.legs[a.leg].running--
+	m.legs[a.leg].end(a.target.ID, true, now)
 	a.target.Health.End(a.sentAt, now, outcome, m.times.usual)
 }
 
@@ -151,13 +139,23 @@
 	m.begin(now)
 	for i := range m.legs {
 		l := &m.legs[i]
-		if l.reply == nil && !l.over && !l.hedgeAt.IsZero() && !now.Before(l.hedgeAt) {
+		if l.reply != nil || l.over {
+			continue
+		}
+		if due(l.waitUntil, now) {
+			l.waitUntil = time.Time{}
+			m.again(i, l.waitReason)
+		}
+		if due(l.hedgeAt, now) {
 			m.hedge(i)
 		}
 	}
 	return m.finish()
 }
 
+// due reports whether a time that is set has come.
+func due(at, now time.Time) bool { return !at.IsZero() && !now.Before(at) }
+
 func (m *Machine) begin(now time.Time) {
 	m.now = now
 	m.actions = Actions{}
@@ -167,6 +165,8 @@
 	switch {
 	case errors.Is(err, backend.ErrBusy):
 		return health.Busy
+	case errors.Is(err, backend.ErrNoRoute):
+		return health.Silent
 	case errors.Is(err, backend.ErrNotSent):
 		return health.Unreachable
 	case err != nil:
@@ -195,19 +195,14 @@
 	} else {
 		l.cause = err.Error()
 	}
-	notSent := errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrBusy)
-	notRun := notSent || reply != nil && reply.NotRun
-	if !notRun {
-		l.mayHaveRun++
-	}
 	if l.running > 0 {
 		return
 	}
-	if l.mayHaveRun > 0 && !m.in.Route.Idempotent {
+	if l.mayHaveRun() && !m.in.Route.Idempotent {
 		m.giveUp(l, l.cause)
 		return
 	}
-	if notSent {
+	if reply == nil && !outcome.MayHaveRun() {
 		m.again(index, Elsewhere)
 		return
 	}
@@ -224,6 +219,10 @@
 	}
 	target := m.choose(l)
 	if target == nil {
+		if l.awaits(m.now) && m.now.Before(m.patientUntil) {
+			l.waitUntil, l.waitReason = m.now.Add(turnedAwayPause), reason
+			return
+		}
 		m.giveUp(l, l.cause)
 		return
 	}
@@ -235,8 +234,7 @@
 }
 
 func (m *Machine) maySend(l *leg) bool {
-	return !l.over && l.sends < sendsPerLeg && l.mayHaveRun+l.running < m.in.Route.MaxAttempts &&
-		m.in.Deadline.Sub(m.now) > leastTimeLeft
+	return !l.over && l.sends < sendsPerLeg && m.in.Deadline.Sub(m.now) > leastTimeLeft
 }
 
 // hedge makes a second attempt beside one that is slow.
@@ -267,9 +265,7 @@
 
 func (m *Machine) send(index int, target *routing.Target, reason Reason) {
 	l := &m.legs[index]
-	l.tried = append(l.tried, target.ID)
-	l.running++
-	l.sends++
+	l.begin(target.ID)
 	id := len(m.attempts)
 	m.attempts = append(m.attempts, attempt{leg: index, target: target, sentAt: m.now})
 	target.Health.Begin(m.now)
@@ -285,5 +281,3 @@
 	l.over = true
 	l.cause = cause
 }
-
-func (m *Machine) tried(l *leg, t *routing.Target) bool { return slices.Contains(l.tried, t.ID) }
--- a/internal/fanout/types.go
+++ b/internal/fanout/types.go
@@ -18,9 +18,7 @@
 	Route *routing.Route
 	// Legs are the services that are asked, one target of each: all shards of a
 	// gathering route, or the one service of another.
-	Legs []*routing.Service
-	// Domain is the failure domain of this VM.
-	Domain   string
+	Legs     []*routing.Service
 	Received time.Time
 	// Deadline is when the caller has to have an answer.
 	Deadline time.Time
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,9 @@
 	// requests after it is gone, for which one that gave no notice may still get
 	// some. The rest is for the news of its end.
 	lapseShare = 0.6
+	// idleSweep is the time between two looks for connections that were unused for
+	// their time.
+	idleSweep = 500 * time.Millisecond
 	// unknownVMs is the number of VMs that limits are shared by while the others
 	// are not known.
 	unknownVMs = 12
@@ -86,7 +89,8 @@
 		changed:   make(chan struct{}, 1),
 	}
 	lapse := time.Duration(float64(options.Settings.GetRoutes().GetDrainMs())*lapseShare) * time.Millisecond
-	g.compiler = routing.NewCompiler(options.Targets, lapse)
+	self := options.Views.Current().Self
+	g.compiler = routing.NewCompiler(options.Targets, routing.Place{VM: self.ID, FailureDomain: self.FailureDomain}, lapse)
 	g.settings.Store(options.Settings.GetRoutes())
 	options.Metrics.NewGauge("carawayreel_route_requests_running", func() float64 { return float64(g.running.Load()) })
 	return g
@@ -104,12 +108,16 @@
 // ends. Requests would do so too, but a VM that gets none for a while has to
 // count from now on the time that a target whose registration ended has left.
 func (g *Gateway) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-g.changed:
 			g.table(time.Now())
+		case now := <-ticker.C:
+			g.options.Client.CloseIdle(now)
 		}
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -46,8 +46,7 @@
 	r := &run{call: c, ends: make(chan end, len(legs)*endsPerLeg)}
 	r.ctx, r.cancel = detached()
 	r.machine = fanout.New(c.gateway.knowledge, c.current.vms, fanout.Input{
-		Route: c.route, Legs: legs, Domain: c.current.view.Self.FailureDomain,
-		Received: c.received, Deadline: c.gateway.deadline(c.received, c.timeLimit()),
+		Route: c.route, Legs: legs, Received: c.received, Deadline: c.gateway.deadline(c.received, c.timeLimit()),
 	})
 	answer := r.wait()
 	if answer == nil {
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -30,7 +30,7 @@
 	// with, so that one failure is no rate.
 	priorRequests = 3
 	// failureCost is how many times slower a target that always fails counts.
-	failureCost = 12
+	failureCost = 30
 	// failuresInRow is the number of failures in a row that sets a target aside.
 	failuresInRow = 3
 
@@ -50,8 +50,11 @@
 	Answered Outcome = iota
 	// Failed is a reply that is no success, or a reply that was lost.
 	Failed
-	// Unreachable means that no connection could be made.
+	// Unreachable means that the target refused the connection.
 	Unreachable
+	// Silent means that there was no sign of the target when a connection was to
+	// be made.
+	Silent
 	// Busy means that the target or this VM's connections to it are full.
 	Busy
 	// Abandoned is a request that was given up; it says something of the target
@@ -61,6 +64,17 @@
 	Withdrawn
 )
 
+// MayHaveRun reports whether the target may have run a request that ended so, or
+// may run it yet.
+func (o Outcome) MayHaveRun() bool {
+	switch o {
+	case Unreachable, Silent, Busy:
+		return false
+	default:
+		return true
+	}
+}
+
 // State is what is known of one start of a target.
 type State struct {
 	mu       sync.Mutex
@@ -75,15 +89,23 @@
 
 	asideUntil time.Time
 	asides     int
-	// down is true when the target is aside because nothing reaches it.
+	// asideSince is when the newest pause began.
+	asideSince time.Time
+	// down is true when the target is aside because nothing reaches it, and silent
+	// when there was no sign of it.
 	down    bool
+	silent  bool
 	probing bool
+	// domain is that of the target; nil when it is not known.
+	domain *domain
 
 	streak streak
 	// toldAt is when this VM last knew of a slow request.
 	toldAt time.Time
 	// heard holds the outcomes of other VMs' requests by VM.
 	heard map[string]outcomes
+	// failingAt is when the target was last held to be failing, by any VM.
+	failingAt time.Time
 }
 
 // New returns the state of a target that nothing is known of.
@@ -94,6 +116,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight = append(s.inFlight, now)
+	if s.domain != nil {
+		s.domain.begin(now)
+	}
 	if !s.asideUntil.IsZero() {
 		s.probing = true
 	}
@@ -108,6 +133,7 @@
 		s.inFlight = slices.Delete(s.inFlight, i, i+1)
 	}
 	s.probing = false
+	s.tellDomain(began, now, outcome)
 	age := now.Sub(began)
 	switch outcome {
 	case Answered:
@@ -117,9 +143,9 @@
 		if s.inRow >= failuresInRow {
 			s.setAside(failurePause, now)
 		}
-	case Unreachable:
+	case Unreachable, Silent:
 		s.fail(now)
-		s.down = true
+		s.down, s.silent = true, outcome == Silent
 		s.setAside(unreachablePause, now)
 	case Busy:
 		s.asideUntil = later(s.asideUntil, now.Add(busyPause))
@@ -127,13 +153,27 @@
 		s.slow(age, usual, now)
 		s.inRow++
 		if s.inRow >= failuresInRow {
-			s.down = true
+			s.down, s.silent = true, true
 			s.setAside(failurePause, now)
 		}
 	case Withdrawn:
 	}
 }
 
+// tellDomain passes on what the end of a request says of the failure domain.
+func (s *State) tellDomain(began, now time.Time, outcome Outcome) {
+	if s.domain == nil {
+		return
+	}
+	switch outcome {
+	case Answered, Unreachable:
+		s.domain.sign(began, now)
+	case Silent, Abandoned:
+		s.domain.silence(s, began)
+	case Failed, Busy, Withdrawn:
+	}
+}
+
 func (s *State) answered(age, usual time.Duration, now time.Time) {
 	s.slow(age, usual, now)
 	s.outcomes.add(0, now)
@@ -158,11 +198,13 @@
 func (s *State) fail(now time.Time) {
 	s.outcomes.add(1, now)
 	s.inRow++
+	s.judgeFailures(now)
 }
 
 func (s *State) setAside(pause time.Duration, now time.Time) {
 	length := time.Duration(float64(pause) * math.Exp2(float64(min(s.asides, 8))))
 	s.asides++
+	s.asideSince = now
 	s.asideUntil = later(s.asideUntil, now.Add(min(length, longestPause)))
 }
 
@@ -170,13 +212,20 @@
 	return 1 + (s.ratio-1)*faded(s.ratioAt, now, speedFades)
 }
 
-// failureRate is the share of failed requests, by all evidence.
-func (s *State) failureRate(now time.Time) float64 {
-	failed, all := s.outcomes.faded(now)
+// pooled returns the requests that failed, and all, by this VM's evidence and
+// what it heard; older ones count less.
+func (s *State) pooled(now time.Time) (failed, all float64) {
+	failed, all = s.outcomes.faded(now)
 	for _, heard := range s.heard {
 		f, a := heard.faded(now)
 		failed, all = failed+f, all+a
 	}
+	return failed, all
+}
+
+// failureRate is the share of failed requests, by all evidence.
+func (s *State) failureRate(now time.Time) float64 {
+	failed, all := s.pooled(now)
 	return failed / (all + priorRequests)
 }
 
@@ -217,10 +266,18 @@
 
 // Aside reports whether the target is set aside now, and whether because nothing
 // reaches it. A target whose pause is over takes one request at a time until one
-// succeeds.
+// succeeds; one that was silent returns with its failure domain.
 func (s *State) Aside(now time.Time) (aside, down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.domain != nil {
+		if s.domain.cut(now) {
+			return true, true
+		}
+		if s.down && s.silent && s.domain.healedSince(s.asideSince) {
+			return false, false
+		}
+	}
 	aside = now.Before(s.asideUntil) || s.probing && s.asides > 0
 	return aside, aside && s.down
 }
--- a/internal/routing/compiler.go
+++ b/internal/routing/compiler.go
@@ -14,6 +14,7 @@
 // target lasts from one table to the next. It is not safe for concurrent use.
 type Compiler struct {
 	board *health.Board
+	place Place
 	// lapse is how long a target whose registration ended may still get
 	// requests that no other can take.
 	lapse time.Duration
@@ -34,8 +35,8 @@
 // NewCompiler returns a Compiler that knows no targets. A target whose
 // registration ends without notice is kept as a last resort for the time lapse:
 // a store that was away loses the registrations of targets that live on.
-func NewCompiler(board *health.Board, lapse time.Duration) *Compiler {
-	return &Compiler{board: board, lapse: lapse, known: map[string]*entry{}}
+func NewCompiler(board *health.Board, place Place, lapse time.Duration) *Compiler {
+	return &Compiler{board: board, place: place, lapse: lapse, known: map[string]*entry{}}
 }
 
 // NextChange returns when the table has to be compiled again although the
@@ -68,6 +69,7 @@
 	}
 	for _, service := range table.services {
 		slices.SortFunc(service.Targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
+		c.place.measure(service.Targets)
 	}
 	return table
 }
@@ -105,7 +107,7 @@
 	same := ok && e.registration.StartedUnixMs == registration.StartedUnixMs &&
 		e.registration.Address == registration.Address
 	if !same {
-		e = &entry{health: c.board.Start(registration.Id)}
+		e = &entry{health: c.board.Start(registration.Id, registration.FailureDomain)}
 		c.known[registration.Id] = e
 	}
 	if cold := milliseconds(registration.ColdForMs); !same || e.registration.ColdForMs != registration.ColdForMs {
@@ -134,13 +136,16 @@
 	return target
 }
 
+// leastConnections is what a VM may open to a target, however many VMs there are.
+const leastConnections = 1
+
 // share returns this VM's part of a number that all VMs share, at least one.
 func share(total uint32, vms int) int {
 	const unlimited = 64
 	if total == 0 {
 		return unlimited
 	}
-	return max(int(total)/max(vms, 1), 1)
+	return max(int(total)/max(vms, 1), leastConnections)
 }
 
 func usable(r *pb.Registration) bool {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -15,8 +15,8 @@
 const (
 	// defaultTimeLimit is used for routes that state none.
 	defaultTimeLimit = 10 * time.Second
-	// defaultAttempts is used for routes that state none.
-	defaultAttempts = 1
+	// defaultTargets is used for routes that state no bound.
+	defaultTargets = 1
 )
 
 // Route is a route with its times.
@@ -25,8 +25,9 @@
 	TimeLimit time.Duration
 	// Goal is the time within which an answer is worth most; zero when the route
 	// states none.
-	Goal        time.Duration
-	MaxAttempts int
+	Goal time.Duration
+	// MaxTargets bounds the targets of a service that one request may be sent to.
+	MaxTargets int
 	// Shards and Parts hold the services in the order of the configuration.
 	Shards []*Service
 	Parts  []Part
@@ -52,6 +53,7 @@
 	backend.Target
 	Service       string
 	FailureDomain string
+	Distance      Distance
 	Slots         uint32
 	// ColdUntil is when the target's cold start ends; zero when it is warm.
 	ColdUntil time.Time
@@ -64,6 +66,20 @@
 	Health *health.State
 }
 
+// Distance tells how far a target is from this VM.
+type Distance int
+
+// Distances of targets.
+const (
+	// Near targets are in this VM's failure domain. Where a service has none there,
+	// the one that this VM keeps to is near.
+	Near Distance = iota
+	// Beside are targets as far as the one that this VM keeps to.
+	Beside
+	// Far targets are in another failure domain while there are near ones.
+	Far
+)
+
 // Table is what one configuration says, compiled.
 type Table struct {
 	// Revision is the configuration's, Version the operators' of the routes.
@@ -105,10 +121,10 @@
 	t.names = map[string]bool{}
 	for _, declared := range table.GetRoutes() {
 		route := &Route{
-			Route:       declared,
-			TimeLimit:   milliseconds(declared.TimeLimitMs),
-			Goal:        milliseconds(declared.LatencyGoalMs),
-			MaxAttempts: max(int(declared.MaxAttempts), defaultAttempts),
+			Route:      declared,
+			TimeLimit:  milliseconds(declared.TimeLimitMs),
+			Goal:       milliseconds(declared.LatencyGoalMs),
+			MaxTargets: max(int(declared.MaxTargets), defaultTargets),
 		}
 		if route.TimeLimit == 0 {
 			route.TimeLimit = defaultTimeLimit
