Connections to targets are read by goroutines of their own; heads are encoded once

A benchmark of one request over 54 shards (new) showed for each shard a goroutine with a growing stack, a look at the socket before each use, a head encoded anew, and two contexts. Change: each connection has one goroutine that reads for as long as it is open; it notices stray bytes and the target's end while the connection is idle. A request's head is encoded once, an attempt adds its own headers and is written at once on a free connection. A reply that comes before a long body is written is passed on at once; the connection is free later.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -54,19 +54,6 @@
 	Gathered(h http.Header, receipts []string, missing int)
 }
 
-// Request is a caller's request as targets get it.
-type Request struct {
-	// ID is the caller's identity of the request.
-	ID     string
-	Method string
-	// URI is the path with the query, as the caller wrote it.
-	URI  string
-	Host string
-	// Header holds what is passed on; it is not changed.
-	Header http.Header
-	Body   []byte
-}
-
 // Reply is a target's whole reply.
 type Reply struct {
 	Status int
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -2,12 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,11 +32,14 @@
 	idleLimit = 4 * time.Second
 	// idleMargin is kept from the timeout that a target states.
 	idleMargin = 500 * time.Millisecond
-	// bufferSize is that of a connection's reader and writer.
+	// bufferSize is that of a connection's reader.
 	bufferSize = 2048
-	// concurrentBody is the body size from which on the reply is read while the
-	// body is written, as the target may reply before it has read all.
-	concurrentBody = 32 << 10
+	// concurrentMessage is the size from which on a request is written by a
+	// goroutine of its own, since it may not fit into the buffers on the way.
+	concurrentMessage = 8 << 10
+	// replyAfterFailure is how long a reply is awaited after the request could not
+	// be written whole: the target may have rejected it before it was in.
+	replyAfterFailure = 50 * time.Millisecond
 )
 
 // Client sends requests to targets. It is safe for concurrent use.
@@ -103,26 +104,58 @@
 	return p
 }
 
-// Send sends the request once and returns the whole reply. Left is told to the
-// target. The connection is closed when ctx ends first. Errors are caused by
-// ErrNotSent, ErrBusy, ErrNoRoute or ErrLost.
-func (c *Client) Send(ctx context.Context, t *Target, r *Request, left time.Duration) (*Reply, error) {
-	p := c.pool(t)
-	conn, err := c.connect(ctx, p, t)
+// Go sends the request once and calls end once with the whole reply or an error,
+// in any goroutine; end must not wait. Left is told to the target. The connection
+// is closed when ctx ends first. Errors are caused by ErrNotSent, ErrBusy,
+// ErrNoRoute or ErrLost.
+//
+// Go itself does not wait: it uses a free connection, and leaves it to a goroutine
+// to get one.
+func (c *Client) Go(ctx context.Context, t *Target, r *Request, left time.Duration, end func(*Reply, error)) {
+	own := make(http.Header, 2)
+	c.dialect.Attempt(own, t.ID, left)
+	message, err := r.message(own)
 	if err != nil {
-		return nil, err
+		end(nil, errors.Wrap(ErrNotSent, err.Error()))
+		return
 	}
-	stop := context.AfterFunc(ctx, conn.abort)
-	reply, err := c.exchange(conn, t, r, left)
-	if !stop() && err == nil {
-		// The context ended; the deadlines that it set stay on the connection.
-		conn.keep = false
+	p := c.pool(t)
+	a := &attempt{request: r, idleLimit: t.IdleLimit, end: end}
+	for {
+		conn := p.takeParked(time.Now())
+		if conn == nil {
+			break
+		}
+		if conn.start(ctx, a, message) {
+			return
+		}
 	}
-	if t.IdleLimit > 0 {
-		conn.idleFor = min(conn.idleFor, t.IdleLimit)
+	go c.connectAndStart(ctx, p, t, a, message)
+}
+
+// Send is Go for callers that wait.
+func (c *Client) Send(ctx context.Context, t *Target, r *Request, left time.Duration) (*Reply, error) {
+	type result struct {
+		reply *Reply
+		err   error
+	}
+	done := make(chan result, 1)
+	c.Go(ctx, t, r, left, func(reply *Reply, err error) { done <- result{reply, err} })
+	ended := <-done
+	return ended.reply, ended.err
+}
+
+func (c *Client) connectAndStart(ctx context.Context, p *pool, t *Target, a *attempt, message []byte) {
+	for {
+		conn, err := c.connect(ctx, p, t)
+		if err != nil {
+			a.end(nil, err)
+			return
+		}
+		if conn.start(ctx, a, message) {
+			return
+		}
 	}
-	p.release(conn, err == nil && conn.keep)
-	return reply, err
 }
 
 func (c *Client) connect(ctx context.Context, p *pool, t *Target) (*conn, error) {
@@ -139,7 +172,7 @@
 		p.passPlace()
 		return nil, dialError(err)
 	}
-	return newConn(inner), nil
+	return newConn(inner, c, p), nil
 }
 
 // dialError tells a target that gave no sign from one that refused.
@@ -151,76 +184,55 @@
 	return errors.Wrap(ErrNotSent, err.Error())
 }
 
-// exchange writes the request and reads the reply.
-func (c *Client) exchange(conn *conn, t *Target, r *Request, left time.Duration) (*Reply, error) {
-	written := make(chan error, 1)
-	if len(r.Body) < concurrentBody {
-		written <- c.write(conn, t, r, left)
-	} else {
-		go func() { written <- c.write(conn, t, r, left) }()
-	}
-	reply, err := c.read(conn, r)
-	if writeErr := <-written; writeErr != nil && err == nil {
-		conn.keep = false
-	}
-	if err != nil && conn.sent.Load() == 0 {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+// read reads the reply that belongs to the request, and returns how long its
+// connection may stay idle after it; zero when it can't be used again.
+func (c *Client) read(reader *bufio.Reader, r *Request) (*Reply, time.Duration, error) {
+	response, err := http.ReadResponse(reader, &http.Request{Method: r.Method})
+	for err == nil && response.StatusCode >= 100 && response.StatusCode < 200 {
+		response, err = http.ReadResponse(reader, &http.Request{Method: r.Method})
 	}
-	return reply, err
-}
-
-func (c *Client) write(conn *conn, t *Target, r *Request, left time.Duration) error {
-	header := make(http.Header, len(r.Header)+2)
-	for name, values := range r.Header {
-		header[name] = values
+	if err != nil {
+		return nil, 0, errors.Wrap(ErrLost, err.Error())
 	}
-	c.dialect.Attempt(header, t.ID, left)
-	request := &http.Request{
-		Method: r.Method, URL: &url.URL{Opaque: r.URI}, Host: r.Host, Header: header,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	body, err := readBody(response)
+	if err != nil {
+		return nil, 0, err
 	}
-	if r.Header["User-Agent"] == nil {
-		header["User-Agent"] = []string{""}
+	statement := c.dialect.Reply(response.StatusCode, response.Header)
+	if statement.RequestID != "" && statement.RequestID != r.ID {
+		c.strays.Inc()
+		return nil, 0, errors.Wrapf(ErrLost, "reply to another request, %s", statement.RequestID)
 	}
-	if len(r.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.Body))
-		request.ContentLength = int64(len(r.Body))
+	idleFor := idleTimeout(response.Header)
+	if reader.Buffered() > 0 {
+		c.strays.Inc()
+		idleFor = 0
 	}
-	conn.writer.Reset(conn)
-	if err := request.Write(conn.writer); err != nil {
-		return err
+	if response.Close || endsWithConnection(response) {
+		idleFor = 0
 	}
-	return conn.writer.Flush()
+	return &Reply{Status: response.StatusCode, Header: response.Header, Body: body, Statement: statement}, idleFor, nil
 }
 
-// read reads the reply that belongs to the request.
-func (c *Client) read(conn *conn, r *Request) (*Reply, error) {
-	response, err := http.ReadResponse(conn.reader, &http.Request{Method: r.Method})
-	for err == nil && response.StatusCode >= 100 && response.StatusCode < 200 {
-		response, err = http.ReadResponse(conn.reader, &http.Request{Method: r.Method})
-	}
-	if err != nil {
-		return nil, errors.Wrap(ErrLost, err.Error())
+// readBody reads a whole body.
+func readBody(response *http.Response) ([]byte, error) {
+	defer func() { _ = response.Body.Close() }()
+	if length := response.ContentLength; length > 0 && length <= maxReplyBytes {
+		body := make([]byte, length)
+		_, err := io.ReadFull(response.Body, body)
+		if err != nil {
+			return nil, errors.Wrap(ErrLost, err.Error())
+		}
+		return body, nil
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
-	_ = response.Body.Close()
 	if err != nil {
 		return nil, errors.Wrap(ErrLost, err.Error())
 	}
 	if len(body) > maxReplyBytes {
 		return nil, errors.Wrapf(ErrLost, "reply above %d bytes", maxReplyBytes)
 	}
-	statement := c.dialect.Reply(response.StatusCode, response.Header)
-	if statement.RequestID != "" && statement.RequestID != r.ID {
-		c.strays.Inc()
-		return nil, errors.Wrapf(ErrLost, "reply to another request, %s", statement.RequestID)
-	}
-	if conn.reader.Buffered() > 0 {
-		c.strays.Inc()
-	}
-	conn.keep = !response.Close && conn.reader.Buffered() == 0 && !endsWithConnection(response)
-	conn.idleFor = idleTimeout(response.Header)
-	return &Reply{Status: response.StatusCode, Header: response.Header, Body: body, Statement: statement}, nil
+	return body, nil
 }
 
 // endsWithConnection reports whether the reply had neither a length nor chunks.
@@ -239,11 +251,3 @@
 	}
 	return idleLimit
 }
-
-// newConn wraps a connection that was set up.
-func newConn(inner net.Conn) *conn {
-	c := &conn{Conn: inner}
-	c.reader = bufio.NewReaderSize(inner, bufferSize)
-	c.writer = bufio.NewWriterSize(c, bufferSize)
-	return c
-}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -1,57 +1,15 @@
 package backend
 
 import (
-	"bufio"
 	"context"
-	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// conn is one connection to a target, used by one attempt at a time.
-type conn struct {
-	net.Conn
-	reader *bufio.Reader
-	writer *bufio.Writer
-	// sent counts the bytes written for the attempt in progress.
-	sent atomic.Int64
-	// keep is true when the connection can be used again.
-	keep      bool
-	idleFor   time.Duration
-	idleSince time.Time
-}
-
-// Write counts the bytes that may have reached the target.
-func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.sent.Add(int64(n))
-	return n, err
-}
-
-// abort ends the attempt in progress.
-func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) }
-
-// quiet reports whether an idle connection is open and has nothing to read: a
-// reply that nobody asked for, or the target's end of the connection.
-func (c *conn) quiet() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	var one [1]byte
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-	})
-	return err == nil && quiet
-}
-
 // pool holds the connections to one start of a target.
 type pool struct {
 	started int64
@@ -89,21 +47,40 @@
 	return <-turn, nil
 }
 
-// tryAcquire returns a connection, or nil for a place, or the channel that
-// either comes by.
-func (p *pool) tryAcquire(now time.Time, limit int) (*conn, chan *conn) {
+// takeParked returns the idle connection that was used last, or nil.
+func (p *pool) takeParked(now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.pop(now)
+}
+
+func (p *pool) pop(now time.Time) *conn {
 	for len(p.parked) > 0 {
 		last := len(p.parked) - 1
 		c := p.parked[last]
 		p.parked = p.parked[:last]
-		if now.Sub(c.idleSince) < c.idleFor && c.quiet() {
-			c.sent.Store(0)
-			return c, nil
+		if now.Sub(c.idleSince) < c.idleFor {
+			return c
 		}
-		_ = c.Close()
-		p.open--
+		p.discard(c)
+	}
+	return nil
+}
+
+// discard closes an idle connection that is not parked any more.
+func (p *pool) discard(c *conn) {
+	c.gone = true
+	p.open--
+	_ = c.Close()
+}
+
+// tryAcquire returns a connection, or nil for a place, or the channel that
+// either comes by.
+func (p *pool) tryAcquire(now time.Time, limit int) (*conn, chan *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.pop(now); c != nil {
+		return c, nil
 	}
 	if p.open < limit {
 		p.open++
@@ -151,21 +128,34 @@
 	return true
 }
 
-// release takes a connection back after an attempt.
-func (p *pool) release(c *conn, keep bool) {
+// release takes a connection back after an attempt, for at most the given idle
+// time. It reports false when the connection is to be closed.
+func (p *pool) release(c *conn, idleFor time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !keep || p.closed {
-		_ = c.Close()
-		p.giveUpPlace()
-		return
+	if p.closed {
+		return false
 	}
-	c.sent.Store(0)
 	if p.next(c) {
-		return
+		return true
 	}
-	c.idleSince = time.Now()
+	c.idleFor, c.idleSince = idleFor, time.Now()
 	p.parked = append(p.parked, c)
+	return true
+}
+
+// drop forgets a connection that has ended.
+func (p *pool) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.gone {
+		return
+	}
+	c.gone = true
+	if i := slices.Index(p.parked, c); i >= 0 {
+		p.parked = slices.Delete(p.parked, i, i+1)
+	}
+	p.giveUpPlace()
 }
 
 // closeIdle closes the connections that have been unused for their time.
@@ -175,8 +165,7 @@
 	p.parked = slices.DeleteFunc(p.parked, func(c *conn) bool {
 		expired := now.Sub(c.idleSince) >= c.idleFor
 		if expired {
-			_ = c.Close()
-			p.open--
+			p.discard(c)
 		}
 		return expired
 	})
@@ -188,8 +177,7 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, c := range p.parked {
-		_ = c.Close()
-		p.open--
+		p.discard(c)
 	}
 	p.parked = nil
 }
--- /dev/null
+++ b/internal/backend/request.go
@@ -0,0 +1,85 @@
+package backend
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+)
+
+// Request is a caller's request as targets get it. It must not be copied or
+// changed once it was sent.
+type Request struct {
+	// ID is the caller's identity of the request.
+	ID     string
+	Method string
+	// URI is the path with the query, as the caller wrote it.
+	URI  string
+	Host string
+	// Header holds what is passed on.
+	Header http.Header
+	Body   []byte
+
+	once sync.Once
+	// head is what all attempts begin with, up to the end of the last header.
+	head []byte
+	err  error
+}
+
+var endOfHead = []byte("\r\n\r\n")
+
+// encoded returns the request's head without the empty line that ends it. It is
+// encoded once for all attempts.
+func (r *Request) encoded() ([]byte, error) {
+	r.once.Do(func() { r.head, r.err = r.encode() })
+	return r.head, r.err
+}
+
+func (r *Request) encode() ([]byte, error) {
+	header := r.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	if header["User-Agent"] == nil {
+		// The library would otherwise add its own.
+		header["User-Agent"] = []string{""}
+	}
+	request := &http.Request{
+		Method: r.Method, URL: &url.URL{Opaque: r.URI}, Host: r.Host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if len(r.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(r.Body))
+		request.ContentLength = int64(len(r.Body))
+	}
+	var text bytes.Buffer
+	if err := request.Write(&text); err != nil {
+		return nil, err
+	}
+	end := bytes.Index(text.Bytes(), endOfHead)
+	return text.Bytes()[:end+len("\r\n")], nil
+}
+
+// message returns the bytes of one attempt, which has headers of its own.
+func (r *Request) message(own http.Header) ([]byte, error) {
+	head, err := r.encoded()
+	if err != nil {
+		return nil, err
+	}
+	var text bytes.Buffer
+	const ownHeaders = 128
+	text.Grow(len(head) + len(r.Body) + ownHeaders)
+	text.Write(head)
+	for name, values := range own {
+		for _, value := range values {
+			text.WriteString(name)
+			text.WriteString(": ")
+			text.WriteString(value)
+			text.WriteString("\r\n")
+		}
+	}
+	text.WriteString("\r\n")
+	text.Write(r.Body)
+	return text.Bytes(), nil
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -102,13 +102,14 @@
 	for _, send := range actions.Sends {
 		r.inFlight++
 		r.story.sent(send, time.Since(r.call.received))
-		go r.attempt(send)
+		r.attempt(send)
 	}
 }
 
 func (r *run) attempt(send fanout.Send) {
-	reply, err := r.call.gateway.options.Client.Send(r.ctx, &send.Target.Target, r.call.request, send.Left)
-	r.ends <- end{attempt: send.Attempt, reply: reply, err: err}
+	r.call.gateway.options.Client.Go(r.ctx, &send.Target.Target, r.call.request, send.Left, func(reply *backend.Reply, err error) {
+		r.ends <- end{attempt: send.Attempt, reply: reply, err: err}
+	})
 }
 
 func (r *run) ended(e end) fanout.Actions {
