--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -45,9 +45,9 @@
 	// RequestID and TimeLimit read a caller's headers.
 	RequestID(h http.Header) string
 	TimeLimit(h http.Header) time.Duration
-	// Attempt sets what a target is told: the target that is meant, and how long
-	// the answer is waited for.
-	Attempt(h http.Header, target string, left time.Duration)
+	// AppendAttempt appends the header lines by which a target is told which one is
+	// meant, and how long the answer is waited for.
+	AppendAttempt(text []byte, target string, left time.Duration) []byte
 	// Reply reads a target's headers.
 	Reply(status int, h http.Header) Statement
 	// Gathered states which receipts an answer holds and how many are missing.
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -112,9 +112,7 @@
 // Go itself does not wait: it uses a free connection, and leaves it to a goroutine
 // to get one.
 func (c *Client) Go(ctx context.Context, t *Target, r *Request, left time.Duration, end func(*Reply, error)) {
-	own := make(http.Header, 2)
-	c.dialect.Attempt(own, t.ID, left)
-	message, err := r.message(own)
+	message, err := r.message(func(text []byte) []byte { return c.dialect.AppendAttempt(text, t.ID, left) })
 	if err != nil {
 		end(nil, errors.Wrap(ErrNotSent, err.Error()))
 		return
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -23,9 +23,8 @@
 
 func (dialect) RequestID(h http.Header) string      { return h.Get("Id") }
 func (dialect) TimeLimit(http.Header) time.Duration { return 0 }
-func (dialect) Attempt(h http.Header, target string, left time.Duration) {
-	h["Target"] = []string{target}
-	h["Left"] = []string{left.String()}
+func (dialect) AppendAttempt(text []byte, target string, left time.Duration) []byte {
+	return fmt.Appendf(text, "Target: %s\r\nLeft: %s\r\n", target, left)
 }
 func (dialect) Reply(_ int, h http.Header) backend.Statement {
 	return backend.Statement{RequestID: h.Get("Id"), Receipt: h.Get("Receipt"), NotRun: h.Get("Not-Run") != ""}
--- a/internal/backend/request.go
+++ b/internal/backend/request.go
@@ -61,25 +61,18 @@
 	return text.Bytes()[:end+len("\r\n")], nil
 }
 
-// message returns the bytes of one attempt, which has headers of its own.
-func (r *Request) message(own http.Header) ([]byte, error) {
+// ownHeaders is the usual size of the headers that each attempt has of its own.
+const ownHeaders = 128
+
+// message returns the bytes of one attempt; own appends the headers that differ
+// between attempts.
+func (r *Request) message(own func([]byte) []byte) ([]byte, error) {
 	head, err := r.encoded()
 	if err != nil {
 		return nil, err
 	}
-	var text bytes.Buffer
-	const ownHeaders = 128
-	text.Grow(len(head) + len(r.Body) + ownHeaders)
-	text.Write(head)
-	for name, values := range own {
-		for _, value := range values {
-			text.WriteString(name)
-			text.WriteString(": ")
-			text.WriteString(value)
-			text.WriteString("\r\n")
-		}
-	}
-	text.WriteString("\r\n")
-	text.Write(r.Body)
-	return text.Bytes(), nil
+	text := make([]byte, 0, len(head)+len(r.Body)+ownHeaders)
+	text = own(append(text, head...))
+	text = append(text, "\r\n"...)
+	return append(text, r.Body...), nil
 }
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -20,7 +20,7 @@
 	// hedgeFloor is the wait for a reply before another target is asked while the
 	// budget is full, in usual reply times: about one reply in ten takes longer.
 	// hedgeRange is what an empty budget adds.
-	hedgeFloor = 1.8
+	hedgeFloor = 2.5
 	hedgeRange = 2.0
 	// hedgeCeiling bounds the wait to a part of the response-time goal.
 	hedgeCeiling = 0.45
@@ -32,6 +32,9 @@
 	// patienceShare is the part of a request's time in which it waits for targets
 	// that turned it away; the rest is for the reply.
 	patienceShare = 4
+	// extraRoom is the room for attempts beyond the first ones that a request
+	// begins with.
+	extraRoom = 8
 	// coverageSlack absorbs rounding in shares of shards.
 	coverageSlack = 1e-9
 )
@@ -68,6 +71,7 @@
 func New(knowledge *Knowledge, vms int, in Input) *Machine {
 	m := &Machine{in: in, knowledge: knowledge, vms: vms, times: knowledge.times(in.Route)}
 	m.legs = make([]leg, len(in.Legs))
+	m.attempts = make([]attempt, 0, len(in.Legs)+extraRoom)
 	for i, service := range in.Legs {
 		m.legs[i].service = service
 	}
--- a/internal/fanout/machine_test.go
+++ b/internal/fanout/machine_test.go
@@ -160,7 +160,7 @@
 func TestNoMoreTargetsRunItThanTheRouteAllows(t *testing.T) {
 	m := newMachine(ample(), gathering(services(1)), start)
 	asked := []string{m.Start(start).Sends[0].Target.ID}
-	asked = append(asked, m.Tick(at(40*time.Millisecond)).Sends[0].Target.ID)
+	asked = append(asked, m.Tick(at(40 * time.Millisecond)).Sends[0].Target.ID)
 	actions := m.Ended(at(50*time.Millisecond), 0, nil, errLost)
 	require.Empty(t, actions.Sends)
 	actions = m.Ended(at(51*time.Millisecond), 1, nil, errLost)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
-	"cmp"
 	"encoding/binary"
 	"net/http"
 	"slices"
+	"sort"
 	"strconv"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
@@ -77,22 +77,42 @@
 // greatest returns the greatest records of all replies, greatest first. What
 // remains of a body after the last whole record is no record.
 func greatest(replies []*backend.Reply, limit int) []byte {
-	var records []record
+	kept := make([]record, 0, min(limit, mostRecords(replies)))
 	for _, reply := range replies {
 		for body := reply.Body; len(body) >= recordBytes; body = body[recordBytes:] {
-			records = append(records, record{
+			kept = keep(kept, limit, record{
 				high: binary.BigEndian.Uint64(body), low: binary.BigEndian.Uint64(body[recordBytes/2:]),
 			})
 		}
 	}
-	slices.SortFunc(records, func(a, b record) int {
-		return cmp.Or(cmp.Compare(b.high, a.high), cmp.Compare(b.low, a.low))
-	})
-	records = records[:min(limit, len(records))]
-	body := make([]byte, 0, len(records)*recordBytes)
-	for _, r := range records {
+	body := make([]byte, 0, len(kept)*recordBytes)
+	for _, r := range kept {
 		body = binary.BigEndian.AppendUint64(body, r.high)
 		body = binary.BigEndian.AppendUint64(body, r.low)
 	}
 	return body
 }
+
+// keep adds a record to those kept, which fall, if it is among the greatest.
+func keep(kept []record, limit int, r record) []record {
+	if len(kept) == limit {
+		if limit == 0 || !r.above(kept[limit-1]) {
+			return kept
+		}
+		kept = kept[:limit-1]
+	}
+	place := sort.Search(len(kept), func(i int) bool { return r.above(kept[i]) })
+	return slices.Insert(kept, place, r)
+}
+
+func (r record) above(other record) bool {
+	return r.high > other.high || r.high == other.high && r.low > other.low
+}
+
+func mostRecords(replies []*backend.Reply) int {
+	records := 0
+	for _, reply := range replies {
+		records += len(reply.Body) / recordBytes
+	}
+	return records
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime"
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
@@ -29,6 +30,10 @@
 	story    story
 }
 
+// extraRoom is the room for attempts beyond the first ones that a request begins
+// with.
+const extraRoom = 8
+
 // endsPerLeg is the room for ends of attempts; it is above the sends that a
 // machine makes for one leg, so that no attempt waits to report.
 const endsPerLeg = 6
@@ -44,6 +49,7 @@
 		return
 	}
 	r := &run{call: c, ends: make(chan end, len(legs)*endsPerLeg)}
+	r.story.attempts = make([]told, 0, len(legs)+extraRoom)
 	r.ctx, r.cancel = detached()
 	r.machine = fanout.New(c.gateway.knowledge, c.current.vms, fanout.Input{
 		Route: c.route, Legs: legs, Received: c.received, Deadline: c.gateway.deadline(c.received, c.timeLimit()),
@@ -91,13 +97,25 @@
 		case e := <-r.ends:
 			actions = r.ended(e)
 		case <-timer.C:
-			actions = r.machine.Tick(time.Now())
+			actions = r.tick()
 		case <-r.call.http.Context().Done():
 			return nil
 		}
 	}
 }
 
+// tick does what is due, unless an attempt has ended: on a busy processor replies
+// wait to be read, and a hedge or an answer without them would come too soon.
+func (r *run) tick() fanout.Actions {
+	runtime.Gosched()
+	select {
+	case e := <-r.ends:
+		return r.ended(e)
+	default:
+		return r.machine.Tick(time.Now())
+	}
+}
+
 func (r *run) carryOut(actions fanout.Actions) {
 	for _, send := range actions.Sends {
 		r.inFlight++
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -216,6 +216,9 @@
 // the others in turn.
 func (t *Table) randomRemote() []string {
 	remote := t.index.remote
+	if t.remoteProbes == 1 && t.leavesRemoteToOthers() {
+		return nil
+	}
 	var chosen []string
 	choose := func(from remoteDomain) {
 		chosen = append(chosen, from.vms[t.random.IntN(len(from.vms))])
@@ -237,6 +240,23 @@
 	return chosen
 }
 
+// remoteSharers is the number of VMs of a failure domain that together send a
+// heartbeat to another one each round, where there are more: what one of them
+// hears, it tells the others.
+const remoteSharers = 6
+
+// leavesRemoteToOthers reports whether the other VMs of the own failure domain are
+// enough for this round. A failure domain in doubt is asked all the same.
+func (t *Table) leavesRemoteToOthers() bool {
+	for _, candidate := range t.index.remote {
+		if t.doubtful(candidate.name) {
+			return false
+		}
+	}
+	rounds := len(t.index.own) / remoteSharers
+	return rounds > 1 && t.random.IntN(rounds) != 0
+}
+
 // doubtful reports whether a failure domain failed to answer and is not known to
 // be unreachable.
 func (t *Table) doubtful(name string) bool {
