Planned stop: other VMs are told while the balancer takes notice; the stand-in's silence ends

Seen on the way: telling silent VMs (1 s), the hand-over (2 s) and the balancer's notice (2.5 s) came one after the other, and the last answers had the whole limit, so that the exit itself had no time on a slow machine. Change: telling and hand-over run beside the notice; 0.5 s of the limit stays for the exit. The new test passes with the old code too: it holds the bound.

--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -17,8 +17,6 @@
 	// balancerTakesOut is how long the balancer may go on sending new callers
 	// to a VM that is not ready: two checks a second apart, and the way there.
 	balancerTakesOut = 2500 * time.Millisecond
-	// stopMargin is kept from the time of a planned stop for the exit itself.
-	stopMargin = 700 * time.Millisecond
 )
 
 // listenRoutes binds the addresses for callers of routes and for the balancer's
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -23,6 +23,13 @@
 	// others may take one part in so many, handing over one part in so many.
 	leaveShare    = 6
 	handOverShare = 3
+	// stopMargin is kept from the time of a planned stop for the exit itself, also
+	// on a processor that is shared, and stopMarginShare bounds it to a part of
+	// short times.
+	stopMargin      = 500 * time.Millisecond
+	stopMarginShare = 5
+	// answerMargin is kept besides for the last answers to be written.
+	answerMargin = 200 * time.Millisecond
 	// handOverTries bounds the repetitions of the message with the records.
 	handOverTries = 3
 )
@@ -33,17 +40,23 @@
 func (d *Daemon) stop() error {
 	began := time.Now()
 	limit := time.Duration(d.settings.Limits.StopTimeoutMs) * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	limit -= min(stopMargin, limit/stopMarginShare)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
 	defer cancel()
 	d.logger.Info().Dur("limit", limit).Msg("planned stop begins")
 	if d.gateway != nil {
-		d.gateway.Stop(began.Add(limit - stopMargin))
+		d.gateway.Stop(began.Add(limit - min(answerMargin, limit/stopMarginShare)))
 	}
-	d.leave(ctx, limit/leaveShare)
-	d.handOver(ctx, limit/handOverShare)
+	// Other VMs may not answer; the balancer's notice passes meanwhile.
+	var told sync.WaitGroup
+	told.Go(func() {
+		d.leave(ctx, limit/leaveShare)
+		d.handOver(ctx, limit/handOverShare)
+	})
 	pause(ctx, d.notice())
+	told.Wait()
 	err := d.shutdownServers(ctx)
-	d.logger.Info().Err(err).Msg("planned stop ends")
+	d.logger.Info().Err(err).Dur("took", time.Since(began)).Msg("planned stop ends")
 	return err
 }
 
--- a/internal/e2e/users_test.go
+++ b/internal/e2e/users_test.go
@@ -196,16 +196,35 @@
 	}
 }
 
+// The other VMs don't answer, as behind a cut: telling them passes beside the
+// balancer's notice, and the stop leaves time for a busy machine.
+func TestUsersPlannedStopEndsInTimeWhileTheOtherVMsAreSilent(t *testing.T) {
+	d := startUsers(t)
+	for _, vm := range d.VMs[1:] {
+		vm.Process().Signal(syscall.SIGSTOP)
+	}
+	const limit, earliest = 6 * time.Second, 2 * time.Second
+	began := time.Now()
+	d.VMs[0].Process().Signal(syscall.SIGTERM)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	code, err := d.VMs[0].Process().Wait(ctx)
+	require.NoError(t, err)
+	require.Zero(t, code, d.Log(d.VMs[0]))
+	require.Greater(t, time.Since(began), earliest, "the balancer's notice")
+	require.Less(t, time.Since(began), limit-time.Second, "time is left on a busy machine")
+}
+
 func TestUsersSettingsAreReloaded(t *testing.T) {
 	d := startUsers(t)
 	vm := d.VMs[0]
-	require.NoError(t, d.WriteSettings(vm, "[routes]\nextra_load_percent = 10"))
+	require.NoError(t, d.WriteSettings(vm, "[routes]\nextra_load_share = 0.1"))
 	vm.Process().Signal(syscall.SIGHUP)
 	logged := func(text string) func() bool {
 		return func() bool { return strings.Contains(d.Log(vm), text) }
 	}
 	require.NoError(t, testkit.Poll(context.Background(), 3*time.Second, logged("settings reloaded")))
-	require.NoError(t, d.WriteSettings(vm, "[routes]\nextra_load_percent = many"))
+	require.NoError(t, d.WriteSettings(vm, "[routes]\nextra_load_share = many"))
 	require.NoError(t, testkit.Poll(context.Background(), 5*time.Second, logged("settings not reloaded")))
 	status, _, _ := ask(vm, client(), "GET", "/g/x")
 	require.Equal(t, 200, status)
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -20,10 +20,10 @@
 	// hedgeFloor is the wait for a reply before another target is asked while the
 	// budget is full, in usual reply times: about one reply in ten takes longer.
 	// hedgeRange is what an empty budget adds.
-	hedgeFloor = 2.5
+	hedgeFloor = 3.0
 	hedgeRange = 2.0
 	// hedgeCeiling bounds the wait to a part of the response-time goal.
-	hedgeCeiling = 0.45
+	hedgeCeiling = 0.5
 	// hedgeRetry is the wait before a hedge is tried again that the budget or
 	// the targets did not allow, in usual reply times.
 	hedgeRetry = 0.5
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -107,6 +108,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Silent:
+		// The end of a caller's connection is noticed only after its body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	case None:
