--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -137,6 +137,29 @@
 		Str("host", c.http.Host).Str("uri", c.http.RequestURI).Msg("request refused")
 }
 
+// DomainCut implements health.Observer.
+func (j *journal) DomainCut(failureDomain string, silentTargets int) {
+	if j.allow(false) {
+		j.logger.Warn().Str("domain", failureDomain).Int("silent_targets", silentTargets).
+			Msg("failure domain held to be cut off")
+	}
+}
+
+// DomainReached implements health.Observer.
+func (j *journal) DomainReached(failureDomain string) {
+	if j.allow(false) {
+		j.logger.Info().Str("domain", failureDomain).Msg("failure domain reached again")
+	}
+}
+
+// TargetFailing implements health.Observer.
+func (j *journal) TargetFailing(target string, failed, all float64) {
+	if j.allow(true) {
+		j.logger.Info().Str("target", target).Float64("failed", failed).Float64("requests", all).
+			Msg("target held to be failing")
+	}
+}
+
 // table logs that another table is in force.
 func (j *journal) table(t *routing.Table, vms int, age time.Duration) {
 	if !j.allow(false) {
--- a/internal/health/board.go
+++ b/internal/health/board.go
@@ -30,11 +30,13 @@
 	mu      sync.Mutex
 	states  map[string]*State
 	domains map[string]*domain
+	// observer is told of changes.
+	observer Observer
 }
 
 // NewBoard returns an empty Board.
 func NewBoard() *Board {
-	return &Board{states: map[string]*State{}, domains: map[string]*domain{}}
+	return &Board{states: map[string]*State{}, domains: map[string]*domain{}, observer: unobserved{}}
 }
 
 // Start returns a new state for a start of a target in a failure domain, in place
@@ -45,11 +47,11 @@
 	b.drop(target)
 	d, ok := b.domains[failureDomain]
 	if !ok {
-		d = newDomain()
+		d = newDomain(failureDomain, b.observer)
 		b.domains[failureDomain] = d
 	}
 	s := New()
-	s.domain = d
+	s.id, s.domain, s.observer = target, d, b.observer
 	b.states[target] = s
 	return s
 }
--- a/internal/health/domain.go
+++ b/internal/health/domain.go
@@ -19,6 +19,9 @@
 // target alone would have to be found out by requests of its own. It is safe for
 // concurrent use.
 type domain struct {
+	name     string
+	observer Observer
+
 	mu sync.Mutex
 	// silent holds the targets without a sign, and when a request was sent to each.
 	silent map[*State]time.Time
@@ -30,7 +33,9 @@
 	healedAt time.Time
 }
 
-func newDomain() *domain { return &domain{silent: map[*State]time.Time{}} }
+func newDomain(name string, observer Observer) *domain {
+	return &domain{name: name, observer: observer, silent: map[*State]time.Time{}}
+}
 
 // begin notes that a request is sent to a target of the domain.
 func (d *domain) begin(now time.Time) {
@@ -43,8 +48,13 @@
 func (d *domain) silence(s *State, sent time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if sent.After(d.signAt) {
-		d.silent[s] = sent
+	if !sent.After(d.signAt) {
+		return
+	}
+	before := len(d.silent)
+	d.silent[s] = sent
+	if before < silentTargets && len(d.silent) == silentTargets {
+		d.observer.DomainCut(d.name, len(d.silent))
 	}
 }
 
@@ -64,6 +74,7 @@
 	}
 	if wasCut && len(d.silent) < silentTargets {
 		d.healedAt = now
+		d.observer.DomainReached(d.name)
 	}
 }
 
--- a/internal/health/failing.go
+++ b/internal/health/failing.go
@@ -19,9 +19,13 @@
 // they would be counted twice else.
 func (s *State) judgeFailures(now time.Time) {
 	failed, all := s.pooled(now)
-	if failed >= failingLeast && failed >= failingShare*(all+priorRequests) {
-		s.failingAt = now
+	if failed < failingLeast || failed < failingShare*(all+priorRequests) {
+		return
 	}
+	if !s.isFailing(now) {
+		s.observer.TargetFailing(s.id, failed, all)
+	}
+	s.failingAt = now
 }
 
 // hearFailing takes another VM's word that the target was failing at the time.
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -77,6 +77,10 @@
 
 // State is what is known of one start of a target.
 type State struct {
+	// id names the target to the observer.
+	id       string
+	observer Observer
+
 	mu       sync.Mutex
 	inFlight []time.Time
 
@@ -109,7 +113,7 @@
 }
 
 // New returns the state of a target that nothing is known of.
-func New() *State { return &State{ratio: 1} }
+func New() *State { return &State{ratio: 1, observer: unobserved{}} }
 
 // Begin notes that a request is sent.
 func (s *State) Begin(now time.Time) {
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -1,6 +1,7 @@
 package health_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -199,6 +200,37 @@
 	}
 }
 
+// beliefs is an Observer that keeps what it was told.
+type beliefs []string
+
+func (b *beliefs) DomainCut(domain string, silent int) {
+	*b = append(*b, fmt.Sprint("cut ", domain, " ", silent))
+}
+func (b *beliefs) DomainReached(domain string) { *b = append(*b, "reached "+domain) }
+func (b *beliefs) TargetFailing(target string, _, _ float64) {
+	*b = append(*b, "failing "+target)
+}
+
+func TestChangesOfBeliefAreToldOnce(t *testing.T) {
+	board := health.NewBoard()
+	var told beliefs
+	board.Observe(&told)
+	at := start
+	for _, id := range []string{"u", "v", "w", "x", "y"} {
+		s := board.Start(id, "b")
+		s.Begin(at)
+		s.End(at, at.Add(100*time.Millisecond), health.Silent, usual)
+	}
+	failing := board.Start("f", "b")
+	for range 4 {
+		at = at.Add(200 * time.Millisecond)
+		failing.Begin(at)
+		failing.End(at, at.Add(usual), health.Failed, usual)
+	}
+	reply(failing, 2*time.Second, usual)
+	require.Equal(t, beliefs{"cut b 4", "failing f", "reached b"}, told)
+}
+
 func aside(s *health.State, now time.Time) bool {
 	aside, _ := s.Aside(now)
 	return aside
