A leg that the answer needs waits for its only target

Change: a leg without which the answer fails waits on; attempts that reached no target don't count as sends.

--- a/internal/fanout/leg.go
+++ b/internal/fanout/leg.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// sendsPerLeg bounds the sends of one leg, those that targets turned away
-	// included.
+	// sendsPerLeg bounds the sends of one leg that reached a target, those that it
+	// turned away included.
 	sendsPerLeg = 5
 	// turnedAwayPause is how long a target that turned an attempt away is not
 	// asked again: about the reply time of one of the requests that fill it.
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -56,7 +56,8 @@
 	// leaveAt is when an answer that covers enough leaves; zero for routes that
 	// one target answers.
 	leaveAt time.Time
-	// patientUntil is until when a leg waits for targets that turned it away.
+	// patientUntil is until when a leg waits for targets that turned it away, unless
+	// the request fails without it.
 	patientUntil time.Time
 
 	legs     []leg
@@ -120,6 +121,9 @@
 	l := &m.legs[a.leg]
 	outcome := outcomeOf(reply, err)
 	l.end(a.target.ID, outcome.MayHaveRun(), now)
+	if reply == nil && !outcome.MayHaveRun() {
+		l.sends--
+	}
 	a.target.Health.End(a.sentAt, now, outcome, m.times.usual)
 	if outcome == health.Answered {
 		m.knowledge.replied(m.in.Route, now.Sub(a.sentAt))
@@ -223,7 +227,7 @@
 	}
 	target := m.choose(l)
 	if target == nil {
-		if l.awaits(m.now) && m.now.Before(m.patientUntil) {
+		if l.awaits(m.now) && (m.now.Before(m.patientUntil) || m.needs(l)) {
 			l.waitUntil, l.waitReason = m.now.Add(turnedAwayPause), reason
 			return
 		}
@@ -237,6 +241,17 @@
 	m.send(index, target, reason)
 }
 
+// needs reports whether the request fails without the leg.
+func (m *Machine) needs(l *leg) bool {
+	others := 0
+	for i := range m.legs {
+		if other := &m.legs[i]; other != l && (other.reply != nil || !other.over) {
+			others++
+		}
+	}
+	return m.in.Route.Gathers() && !m.enough(others) && m.enough(others+1)
+}
+
 func (m *Machine) maySend(l *leg) bool {
 	return !l.over && l.sends < sendsPerLeg && m.in.Deadline.Sub(m.now) > leastTimeLeft
 }
--- a/internal/fanout/machine_test.go
+++ b/internal/fanout/machine_test.go
@@ -172,6 +172,37 @@
 	require.Equal(t, fanout.Failed, actions.Answer.Outcome)
 }
 
+// A failure domain is cut off (zone_cut on casgen-reel-grown): the VMs in it reach
+// one target of each shard, over one connection, which a pause of the target
+// holds for 150 ms. The answer needs that shard.
+func TestALegThatTheAnswerNeedsWaitsForItsOnlyTarget(t *testing.T) {
+	shards := services(2)
+	for _, service := range shards {
+		service.Targets = service.Targets[:1]
+	}
+	route := gathering(shards)
+	m := newMachine(ample(), route, start)
+	m.Start(start)
+	actions := m.Ended(at(5*time.Millisecond), 0, good("r"), nil)
+	busy := errors.Wrap(backend.ErrBusy, "t")
+	now := at(20 * time.Millisecond)
+	actions = m.Ended(now, 1, nil, busy)
+	for now.Before(at(150 * time.Millisecond)) {
+		require.Nil(t, actions.Answer)
+		now = actions.WakeAt
+		if actions = m.Tick(now); len(actions.Sends) > 0 {
+			now = now.Add(20 * time.Millisecond)
+			actions = m.Ended(now, actions.Sends[0].Attempt, nil, busy)
+		}
+	}
+	for len(actions.Sends) == 0 {
+		require.Nil(t, actions.Answer)
+		actions = m.Tick(actions.WakeAt)
+	}
+	actions = m.Ended(now.Add(40*time.Millisecond), actions.Sends[0].Attempt, good("r1"), nil)
+	require.Equal(t, fanout.Complete, actions.Answer.Outcome)
+}
+
 // Half of the targets lose 4 in 10 replies (answer_lost across): two attempts
 // leave 16 in 100 shards without a reply where both targets are such.
 func TestALostReplyIsAskedForAgainAtTheSameTargets(t *testing.T) {
