A VM cut off from the targets of a route is not ready

Change: a VM for which cut failure domains leave a gathering route below its least coverage answers the balancer's check with 503 and closes callers' connections with its answers, while requests show the cut (2 s after the last try it is ready again). Ruled out: saying so for routes whose services have no targets at all (routes not used yet).

--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -42,7 +42,11 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(users.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if ready, reason := d.control.Ready(); !ready {
+		ready, reason := d.control.Ready()
+		if ready && d.gateway != nil && !d.gateway.Reaches(time.Now()) {
+			ready, reason = false, "failure domains with the targets of routes are cut off"
+		}
+		if !ready {
 			http.Error(w, reason, http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	journal   *journal
 	settings  atomic.Pointer[pb.RouteSettings]
 	running   atomic.Int64
+	// unreachable is true while a route cannot be served from here.
+	unreachable atomic.Bool
 	// stopBy is when requests must have ended, in Unix nanoseconds; zero while no
 	// stop is planned.
 	stopBy atomic.Int64
@@ -133,6 +135,16 @@
 // time.
 func (g *Gateway) Stop(by time.Time) { g.stopBy.Store(by.UnixNano()) }
 
+// Reaches reports whether this VM reaches enough targets for all gathering routes.
+// One that is cut off from them leaves callers to VMs elsewhere.
+func (g *Gateway) Reaches(now time.Time) bool {
+	route := g.table(now).table.Unreachable(now)
+	if g.unreachable.Swap(route != "") != (route != "") {
+		g.journal.reach(route)
+	}
+	return route == ""
+}
+
 // Running returns the number of requests that are being served.
 func (g *Gateway) Running() int64 { return g.running.Load() }
 
@@ -184,7 +196,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
 	defer g.running.Add(-1)
-	if g.stopBy.Load() != 0 {
+	if g.stopBy.Load() != 0 || g.unreachable.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{gateway: g, writer: w, http: r, received: time.Now()}
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -152,6 +152,13 @@
 	}
 }
 
+// reach logs that a route cannot be served from here, or with an empty name that
+// all can again.
+func (j *journal) reach(route string) {
+	j.logger.Warn().Str("route", route).Bool("reached", route == "").
+		Msg("targets of routes beyond cut failure domains")
+}
+
 // TargetFailing implements health.Observer.
 func (j *journal) TargetFailing(target string, failed, all float64) {
 	if j.allow(true) {
--- a/internal/health/domain.go
+++ b/internal/health/domain.go
@@ -86,6 +86,16 @@
 	return len(d.silent) >= silentTargets && now.Sub(d.triedAt) < domainProbe
 }
 
+// doubted is how long a domain counts as cut off when no request tries it.
+const doubted = 2 * time.Second
+
+// held reports whether the domain is held to be cut off.
+func (d *domain) held(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.silent) >= silentTargets && now.Sub(d.triedAt) < doubted
+}
+
 // healedSince reports whether the domain returned after the time.
 func (d *domain) healedSince(at time.Time) bool {
 	d.mu.Lock()
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -286,6 +286,9 @@
 	return aside, aside && s.down
 }
 
+// CutOff reports whether the target's failure domain is held to be cut off.
+func (s *State) CutOff(now time.Time) bool { return s.domain != nil && s.domain.held(now) }
+
 // BackAt returns when the target's pause ends; zero when it is not set aside.
 func (s *State) BackAt() time.Time {
 	s.mu.Lock()
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -109,6 +109,33 @@
 	require.False(t, table.HasTarget("x", 1))
 }
 
+// A failure domain without targets of the shards is cut off from the others
+// (zone_cut of cw-rheidol on casgen-reel-grown): its callers are better served by
+// VMs elsewhere. It says so only while requests show the cut.
+func TestARouteBeyondCutFailureDomainsIsUnreachable(t *testing.T) {
+	var registrations []*pb.Registration
+	for i := range 6 {
+		r := registration(strconv.Itoa(i))
+		r.FailureDomain = "b"
+		registrations = append(registrations, r)
+	}
+	other := registration("t")
+	other.Service, other.FailureDomain = "t", "b"
+	table := routing.NewCompiler(health.NewBoard(), here, 0).Compile(configuration(append(registrations, other)...), 1, start)
+	require.Empty(t, table.Unreachable(start))
+	targets := table.Match("h", "/a/x").Parts[0].Service.Targets
+	now := start.Add(100 * time.Millisecond)
+	for _, target := range targets[:4] {
+		target.Health.Begin(start)
+		target.Health.End(start, now, health.Silent, time.Millisecond)
+	}
+	require.Equal(t, "long", table.Unreachable(now))
+	require.Empty(t, table.Unreachable(now.Add(3*time.Second)), "nothing tries it")
+	targets[0].Health.Begin(now)
+	targets[0].Health.End(now, now, health.Answered, time.Millisecond)
+	require.Empty(t, table.Unreachable(now))
+}
+
 func TestTargetsOfTheOwnFailureDomainAreNear(t *testing.T) {
 	away := registration("y")
 	away.FailureDomain = "b"
