--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -193,6 +193,7 @@
 		return nil, 0, errors.Wrap(ErrLost, err.Error())
 	}
 	body, err := readBody(response)
+	_ = response.Body.Close()
 	if err != nil {
 		return nil, 0, err
 	}
@@ -212,9 +213,8 @@
 	return &Reply{Status: response.StatusCode, Header: response.Header, Body: body, Statement: statement}, idleFor, nil
 }
 
-// readBody reads a whole body.
+// readBody reads a whole body, which the caller closes.
 func readBody(response *http.Response) ([]byte, error) {
-	defer func() { _ = response.Body.Close() }()
 	if length := response.ContentLength; length > 0 && length <= maxReplyBytes {
 		body := make([]byte, length)
 		_, err := io.ReadFull(response.Body, body)
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -205,6 +206,18 @@
 	require.NoError(t, <-done)
 }
 
+// The target ends the connection as soon as it has the request: the end may be
+// seen before the writing of the request has returned, and yet the target has it.
+func TestARequestThatTheTargetHasIsNeverSaidNotToBeSent(t *testing.T) {
+	s := serve(t, func(_ int, c net.Conn, _ *http.Request) { _ = c.Close() })
+	c := client()
+	for i := range 500 {
+		_, err := c.Send(context.Background(), s.target(), request(strconv.Itoa(i)), time.Second)
+		require.ErrorIs(t, err, backend.ErrLost)
+	}
+	require.EqualValues(t, 500, s.requests.Load())
+}
+
 // With one connection to a target, two requests at a time are usual on a large
 // deployment; the second one would else go to a target further away.
 func TestARequestWaitsAWhileForAConnectionInUse(t *testing.T) {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -40,6 +40,8 @@
 	request *Request
 	// idleLimit bounds how long the connection stays after it.
 	idleLimit time.Duration
+	// long is true when the message is written by a goroutine of its own.
+	long bool
 	// written receives the error of the writing once that has ended.
 	written chan error
 	// stop ends the watch for the end of the attempt's context; it reports false
@@ -66,18 +68,19 @@
 	c.attempt = a
 	a.written = make(chan error, 1)
 	a.stop = context.AfterFunc(ctx, c.abort)
+	a.long = len(message) >= concurrentMessage
 	c.mu.Unlock()
-	if len(message) < concurrentMessage {
-		c.write(a, message)
-	} else {
+	if a.long {
 		go c.write(a, message)
+	} else {
+		c.write(a, message)
 	}
 	return true
 }
 
 // write sends the message and counts the bytes that may have reached the target.
 func (c *conn) write(a *attempt, message []byte) {
-	n, err := c.Conn.Write(message)
+	n, err := c.Write(message)
 	c.sent.Add(int64(n))
 	if err != nil {
 		// The target may have replied before it closed; the reader finds out.
@@ -106,6 +109,9 @@
 		}
 		if err != nil {
 			a.stop()
+			_ = c.Close()
+			// Only when the writing has ended is it known whether anything was sent.
+			<-a.written
 			a.end(nil, c.lost(err))
 			return
 		}
@@ -136,17 +142,15 @@
 		a.end(nil, err)
 		return false
 	}
-	// A target may reply before it has read a long body: the connection is free
-	// when all of that is written, the caller need not wait for it.
-	select {
-	case failed := <-a.written:
-		kept := c.release(a, idleFor, failed)
-		a.end(reply, nil)
-		return kept
-	default:
+	if a.long {
+		// A target may reply before it has read a long body: the connection is free
+		// when all of that is written, the caller need not wait for it.
 		a.end(reply, nil)
 		return c.release(a, idleFor, <-a.written)
 	}
+	kept := c.release(a, idleFor, <-a.written)
+	a.end(reply, nil)
+	return kept
 }
 
 // release gives the connection back to the pool if it can be used again.
--- a/internal/fanout/machine_test.go
+++ b/internal/fanout/machine_test.go
@@ -159,8 +159,7 @@
 
 func TestNoMoreTargetsRunItThanTheRouteAllows(t *testing.T) {
 	m := newMachine(ample(), gathering(services(1)), start)
-	asked := []string{m.Start(start).Sends[0].Target.ID}
-	asked = append(asked, m.Tick(at(40 * time.Millisecond)).Sends[0].Target.ID)
+	asked := []string{m.Start(start).Sends[0].Target.ID, m.Tick(at(40 * time.Millisecond)).Sends[0].Target.ID}
 	actions := m.Ended(at(50*time.Millisecond), 0, nil, errLost)
 	require.Empty(t, actions.Sends)
 	actions = m.Ended(at(51*time.Millisecond), 1, nil, errLost)
@@ -183,10 +182,10 @@
 	route := gathering(shards)
 	m := newMachine(ample(), route, start)
 	m.Start(start)
-	actions := m.Ended(at(5*time.Millisecond), 0, good("r"), nil)
+	m.Ended(at(5*time.Millisecond), 0, good("r"), nil)
 	busy := errors.Wrap(backend.ErrBusy, "t")
 	now := at(20 * time.Millisecond)
-	actions = m.Ended(now, 1, nil, busy)
+	actions := m.Ended(now, 1, nil, busy)
 	for now.Before(at(150 * time.Millisecond)) {
 		require.Nil(t, actions.Answer)
 		now = actions.WakeAt
@@ -208,8 +207,8 @@
 func TestALostReplyIsAskedForAgainAtTheSameTargets(t *testing.T) {
 	m := newMachine(ample(), gathering(services(1)), start)
 	m.Start(start)
-	actions := m.Ended(at(5*time.Millisecond), 0, nil, errLost)
-	actions = m.Ended(at(10*time.Millisecond), 1, nil, errLost)
+	m.Ended(at(5*time.Millisecond), 0, nil, errLost)
+	actions := m.Ended(at(10*time.Millisecond), 1, nil, errLost)
 	require.Len(t, actions.Sends, 1)
 	actions = m.Ended(at(15*time.Millisecond), 2, good("r"), nil)
 	require.Equal(t, fanout.Complete, actions.Answer.Outcome)
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -176,8 +176,9 @@
 // and all are back once one of them replies.
 func TestACutFailureDomainIsKnownByAFewTargets(t *testing.T) {
 	board := health.NewBoard()
-	var states []*health.State
-	for _, id := range []string{"u", "v", "w", "x", "y", "z"} {
+	ids := []string{"u", "v", "w", "x", "y", "z"}
+	states := make([]*health.State, 0, len(ids))
+	for _, id := range ids {
 		states = append(states, board.Start(id, "b"))
 	}
 	other := board.Start("o", "c")
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -113,8 +113,9 @@
 // (zone_cut of cw-rheidol on casgen-reel-grown): its callers are better served by
 // VMs elsewhere. It says so only while requests show the cut.
 func TestARouteBeyondCutFailureDomainsIsUnreachable(t *testing.T) {
-	var registrations []*pb.Registration
-	for i := range 6 {
+	const few = 6
+	registrations := make([]*pb.Registration, 0, few)
+	for i := range few {
 		r := registration(strconv.Itoa(i))
 		r.FailureDomain = "b"
 		registrations = append(registrations, r)
@@ -150,8 +151,9 @@
 // A failure domain without targets of a service (casgen-reel-grown has 3 for 4
 // domains): each VM keeps to one of them, and the VMs spread.
 func TestVMsWithoutANearTargetKeepToOneEach(t *testing.T) {
-	var registrations []*pb.Registration
-	for _, id := range []string{"x", "y", "z"} {
+	ids := []string{"x", "y", "z"}
+	registrations := make([]*pb.Registration, 0, len(ids))
+	for _, id := range ids {
 		r := registration(id)
 		r.FailureDomain = "domain-" + id
 		registrations = append(registrations, r)
