--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -111,8 +111,8 @@
 			a.stop()
 			_ = c.Close()
 			// Only when the writing has ended is it known whether anything was sent.
-			<-a.written
-			a.end(nil, c.lost(err))
+			failed := <-a.written
+			a.end(nil, c.lost(err, failed))
 			return
 		}
 		if !c.reply(a) {
@@ -172,10 +172,15 @@
 	c.broken = true
 }
 
-// lost returns the error of an attempt whose connection ended.
-func (c *conn) lost(err error) error {
+// lost returns the error of an attempt whose connection ended, by the errors of
+// reading and, if any, of writing.
+func (c *conn) lost(read, written error) error {
+	cause := read.Error()
+	if written != nil {
+		cause += "; " + written.Error()
+	}
 	if c.sent.Load() == 0 {
-		return errors.Wrap(ErrNotSent, err.Error())
+		return errors.Wrap(ErrNotSent, cause)
 	}
-	return errors.Wrap(ErrLost, err.Error())
+	return errors.Wrap(ErrLost, cause)
 }
