A timed-out answer no longer waits for cancelled attempts; work of a caller that left is not sent

Cause 1 (TestRequestIsAnsweredAtItsDeadline, 750.354 ms against 750): net/http sends an answer without a body when the handler returns, and the handler waited for the cancelled attempts to end first. On a busy processor that takes a while. The attempts now end in a goroutine of their own. The gateway takes its client as an interface, so that a test can hold attempts back: TestTimeoutAnswerDoesNotWaitForCancelledAttempts failed before (no answer in 5 s).

Cause 2 (TestQueueIsBounded, ran 2, expected 1): the end of a context reaches the contexts derived from it one after the other. The slot that the first job freed went to the second one of the same caller before its own context had ended. The caller's context itself is now checked before each write; TestWorkWhoseCallerHasLeftIsNotSent failed before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,10 +39,20 @@
 	minAssumedVMs = 12
 )
 
+// Client sends requests to targets; see backend.Client, which implements it.
+type Client interface {
+	// Go sends a request once and calls end once with the reply or an error.
+	Go(ctx context.Context, t *backend.Target, r *backend.Request, timeLeft time.Duration, end func(*backend.Reply, error))
+	// Retain closes the idle connections to all targets for which keep returns false.
+	Retain(keep func(id string, started int64) bool)
+	// CloseIdle closes the connections whose idle timeout has expired.
+	CloseIdle(now time.Time)
+}
+
 // Options are the settings and dependencies of a Gateway.
 type Options struct {
 	Views  view.Source
-	Client *backend.Client
+	Client Client
 	// Targets holds the health of the targets.
 	Targets  *health.Tracker
 	Dialect  backend.Dialect
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -60,6 +60,12 @@
 // newFixture starts a gateway with two shards g0 and g1 and a service u, each with a
 // target in the failure domains a and b.
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWithClient(t, nil)
+}
+
+// newFixtureWithClient is newFixture with a client of the test's own unless it is nil.
+func newFixtureWithClient(t *testing.T, client gateway.Client) *fixture {
 	t.Helper()
 	f := &fixture{views: &views{}, targets: map[string]*users.Target{}, log: &bytes.Buffer{}}
 	c := &pb.Configuration{Revision: 1, RouteTable: &pb.RouteTable{
@@ -85,8 +91,11 @@
 	f.views.set(c)
 	set := metrics.NewSet()
 	f.metrics = set
+	if client == nil {
+		client = backend.NewClient(platform.Headers{}, "", set)
+	}
 	f.gateway = gateway.New(gateway.Options{
-		Views: f.views, Dialect: platform.Headers{}, Client: backend.NewClient(platform.Headers{}, "", set),
+		Views: f.views, Dialect: platform.Headers{}, Client: client,
 		Targets: health.NewTracker(), Metrics: set, Logger: zerolog.New(f.log),
 		Settings: &pb.Settings{
 			Routes: &pb.RouteSettings{ExtraLoadShare: 0.2, ExtraLoadSlack: 50, ExtraLoadWindowMs: 10000, DrainMs: drainMs, MaxWaitingRequests: 100},
@@ -219,6 +228,32 @@
 	require.Less(t, time.Since(began), 750*time.Millisecond)
 }
 
+// slowToCancel is a client whose attempts end only when the test ends them, however
+// early they are cancelled.
+type slowToCancel struct{ release chan struct{} }
+
+func (c slowToCancel) Go(_ context.Context, _ *backend.Target, _ *backend.Request, _ time.Duration, end func(*backend.Reply, error)) {
+	go func() {
+		<-c.release
+		end(nil, backend.ErrLost)
+	}()
+}
+func (slowToCancel) Retain(func(string, int64) bool) {}
+func (slowToCancel) CloseIdle(time.Time)             {}
+
+// On a busy processor, cancelled attempts take a while to end. The caller's answer must
+// not wait for them.
+func TestTimeoutAnswerDoesNotWaitForCancelledAttempts(t *testing.T) {
+	client := slowToCancel{release: make(chan struct{})}
+	f := newFixtureWithClient(t, client)
+	t.Cleanup(func() { close(client.release) })
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	response, _, err := f.request(t, ctx, "POST", "/e/x", "data")
+	require.NoError(t, err)
+	require.Equal(t, 504, response.StatusCode)
+}
+
 func TestNextRequestUsesNewConfiguration(t *testing.T) {
 	f := newFixture(t)
 	f.do(t, "GET", "/f/x", "")
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -57,6 +57,7 @@
 	answer := r.runMachine()
 	if answer == nil {
 		c.gateway.counters.recordOutcome(fanout.CallerGone, time.Since(c.received))
+		r.cancel()
 		r.abandonAll(health.Canceled)
 		c.gateway.log.finished(c, &r.trace, &fanout.Answer{Outcome: fanout.CallerGone, Cause: "the caller left"})
 		return
@@ -147,7 +148,10 @@
 		return
 	}
 	if answer.Outcome == fanout.TimedOut {
-		r.abandonAll(health.Abandoned)
+		// The response is sent when the handler returns, so it must not wait for the
+		// cancelled attempts to end.
+		r.cancel()
+		go r.abandonAll(health.Abandoned)
 		return
 	}
 	go r.linger()
@@ -163,6 +167,7 @@
 		case res := <-r.results:
 			r.ended(res)
 		case <-timer.C:
+			r.cancel()
 			r.abandonAll(health.Abandoned)
 			return
 		}
@@ -170,9 +175,9 @@
 	r.cancel()
 }
 
-// abandonAll cancels all attempts in flight and records the outcome at their targets.
+// abandonAll waits for the cancelled attempts in flight to end and records the outcome at
+// their targets.
 func (r *fanoutRun) abandonAll(outcome health.Outcome) {
-	r.cancel()
 	for ; r.inFlight > 0; r.inFlight-- {
 		res := <-r.results
 		r.machine.Abandon(time.Now(), res.attempt, outcome)
--- a/internal/owner/change.go
+++ b/internal/owner/change.go
@@ -30,6 +30,7 @@
 		deadline:  received.Add(remaining),
 	}
 	w.sendBy = w.deadline.Add(-min(changeReserve, remaining/changeReserveDivisor))
+	w.callerErr = ctx.Err
 	var rejection string
 	w.send = func(ctx context.Context, h *handler, check func() error) (replySummary, error) {
 		got, err := h.client.Apply(ctx, &pb.TargetApplyRequest{
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -17,6 +17,7 @@
 	reasonNotOwner    = "not_owner"
 	reasonStopping    = "stopping"
 	reasonTakenOut    = "taken_out"
+	reasonCallerLeft  = "caller_left"
 	reasonQuarantined = "quarantined"
 	// reasonSuspect is a prefix, followed by the only target that may run the content.
 	reasonSuspect = "suspect: runs only on "
@@ -50,6 +51,8 @@
 	deadline  time.Time
 	// sendBy is the latest time at which the work may be sent. It is not after the deadline.
 	sendBy time.Time
+	// callerErr returns an error once the caller has left.
+	callerErr func() error
 	// send runs the work and returns the target's status and boot ID. The check must succeed before each
 	// write.
 	send func(ctx context.Context, h *handler, check func() error) (replySummary, error)
@@ -91,6 +94,7 @@
 		deadline:  received.Add(time.Duration(r.RemainingUs) * time.Microsecond),
 	}
 	w.sendBy = w.deadline
+	w.callerErr = ctx.Err
 	w.send = func(ctx context.Context, h *handler, check func() error) (replySummary, error) {
 		return sendSearch(ctx, h, check, r, reply, w.deadline)
 	}
@@ -183,11 +187,15 @@
 	return h, exclusive, nil
 }
 
-// checkView returns an error unless the view, the gap detector and the work's sendBy time allow the work to be
-// sent now.
+// checkView returns an error unless the caller is still there and the view, the gap detector and the work's
+// sendBy time allow the work to be sent now. The caller's own context is checked because its end reaches the
+// contexts that are derived from it one after the other: a slot that it frees could otherwise go to work of
+// the same caller.
 func (o *Owner) checkView(v *view.View, w *work) *admissionError {
 	now := time.Now()
 	switch {
+	case w.callerErr() != nil:
+		return &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: reasonCallerLeft}
 	case v.Paused || o.gapDetector.blocked(v, w.received, now):
 		return &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: reasonPaused}
 	case !v.Owns(w.target):
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -161,6 +161,26 @@
 	require.EqualValues(t, 1, fake.ran.Load())
 }
 
+// endedContext is a context that has ended while the contexts derived from it have not
+// been told yet.
+type endedContext struct{ context.Context }
+
+func (endedContext) Err() error { return context.Canceled }
+
+// The end of a caller's context reaches derived contexts one after the other. The slot
+// that the first one frees must not go to other work of the same caller.
+func TestWorkWhoseCallerHasLeftIsNotSent(t *testing.T) {
+	fake := newFakeTarget(t)
+	fake.search = func(_ context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
+		return fake.reply(r), nil
+	}
+	o := newDeployment(fake).owner(nil)
+	reply := o.Dispatch(endedContext{t.Context()}, subRequest("a", 10*time.Second))
+	requireStatus(t, pb.SubStatus_SUB_STATUS_SHED, reply)
+	require.Equal(t, "caller_left", reply.Reason)
+	require.Zero(t, fake.ran.Load())
+}
+
 func TestMismatchedRepliesAreDiscarded(t *testing.T) {
 	fake := newFakeTarget(t)
 	fake.search = func(_ context.Context, r *pb.TargetSearchRequest) (*pb.TargetSearchResponse, error) {
