--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -357,12 +357,14 @@
 // Fault injects a fault into the selected targets.
 func (d *Deployment) Fault(ctx context.Context, selector *standinv1.Selector, fault *standinv1.Fault) error {
 	request := &standinv1.SetFaultRequest{Selector: selector, Fault: fault}
+	recordEvent(d.options.Dir, "fault of targets: %v", request)
 	_, err := d.Standin.SetFault(ctx, connect.NewRequest(request))
 	return errors.Wrap(err, "set fault")
 }
 
 // StoreFault replaces the faults of the platform's store.
 func (d *Deployment) StoreFault(ctx context.Context, request *standinv1.SetStoreFaultRequest) error {
+	recordEvent(d.options.Dir, "fault of the store: %v", request)
 	_, err := d.Standin.SetStoreFault(ctx, connect.NewRequest(request))
 	return errors.Wrap(err, "set store fault")
 }
@@ -371,6 +373,7 @@
 // the platform. It heals the link if cut is false.
 func (d *Deployment) SetLink(ctx context.Context, first, second string, cut bool) error {
 	request := &standinv1.SetLinkRequest{First: first, Second: second, Cut: cut}
+	recordEvent(d.options.Dir, "link: %v", request)
 	_, err := d.Standin.SetLink(ctx, connect.NewRequest(request))
 	return errors.Wrap(err, "set link")
 }
--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -55,6 +55,7 @@
 // Process is a child process.
 type Process struct {
 	Name    string
+	dir     string
 	command *exec.Cmd
 	log     *os.File
 	done    chan struct{}
@@ -79,7 +80,8 @@
 	if err := command.Start(); err != nil {
 		return nil, errors.Wrapf(err, "start %s", name)
 	}
-	p := &Process{Name: name, command: command, log: log, done: make(chan struct{})}
+	p := &Process{Name: name, dir: dir, command: command, log: log, done: make(chan struct{})}
+	recordEvent(dir, "start %s, process %d", name, command.Process.Pid)
 	go p.reap()
 	return p, nil
 }
@@ -90,11 +92,28 @@
 	close(p.done)
 }
 
+// eventsFile is the file in a deployment's directory that lists what the test did to the
+// deployment and when.
+const eventsFile = "events.log"
+
+// recordEvent appends a line to the list of events. The list only helps to explain a
+// failed test, so errors are ignored.
+func recordEvent(dir, format string, arguments ...any) {
+	file, err := os.OpenFile(filepath.Join(dir, eventsFile), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
+	}
+	line := time.Now().UTC().Format("15:04:05.000") + " " + fmt.Sprintf(format, arguments...) + "\n"
+	_, _ = file.WriteString(line)
+	_ = file.Close()
+}
+
 // Signal sends a signal to the process. It does nothing if the process has ended.
 func (p *Process) Signal(signal syscall.Signal) {
 	select {
 	case <-p.done:
 	default:
+		recordEvent(p.dir, "signal %s: %s", p.Name, signal)
 		_ = p.command.Process.Signal(signal)
 	}
 }
