Replies without end are cut off; late copies without an ID are rejected; HEAD replies

On routes a head was read without any bound (memory until the deadline), a body up to 16 MiB for each of up to 225 shards at once. On the path of searches and changes the head could take 10 MB, and a closed connection was drained for a second, 2 to 3.5 GB on loopback (measured by the new test before the change).

Heads are bounded to 64 KiB on both paths, bodies to 16 MiB on routes, all large bodies that a VM reads at once to 32 MiB, the drain after a close to 4 MiB. The attempt ends as a lost reply, which counts as a failure of its target.

A late second copy of a reply could lack the ID, which then was not compared. A connection whose last reply stated the ID no longer accepts a reply without one.

Found by the way: the reply to a HEAD request on a route was lost, since its body was awaited.

Tests: ten ways of endless bytes against both clients and through the gateway, the shared bound of memory, a copy without an ID, HEAD.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,8 +15,6 @@
 )
 
 const (
-	// maxReplyBytes bounds the size of a reply body, which is held in memory.
-	maxReplyBytes = 16 << 20
 	// dialTimeout bounds a connection set-up, which usually takes a few milliseconds.
 	// Waiting longer does not help: TCP retransmits a dropped SYN only after a second.
 	dialTimeout = 100 * time.Millisecond
@@ -50,6 +47,8 @@
 	mu    sync.Mutex
 	pools map[string]*pool
 
+	replyMemory replyMemory
+
 	dials        *metrics.Counter
 	strayReplies *metrics.Counter
 }
@@ -185,26 +184,25 @@
 
 // read reads the reply to the request, and returns how long its connection may stay
 // idle afterwards; zero if the connection can't be reused.
-func (c *Client) read(reader *bufio.Reader, r *Request) (*Reply, time.Duration, error) {
-	response, err := http.ReadResponse(reader, &http.Request{Method: r.Method})
-	for err == nil && response.StatusCode >= 100 && response.StatusCode < 200 {
-		response, err = http.ReadResponse(reader, &http.Request{Method: r.Method})
-	}
+func (c *Client) read(cn *conn, r *Request) (*Reply, time.Duration, error) {
+	response, err := readHead(cn.reader, r.Method)
 	if err != nil {
 		return nil, 0, errors.Wrap(ErrLost, err.Error())
 	}
-	body, err := readBody(response)
-	_ = response.Body.Close()
+	cn.bound.left = maxReplyBytes * encodingFactor
+	body, err := c.readBody(response)
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, errors.Wrap(ErrLost, err.Error())
 	}
+	_ = response.Body.Close()
 	metadata := c.dialect.ParseReply(response.StatusCode, response.Header)
-	if metadata.RequestID != "" && metadata.RequestID != r.ID {
+	if metadata.RequestID != r.ID && (metadata.RequestID != "" || cn.statesRequestID) {
 		c.strayReplies.Inc()
-		return nil, 0, errors.Wrapf(ErrLost, "reply to another request, %s", metadata.RequestID)
+		return nil, 0, errors.Wrapf(ErrLost, "reply to another request, %q", metadata.RequestID)
 	}
+	cn.statesRequestID = metadata.RequestID != ""
 	idleFor := idleTimeout(response.Header)
-	if reader.Buffered() > 0 {
+	if cn.reader.Buffered() > 0 {
 		c.strayReplies.Inc()
 		idleFor = 0
 	}
@@ -214,24 +212,26 @@
 	return &Reply{Status: response.StatusCode, Header: response.Header, Body: body, ReplyMetadata: metadata}, idleFor, nil
 }
 
-// readBody reads the whole body of a response without closing it.
-func readBody(response *http.Response) ([]byte, error) {
-	if length := response.ContentLength; length > 0 && length <= maxReplyBytes {
-		body := make([]byte, length)
-		_, err := io.ReadFull(response.Body, body)
-		if err != nil {
-			return nil, errors.Wrap(ErrLost, err.Error())
+// readHead reads the head of a reply and skips interim replies, those with a 1xx status.
+func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil || response.StatusCode < 100 || response.StatusCode >= 200 {
+			return response, err
 		}
-		return body, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(ErrLost, err.Error())
+}
+
+// readBody reads the whole body of a response without closing it.
+func (c *Client) readBody(response *http.Response) ([]byte, error) {
+	if response.Body == http.NoBody {
+		// The reply to a HEAD request has a length but no body.
+		return nil, nil
 	}
-	if len(body) > maxReplyBytes {
-		return nil, errors.Wrapf(ErrLost, "reply above %d bytes", maxReplyBytes)
+	if length := response.ContentLength; length > 0 {
+		return c.replyMemory.readFull(response.Body, int(min(length, maxReplyBytes+1)))
 	}
-	return body, nil
+	return c.replyMemory.readAll(response.Body)
 }
 
 // endsWithConnection reports whether the reply has neither a length nor chunked
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -19,6 +19,13 @@
 	client *Client
 	pool   *pool
 	reader *bufio.Reader
+	// bound limits the bytes that reader may take from the connection. The goroutine that
+	// reads sets it before each part of a reply.
+	bound *boundedReader
+	// statesRequestID is true if the last reply stated the ID of its request. A target
+	// that does so states it in each reply, and a reply without it can't be trusted. Only
+	// the goroutine that reads uses it.
+	statesRequestID bool
 	// sent is the number of bytes written for the current attempt.
 	sent atomic.Int64
 
@@ -51,7 +58,8 @@
 }
 
 func newConn(inner net.Conn, client *Client, p *pool) *conn {
-	c := &conn{Conn: inner, client: client, pool: p, reader: bufio.NewReaderSize(inner, bufferSize)}
+	bound := &boundedReader{inner: inner}
+	c := &conn{Conn: inner, client: client, pool: p, bound: bound, reader: bufio.NewReaderSize(bound, bufferSize)}
 	go c.serve()
 	return c
 }
@@ -100,6 +108,7 @@
 		c.pool.remove(c)
 	}()
 	for {
+		c.bound.left = maxHeadBytes
 		_, err := c.reader.Peek(1)
 		a := c.takeAttempt(err)
 		if a == nil {
@@ -136,7 +145,7 @@
 // handleReply reads the reply and passes it to the attempt. It reports whether the
 // connection was returned to the pool.
 func (c *conn) handleReply(a *attempt) bool {
-	reply, idleFor, err := c.client.read(c.reader, a.request)
+	reply, idleFor, err := c.client.read(c, a.request)
 	if err != nil {
 		c.markBroken()
 		a.stop()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,12 +15,14 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/gateway"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/health"
 	"github.com/carawayreel/carawayreel/internal/standin/users"
+	"github.com/carawayreel/carawayreel/internal/testkit"
 	"github.com/carawayreel/carawayreel/internal/view"
 	"github.com/carawayreel/carawayreel/platform"
 )
@@ -330,3 +333,28 @@
 	require.Equal(t, 503, response.StatusCode)
 	require.Equal(t, before, len(f.targets["ua"].Runs())+len(f.targets["ub"].Runs()))
 }
+
+// A target that sends bytes without end costs its callers no more than a target that
+// fails, and counts as one.
+func TestCallerIsAnsweredWhileATargetSendsBytesWithoutEnd(t *testing.T) {
+	for name, reply := range testkit.EndlessReplies() {
+		t.Run(name, func(t *testing.T) {
+			endless, err := testkit.StartEndlessServer(reply)
+			require.NoError(t, err)
+			defer endless.Close()
+			f := newFixture(t)
+			c := f.views.Current().Configuration
+			registrations := slices.Clone(c.Registrations)
+			at := slices.IndexFunc(registrations, func(r *pb.Registration) bool { return r.Id == "ua" })
+			faulty := proto.CloneOf(registrations[at])
+			faulty.Address, faulty.Revision = endless.Address(), 2
+			registrations[at] = faulty
+			f.views.set(&pb.Configuration{Revision: 2, RouteTable: c.RouteTable, Registrations: registrations})
+			for range 5 {
+				response, _ := f.do(t, "GET", "/f/x", "")
+				require.Equal(t, 200, response.StatusCode)
+			}
+			require.Eventually(t, func() bool { return endless.ClosedByClient() > 0 }, 5*time.Second, time.Millisecond)
+		})
+	}
+}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -23,6 +23,8 @@
 const (
 	// idleTimeout is how long an idle connection stays open.
 	idleTimeout = 30 * time.Second
+	// maxHeadBytes bounds the head of a reply; a target may send bytes without end.
+	maxHeadBytes = 64 << 10
 	// maxIdleConnections is the maximum number of idle connections kept open. The connection budget is the
 	// tighter limit.
 	maxIdleConnections = 65535
@@ -58,11 +60,12 @@
 	}
 	d := newDialer(options)
 	transport := &http.Transport{
-		DialContext:         d.dial,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		Protocols:           http1Only(),
+		DialContext:            d.dial,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		Protocols:              http1Only(),
 	}
 	httpClient := &noRetryClient{client: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
 	return &Client{
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -18,6 +18,7 @@
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1/carawayreelv1connect"
 	"github.com/carawayreel/carawayreel/internal/target"
+	"github.com/carawayreel/carawayreel/internal/testkit"
 )
 
 // cancellationDelay is how long the fake target keeps running a call after its cancellation.
@@ -270,3 +271,24 @@
 	require.NoError(t, err)
 	require.NotContains(t, f.acceptEncoding.Load(), "gzip")
 }
+
+func TestReplyWithoutEndIsCutOff(t *testing.T) {
+	const maxReplyBytes, maxAcceptedBytes = 1 << 20, 24 << 20
+	for name, reply := range testkit.EndlessReplies() {
+		t.Run(name, func(t *testing.T) {
+			s, err := testkit.StartEndlessServer(reply)
+			require.NoError(t, err)
+			defer s.Close()
+			c := target.New(target.Options{Address: s.Address(), Connections: 1, MaxReplyBytes: maxReplyBytes})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err = c.Apply(ctx, &pb.TargetApplyRequest{Token: "t"}, nil)
+			var failure *target.Error
+			require.ErrorAs(t, err, &failure)
+			require.NotEqual(t, target.Withheld, failure.Kind, "the change may have run")
+			require.NoError(t, ctx.Err(), "the reply is cut off before its deadline")
+			require.Eventually(t, func() bool { return s.ClosedByClient() == 1 }, 5*time.Second, time.Millisecond)
+			require.Less(t, s.Sent(), int64(maxAcceptedBytes))
+		})
+	}
+}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -12,6 +12,10 @@
 // has closed.
 const closeTimeout = time.Second
 
+// maxDiscardBytes bounds the bytes that are read and discarded while waiting for the target to close its end. A
+// target may send bytes without end; the connection is then reset.
+const maxDiscardBytes = 4 << 20
+
 // closeGracePeriod is how long a connection still counts against the budget after both ends have closed it,
 // because the target's own count may lag.
 const closeGracePeriod = 5 * time.Millisecond
@@ -117,7 +121,7 @@
 	defer c.writeMu.Unlock()
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok && closer.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(closeTimeout))
-		_, _ = io.Copy(io.Discard, c.Conn)
+		_, _ = io.CopyN(io.Discard, c.Conn, maxDiscardBytes)
 	}
 	_ = c.Conn.Close()
 	close(c.peerClosed)
