A target whose unproven attempt was cancelled may be tried again

The hedge's owner was paused or isolated. The cancelled target counted as tried, so no replica was left and the leg was given up with seconds to go, although the first target was healthy. Trace: SEND archive-04-2, CANCEL, HEDGE archive-04-3 at the paused VM, GIVE_UP unreachable.

The cancelled target may now be tried again when the others can't be reached. The bound of two unproven runs is unchanged, and it is the target that may have run the content before. The new test in virtual time failed before.

--- a/internal/coordinator/search/trial.go
+++ b/internal/coordinator/search/trial.go
@@ -1,6 +1,8 @@
 package search
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/carawayreel/carawayreel/internal/coordinator/plan"
@@ -103,11 +105,15 @@
 // cancelUnproven cancels the in-flight attempt of unproven content before another one
 // is sent. Unproven content must not run on two targets at once: both could crash on
 // it, and a third before the other VMs learn of the crashes. The cancelled attempt may
-// have been executed, so it counts as an unproven run.
+// have been executed, so it counts as an unproven run. Its target was only slow and may
+// be tried again if the other replicas can't be reached.
 func (m *Machine) cancelUnproven(l *leg) {
 	for m.effectiveVerdict() == Unproven && l.inFlight > 0 {
 		m.trial.unprovenRuns++
-		m.cancel(l.inFlightIDs[l.inFlight-1], "unproven content runs on one target at a time")
+		id := l.inFlightIDs[l.inFlight-1]
+		m.cancel(id, "unproven content runs on one target at a time")
+		target := m.attemptByID(id).target
+		l.tried = slices.DeleteFunc(l.tried, func(tried string) bool { return tried == target })
 	}
 }
 
--- a/internal/coordinator/trial_test.go
+++ b/internal/coordinator/trial_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawayreel/carawayreel/internal/coordinator/replica"
@@ -127,6 +128,28 @@
 	require.Zero(t, s.answer.Coverage.Covered)
 }
 
+// While a VM is paused or a failure domain is isolated, a slow first attempt of unproven
+// content is cancelled for a hedge whose owner can't be reached, and neither can the
+// owners of the remaining replicas. The first target is healthy and still covers the
+// service.
+func TestUnprovenContentReturnsToACancelledTargetWhenTheOthersAreUnreachable(t *testing.T) {
+	s := newScript(t, typicalShape())
+	s.verdict = search.Unproven
+	s.start(request("r1"))
+	first := s.open[0]
+	for s.sends < 2 {
+		s.now = s.wakeAt
+		s.apply(search.Event{Kind: search.TimerFired})
+	}
+	for s.open[0].Request.Target != first.Request.Target {
+		s.fail(s.open[0], errors.Wrap(search.ErrNotSent, "connection refused"))
+		require.Nil(t, s.answer)
+	}
+	require.Equal(t, 4, s.sends, "each target of the service once, and the first again")
+	s.finish(goodReply)
+	require.Equal(t, pb.Outcome_OUTCOME_SUCCESS, s.answer.Outcome)
+}
+
 // The loss of a failure domain fails many services at once; clear content is still
 // covered from the other domains.
 func TestClearContentSurvivesTheLossOfADomain(t *testing.T) {
