A restarted process does not use a target that left according to a stale listing

The first listing may lag by seconds and is completed by a watch. When the watch left changes out, the stale listing was put in force until the next watch, with targets that had left. It is now listed again with current reads. The new test failed before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -142,13 +142,16 @@
 	return configstore.WatchResult{Configuration: s.state.configuration(), Version: s.state.revision}
 }
 
+// errChangesOmitted means that a watch omitted changes since a stale listing.
+var errChangesOmitted = errors.New("the watch left changes out")
+
 // listInitial lists all entries with stale reads, which cost the store less, because
-// every VM does so at startup. It lists them again with current reads if the store
-// has compacted the history since the stale listing.
+// every VM does so at startup. It lists them again with current reads if the changes
+// since the stale listing can't be had: the stale one may hold targets that have left.
 func (s *Source) listInitial(ctx context.Context) (configstore.WatchResult, error) {
 	result, err := s.listAll(ctx, true)
-	if errors.Is(err, ErrCompacted) {
-		s.logger.Info().Msg("store history since the first listing dropped; listing all entries anew")
+	if errors.Is(err, ErrCompacted) || errors.Is(err, errChangesOmitted) {
+		s.logger.Info().Err(err).Msg("changes since the first listing are not known; listing all entries anew")
 		return s.listAll(ctx, false)
 	}
 	return result, err
@@ -170,6 +173,9 @@
 		return configstore.WatchResult{}, err
 	}
 	if changes.missed(oldest) > 0 {
+		if allowStale {
+			return configstore.WatchResult{}, errChangesOmitted
+		}
 		// The next watch starts from the listing's revision and detects the gap, or
 		// gets the missing changes.
 		changes.Revision = oldest
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -172,6 +172,20 @@
 	require.Equal(t, 1, store.currentPages)
 }
 
+// After a restart of the process, a stale listing still holds a target that has left. If
+// the watch omits the change, the target must not be used until the next watch.
+func TestTargetThatLeftIsNotUsedAfterARestart(t *testing.T) {
+	store := &fakeStore{pageSize: 10}
+	store.putRoutes(1)
+	store.register("a", nil)
+	store.register("b", nil)
+	store.remove("t/a")
+	store.staleBy = 1
+	store.dropChanges = true
+	s := registry.NewSource(store, zerolog.Nop())
+	require.Equal(t, []string{"b"}, ids(watch(t, s)))
+}
+
 func TestOutdatedReportIsIgnored(t *testing.T) {
 	store := &fakeStore{pageSize: 10}
 	store.putRoutes(1)
