Routes send nothing with the configuration of before a pause

Cause: "a process that had been paused acted on a permission that had run out" can happen on routes: after a pause of seconds a request is matched and sent with the table of before. Only the path of searches and changes checked for a pause.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -179,6 +179,18 @@
 	require.EqualValues(t, 2, s.connections.Load())
 }
 
+// A reply without a length ends with its connection, unless the connection is reset.
+func TestReplyWithoutLengthIsLostWhenItsConnectionIsReset(t *testing.T) {
+	s := startServer(t, func(_ int, c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nReceipt: x\r\n\r\nhalf")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	_, err := newClient().Send(context.Background(), s.target(), newRequest("1"), time.Second)
+	require.ErrorIs(t, err, backend.ErrLost)
+}
+
 func TestRefusedConnectionReturnsErrNotSent(t *testing.T) {
 	s := startServer(t, nil)
 	target := s.target()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -204,9 +204,14 @@
 	services, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	supervisor := suture.New(d.settings.Vm.Id, suture.Spec{EventHook: d.logEvent})
-	for _, service := range []suture.Service{d.control, d.owner, d.callerServer, d.peerServer} {
+	for _, service := range []suture.Service{d.control, d.callerServer, d.peerServer} {
 		supervisor.Add(service)
 	}
+	if d.settings.Platform.Protocol != protocolUsers {
+		// On the users' platform this VM owns no targets, and the owner's frequent checks
+		// of the clock would only cost processor time.
+		supervisor.Add(d.owner)
+	}
 	if d.members != nil {
 		supervisor.Add(d.members)
 	}
--- a/internal/fanout/finish.go
+++ b/internal/fanout/finish.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/health"
 )
 
 // finishEvent ends the handling of an event. It answers the request if all legs have
@@ -80,6 +81,26 @@
 	m.actions.Answer = &Answer{Outcome: NotRun, Missing: len(m.legs), RetryAfter: m.retryAfter(), Cause: cause}
 }
 
+// Withhold takes back the sends of the given actions, which must be the latest ones and
+// not be carried out yet. Legs that have no other attempt in flight fail with the cause.
+func (m *Machine) Withhold(now time.Time, actions Actions, cause string) Actions {
+	m.startEvent(now)
+	for _, send := range actions.Sends {
+		a := &m.attempts[send.Attempt]
+		a.ended = true
+		l := &m.legs[a.leg]
+		l.end(a.target.ID, false, now)
+		a.target.Health.End(a.sentAt, now, health.Canceled, m.latencies.typical)
+		if l.running == 0 {
+			m.failLeg(l, cause)
+		}
+	}
+	if m.answered {
+		return Actions{Answer: actions.Answer}
+	}
+	return m.finishEvent()
+}
+
 // mayHaveRun reports whether a target may have run the request or may still run it.
 func (m *Machine) mayHaveRun() bool {
 	for i := range m.legs {
--- a/internal/fanout/machine_test.go
+++ b/internal/fanout/machine_test.go
@@ -242,3 +242,23 @@
 	}
 	require.Equal(t, 5, sent)
 }
+
+// A VM that was paused sends nothing more for a request of before the pause, and waits for
+// what it has sent.
+func TestWithheldSendsFailOnlyLegsWithoutAttempts(t *testing.T) {
+	m := newMachine(newSharedState(), gatheringRoute(services(4)), start)
+	m.Start(start)
+	for i := range 3 {
+		m.Ended(at(5*time.Millisecond), i, goodReply("r"), nil)
+	}
+	hedge := m.Tick(at(40 * time.Millisecond))
+	require.Len(t, hedge.Sends, 1)
+	require.Nil(t, m.Withhold(at(40*time.Millisecond), hedge, "paused").Answer)
+	actions := m.Ended(at(60*time.Millisecond), 3, goodReply("r"), nil)
+	require.Equal(t, fanout.Complete, actions.Answer.Outcome)
+
+	m = newMachine(newSharedState(), gatheringRoute(services(4)), start)
+	actions = m.Withhold(start, m.Start(start), "paused")
+	require.Equal(t, fanout.NotRun, actions.Answer.Outcome)
+	require.Empty(t, actions.Sends)
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -32,11 +32,19 @@
 // about as long as a VM takes to start.
 const startupRetryAfter = 500 * time.Millisecond
 
+// pauseRetryAfter is the retry delay told to callers of a VM that was paused: about the
+// time of a few heartbeats, which confirm the configuration.
+const pauseRetryAfter = 200 * time.Millisecond
+
 func (c *call) serve() {
 	g := c.gateway
 	c.id = g.options.Dialect.RequestID(c.http.Header)
 	c.compiled = g.table(c.received)
 	table := c.compiled.table
+	if g.paused(c.received) {
+		c.notRun("this VM was paused and its configuration is not confirmed yet", pauseRetryAfter)
+		return
+	}
 	if !table.HasRouteTable() {
 		c.notRun("no configuration is known yet", startupRetryAfter)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/carawayreel/carawayreel/internal/fanout"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/pause"
 	"github.com/carawayreel/carawayreel/internal/routing"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
@@ -34,6 +35,9 @@
 	// idleSweepInterval is the interval between sweeps that close expired idle
 	// connections.
 	idleSweepInterval = 500 * time.Millisecond
+	// pauseThreshold is the time without an idle sweep after which this process counts as
+	// having been paused. A few sweeps may be late on a busy processor.
+	pauseThreshold = 4 * idleSweepInterval
 	// minAssumedVMs is the minimum number of VMs that are assumed to share the limits
 	// while it is not known which other VMs run.
 	minAssumedVMs = 12
@@ -54,7 +58,9 @@
 	Views  view.Source
 	Client Client
 	// Targets holds the health of the targets.
-	Targets  *health.Tracker
+	Targets *health.Tracker
+	// Pauses detects pauses of this process; nil uses a detector of the gateway's own.
+	Pauses   *pause.Detector
 	Dialect  backend.Dialect
 	Settings *pb.Settings
 	Logger   zerolog.Logger
@@ -68,6 +74,7 @@
 	log         *requestLogger
 	settings    atomic.Pointer[pb.RouteSettings]
 	running     atomic.Int64
+	pauses      *pause.Detector
 	// unreachable is true while this VM cannot serve some gathering route.
 	unreachable atomic.Bool
 	// stopBy is the Unix time in nanoseconds by which requests must have ended; zero
@@ -100,6 +107,10 @@
 		log:         newRequestLogger(options.Logger, options.Settings.GetLog(), options.Metrics),
 		counters:    newCounters(options.Metrics),
 		changed:     make(chan struct{}, 1),
+		pauses:      options.Pauses,
+	}
+	if g.pauses == nil {
+		g.pauses = pause.NewDetector(pauseThreshold)
 	}
 	gracePeriod := time.Duration(float64(options.Settings.GetRoutes().GetDrainMs())*gracePeriodShare) * time.Millisecond
 	self := options.Views.Current().Self
@@ -125,13 +136,17 @@
 func (g *Gateway) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(idleSweepInterval)
 	defer ticker.Stop()
+	g.pauses.Start(time.Now())
+	defer g.pauses.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-g.changed:
 			g.table(time.Now())
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
+			g.pauses.Tick(g.options.Views.Current(), now)
 			g.options.Client.CloseIdle(now)
 		}
 	}
@@ -215,6 +230,12 @@
 	c.serve()
 }
 
+// paused reports whether a request received at the given time must not be sent to targets
+// now, because this process was paused since and its configuration may be outdated.
+func (g *Gateway) paused(received time.Time) bool {
+	return g.pauses.Blocks(g.options.Views.Current(), received, time.Now())
+}
+
 // deadline returns the time by which a request must be answered.
 func (g *Gateway) deadline(received time.Time, limit time.Duration) time.Time {
 	deadline := received.Add(limit - min(deadlineMargin, limit/marginDivisor))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/carawayreel/carawayreel/internal/gateway"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/pause"
 	"github.com/carawayreel/carawayreel/internal/standin/users"
 	"github.com/carawayreel/carawayreel/internal/testkit"
 	"github.com/carawayreel/carawayreel/internal/view"
@@ -64,11 +65,11 @@
 // target in the failure domains a and b.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	return newFixtureWithClient(t, nil)
+	return newFixtureWith(t, func(*gateway.Options) {})
 }
 
-// newFixtureWithClient is newFixture with a client of the test's own unless it is nil.
-func newFixtureWithClient(t *testing.T, client gateway.Client) *fixture {
+// newFixtureWith is newFixture with options that the test modifies.
+func newFixtureWith(t *testing.T, modify func(*gateway.Options)) *fixture {
 	t.Helper()
 	f := &fixture{views: &views{}, targets: map[string]*users.Target{}, log: &bytes.Buffer{}}
 	c := &pb.Configuration{Revision: 1, RouteTable: &pb.RouteTable{
@@ -94,17 +95,16 @@
 	f.views.set(c)
 	set := metrics.NewSet()
 	f.metrics = set
-	if client == nil {
-		client = backend.NewClient(platform.Headers{}, "", set)
-	}
-	f.gateway = gateway.New(gateway.Options{
-		Views: f.views, Dialect: platform.Headers{}, Client: client,
+	options := gateway.Options{
+		Views: f.views, Dialect: platform.Headers{}, Client: backend.NewClient(platform.Headers{}, "", set),
 		Targets: health.NewTracker(), Metrics: set, Logger: zerolog.New(f.log),
 		Settings: &pb.Settings{
 			Routes: &pb.RouteSettings{ExtraLoadShare: 0.2, ExtraLoadSlack: 50, ExtraLoadWindowMs: 10000, DrainMs: drainMs, MaxWaitingRequests: 100},
 			Log:    &pb.LogSettings{LinesPerS: 100},
 		},
-	})
+	}
+	modify(&options)
+	f.gateway = gateway.New(options)
 	f.server = httptest.NewServer(f.gateway)
 	t.Cleanup(f.server.Close)
 	return f
@@ -248,7 +248,7 @@
 // not wait for them.
 func TestTimeoutAnswerDoesNotWaitForCancelledAttempts(t *testing.T) {
 	client := slowToCancel{release: make(chan struct{})}
-	f := newFixtureWithClient(t, client)
+	f := newFixtureWith(t, func(o *gateway.Options) { o.Client = client })
 	t.Cleanup(func() { close(client.release) })
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -358,3 +358,21 @@
 		})
 	}
 }
+
+// After a pause of the process, requests are not sent with the configuration of before
+// until control publishes a newer view.
+func TestPausedProcessSendsNothingUntilItsConfigurationIsConfirmed(t *testing.T) {
+	pauses := pause.NewDetector(time.Second)
+	pauses.Start(time.Now().Add(-10 * time.Second))
+	f := newFixtureWith(t, func(o *gateway.Options) { o.Pauses = pauses })
+	response, _ := f.do(t, "GET", "/f/x", "")
+	require.Equal(t, 503, response.StatusCode)
+	require.Equal(t, "0.200", response.Header.Get("Retry-After"))
+	for _, target := range f.targets {
+		require.Empty(t, target.Runs())
+	}
+	f.views.set(f.views.Current().Configuration)
+	time.Sleep(time.Millisecond)
+	response, _ = f.do(t, "GET", "/f/x", "")
+	require.Equal(t, 200, response.StatusCode)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,6 +90,9 @@
 	defer timer.Stop()
 	actions := r.machine.Start(time.Now())
 	for {
+		if len(actions.Sends) > 0 && r.call.gateway.paused(r.call.received) {
+			actions = r.machine.Withhold(time.Now(), actions, "this VM was paused")
+		}
 		r.carryOut(actions)
 		if actions.Answer != nil {
 			return actions.Answer
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -187,7 +187,7 @@
 	return h, exclusive, nil
 }
 
-// checkView returns an error unless the caller is still there and the view, the gap detector and the work's
+// checkView returns an error unless the caller is still there and the view, the pause detector and the work's
 // sendBy time allow the work to be sent now. The caller's own context is checked because its end reaches the
 // contexts that are derived from it one after the other: a slot that it frees could otherwise go to work of
 // the same caller.
@@ -196,7 +196,7 @@
 	switch {
 	case w.callerErr() != nil:
 		return &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: reasonCallerLeft}
-	case v.Paused || o.gapDetector.blocked(v, w.received, now):
+	case v.Paused || o.pauses.Blocks(v, w.received, now):
 		return &admissionError{status: pb.SubStatus_SUB_STATUS_SHED, reason: reasonPaused}
 	case !v.Owns(w.target):
 		return &admissionError{status: pb.SubStatus_SUB_STATUS_NOT_OWNER, reason: reasonNotOwner}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -16,6 +16,7 @@
 
 	"github.com/carawayreel/carawayreel/internal/decision"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/pause"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
@@ -61,7 +62,7 @@
 	trace         *traceWriter
 	quarantine    *quarantine.List
 	announcer     Announcer
-	gapDetector   *gapDetector
+	pauses        *pause.Detector
 
 	// syncedView is the view that the handlers were last synchronized with.
 	syncedView atomic.Pointer[view.View]
@@ -75,9 +76,10 @@
 	retired map[string]*handler
 	// handOvers holds the states received from previous owners, by target ID.
 	handOvers map[string]pendingHandOver
-	// handledGaps and handledPause record which pauses of the VM the handlers have already been notified of.
-	handledGaps  int
-	handledPause bool
+	// handledPauses and handledPause record which pauses of the VM the handlers have already been notified of:
+	// those that this package detected and those of the view.
+	handledPauses int
+	handledPause  bool
 }
 
 // pendingHandOver is a hand-over of a target that is not owned yet.
@@ -96,7 +98,7 @@
 		sourceAddress: options.SourceAddress,
 		quarantine:    options.Quarantine,
 		announcer:     options.Announcer,
-		gapDetector:   newGapDetector(time.Duration(options.Limits.GetClockGapMs()) * time.Millisecond),
+		pauses:        pause.NewDetector(time.Duration(options.Limits.GetClockGapMs()) * time.Millisecond),
 		handlers:      map[string]*handler{},
 		retired:       map[string]*handler{},
 		handOvers:     map[string]pendingHandOver{},
@@ -119,16 +121,16 @@
 	defer ticker.Stop()
 	health := time.NewTicker(healthInterval)
 	defer health.Stop()
-	o.gapDetector.start(time.Now())
+	o.pauses.Start(time.Now())
 	o.syncView()
 	for {
 		select {
 		case <-ctx.Done():
-			o.gapDetector.stop()
+			o.pauses.Stop()
 			o.closeIdleConnections()
 			return ctx.Err()
 		case <-ticker.C:
-			o.gapDetector.tick(o.views.Current(), time.Now())
+			o.pauses.Tick(o.views.Current(), time.Now())
 			o.syncView()
 			o.closeRetired()
 		case <-health.C:
@@ -178,12 +180,12 @@
 // resumeAfterPause starts a guard time for all targets after a pause of this VM. During the pause another VM
 // may have owned them although no view showed it.
 func (o *Owner) resumeAfterPause(v *view.View) {
-	gaps := o.gapDetector.gapCount()
-	if gaps == o.handledGaps && (v.Paused || !o.handledPause) {
+	pauses := o.pauses.Count()
+	if pauses == o.handledPauses && (v.Paused || !o.handledPause) {
 		o.handledPause = v.Paused
 		return
 	}
-	o.handledGaps, o.handledPause = gaps, v.Paused
+	o.handledPauses, o.handledPause = pauses, v.Paused
 	if v.Direct {
 		return
 	}
