Rejections are remembered; retries that an answer needs come first; cut domains that refuse

Changes: a decayed rate of rejections per target, pooled with what peers report, raises its cost; the last tokens of the budget go to retries without which the request fails; refusals without any response for 100 ms show an unreachable domain, and a service is cut off when its remaining targets are down; routes are ready once the store has confirmed the configuration.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -130,6 +130,8 @@
 // status is the state besides the view that other goroutines read.
 type status struct {
 	ready             bool
+	readyForRoutes    bool
+	routesReason      string
 	reason            string
 	leaveAcknowledged bool
 	isWatcher         bool
@@ -198,6 +200,13 @@
 	return s.ready, s.reason
 }
 
+// ReadyForRoutes reports whether this VM can serve callers of routes and, if not, the
+// reason.
+func (c *Control) ReadyForRoutes() (bool, string) {
+	s := c.status.Load()
+	return s.readyForRoutes, s.routesReason
+}
+
 // WatchesStore reports whether this VM is one of the store watchers of its failure domain.
 func (c *Control) WatchesStore() bool { return c.status.Load().isWatcher }
 
@@ -292,6 +301,7 @@
 func (c *Control) setStatus() {
 	next := &status{leaveAcknowledged: c.machine.leaveAcknowledged, isWatcher: c.machine.isWatcher()}
 	next.ready, next.reason = c.machine.ready()
+	next.readyForRoutes, next.routesReason = c.machine.readyForRoutes()
 	next.counts = counts{machine: c.machine.stats, table: c.machine.table.Stats()}
 	before := c.status.Load()
 	if before != nil {
@@ -301,8 +311,8 @@
 		next.members = c.machine.table.Members()
 		c.statusMembersVersion = version
 	}
-	if before == nil || before.ready != next.ready || before.reason != next.reason {
-		c.options.Logger.Info().Bool("ready", next.ready).Str("reason", next.reason).Msg("readiness")
+	if before == nil || before.ready != next.ready || before.readyForRoutes != next.readyForRoutes || before.reason != next.reason {
+		c.options.Logger.Info().Bool("ready", next.ready).Bool("ready_for_routes", next.readyForRoutes).Str("reason", next.reason).Msg("readiness")
 	}
 	c.status.Store(next)
 }
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -321,3 +322,25 @@
 		}
 	}
 }
+
+// After all VMs were down at the same time (the fault kill_all), each of them can serve
+// routes as soon as it has read the store. The members confirm one another later.
+func TestVMsServeRoutesOnceTheStoreIsReadAfterAllWereDown(t *testing.T) {
+	s := newDeployment(3, 2)
+	s.write(testConfiguration(3, "first"))
+	s.run(3 * time.Second)
+	for _, name := range s.names {
+		s.kill(name)
+	}
+	s.run(time.Second)
+	for i, name := range slices.Clone(s.names) {
+		s.startVM(name, s.vms[name].domain, uint64(200+i))
+	}
+	s.run(100 * time.Millisecond)
+	for _, name := range s.names {
+		ready, reason := s.vms[name].machine.readyForRoutes()
+		require.True(t, ready, "%s: %s", name, reason)
+		paused, _ := s.vms[name].machine.ready()
+		require.False(t, paused, "targets are owned only once the members are confirmed")
+	}
+}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// readyForRoutes reports whether this VM can serve callers of routes and, if not, the
+// reason. Routes depend on the configuration only, so that a store that confirms it
+// suffices, without the members: after all VMs were down, these need longer to confirm one
+// another.
+func (m *machine) readyForRoutes() (bool, string) {
+	ready, reason := m.ready()
+	if !ready && !m.stopping && m.configuration != nil && m.confirmedAt.After(m.pause.since) {
+		return true, ""
+	}
+	return ready, reason
+}
+
 func vmOf(member *pb.Member) view.VM {
 	return view.VM{
 		ID:            member.Vm,
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -42,7 +42,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		ready, reason := d.control.Ready()
+		ready, reason := d.control.ReadyForRoutes()
 		if ready && d.gateway != nil && !d.gateway.ReachesTargets(time.Now()) {
 			ready, reason = false, "failure domains with the targets of routes are cut off"
 		}
--- a/internal/fanout/budget.go
+++ b/internal/fanout/budget.go
@@ -1,7 +1,6 @@
 package fanout
 
 import (
-	"math"
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/routing"
@@ -17,10 +16,30 @@
 	burstShare = 0.5
 	// minBurst lets every VM send one extra request, however many VMs there are.
 	minBurst = 1.0
-	// hedgeReserve is the part of a full bucket that is reserved for retries.
-	hedgeReserve = 0.25
+	// optionalReserve is the part of a full bucket that is reserved for retries without
+	// which the request fails.
+	optionalReserve = 0.25
 )
 
+// priority is the priority of an extra request in the use of the budget.
+type priority int
+
+const (
+	// optionalPriority is that of a hedge, whose leg may still succeed, and of a retry
+	// without which the answer is only less complete.
+	optionalPriority priority = iota
+	// requiredPriority is that of a retry without which the request fails.
+	requiredPriority
+)
+
+// reserve returns the number of tokens that extra requests of the priority must leave.
+func (p priority) reserve(burst float64) float64 {
+	if p == requiredPriority {
+		return 0
+	}
+	return burst * optionalReserve
+}
+
 // tokenBucket is the budget of extra requests that this VM sends to a service. Requests and
 // elapsed time add tokens, and each extra request takes one, so that the extra
 // requests in any window stay within the slack plus the share of the requests.
@@ -56,15 +75,12 @@
 }
 
 // withdraw takes a token for an extra request and reports whether one was available.
-func (s *SharedState) withdraw(service string, reason Reason, now time.Time) bool {
+func (s *SharedState) withdraw(service string, p priority, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bucket(service, now)
-	reserve := 0.0
-	if reason == Hedge {
-		reserve = math.Floor(s.limits.burst() * hedgeReserve)
-	}
-	if b.tokens < 1+reserve {
+	// A small bucket could otherwise never hold enough for an optional request.
+	if b.tokens < min(1+p.reserve(s.limits.burst()), s.limits.burst()) {
 		return false
 	}
 	b.tokens--
--- a/internal/fanout/load_test.go
+++ b/internal/fanout/load_test.go
@@ -89,6 +89,39 @@
 	require.Greater(t, meanSquaredCoverage(s, route.Goal, 0, 10*time.Second), 0.98)
 }
 
+// Two of the three targets of most shards turn away six requests in ten, whatever their
+// load (the fault srv_grey, variant shed across), which exhausts the budget of retries
+// when they keep their share of the requests. Without a memory of rejections, seven in
+// ten requests fail.
+func TestSheddingTargetsLoseTheirShareOfRequests(t *testing.T) {
+	rejected := 0
+	serve := searchServer(func(*simulation, *routing.Target) float64 { return 1 })
+	s := newSimulation(3, func(s *simulation, target *routing.Target) (time.Duration, *backend.Reply, error) {
+		if target.FailureDomain != "c" && target.Service < "s8" && s.random.Float64() < 0.6 {
+			rejected++
+			return time.Millisecond, notRunReply(), nil
+		}
+		return serve(s, target)
+	})
+	shared := fanout.NewSharedState()
+	shared.SetLimits(fanout.Limits{Share: 0.2, Slack: 8, Window: 10 * time.Second})
+	route := gatheringRoute(services(10))
+	route.LeastCoverage = 0.9
+	const requests = 300
+	for i := range requests {
+		s.after(time.Duration(i)*30*time.Millisecond, func() { s.request(shared, route) })
+	}
+	s.runEvents()
+	served := 0
+	for _, a := range s.answers {
+		if a.answer.Outcome == fanout.Complete || a.answer.Outcome == fanout.Partial {
+			served++
+		}
+	}
+	require.Greater(t, served, requests*95/100)
+	require.Less(t, rejected, requests*8/10, "of eight legs in each request")
+}
+
 // In every window, the extra requests of all VMs together stay within the share of the
 // requests plus the slack, whatever the targets do.
 func TestExtraRequestsOfAllVMsStayWithinBudget(t *testing.T) {
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -183,7 +183,7 @@
 	case reply.OtherTarget:
 		return health.Unreachable
 	case reply.NotRun:
-		return health.Busy
+		return health.Rejected
 	case reply.Successful():
 		return health.Succeeded
 	default:
@@ -235,7 +235,7 @@
 		m.failLeg(l, l.cause)
 		return
 	}
-	if reason != Failover && !m.shared.withdraw(l.service.Name, reason, m.now) {
+	if reason != Failover && !m.shared.withdraw(l.service.Name, m.retryPriority(l), m.now) {
 		m.failLeg(l, l.cause+"; the budget of retries is spent")
 		return
 	}
@@ -253,6 +253,14 @@
 	return m.in.Route.Gathers() && !m.coverageMet(others) && m.coverageMet(others+1)
 }
 
+// retryPriority returns the priority of a retry of the leg.
+func (m *Machine) retryPriority(l *leg) priority {
+	if !m.in.Route.Gathers() || m.isRequired(l) {
+		return requiredPriority
+	}
+	return optionalPriority
+}
+
 func (m *Machine) maySend(l *leg) bool {
 	return !l.done && l.sends < maxSendsPerLeg && m.in.Deadline.Sub(m.now) > minTimeLeft
 }
@@ -265,7 +273,7 @@
 		return
 	}
 	target := m.chooseTarget(l)
-	if target == nil || !m.shared.withdraw(l.service.Name, Hedge, m.now) {
+	if target == nil || !m.shared.withdraw(l.service.Name, optionalPriority, m.now) {
 		l.hedgeAt = m.now.Add(time.Duration(hedgeRetryFactor * float64(m.latencies.typical)))
 		return
 	}
--- a/internal/health/domain.go
+++ b/internal/health/domain.go
@@ -11,6 +11,10 @@
 	// since. Individual targets that crash or pause do not reach it: they are fewer, or
 	// others in the domain still reply.
 	minUnresponsive = 4
+	// minSilence is the minimum time in which no target of the domain responds. A cut may
+	// also refuse connections, which takes a millisecond, while the targets that are up
+	// need the usual reply time to show that the domain is reachable.
+	minSilence = 100 * time.Millisecond
 	// probeInterval is the time between two requests to an unreachable domain. It
 	// bounds the time until a recovery is noticed.
 	probeInterval = 250 * time.Millisecond
@@ -24,9 +28,13 @@
 	observer Observer
 
 	mu sync.Mutex
-	// unresponsive maps the targets that did not respond to the time when the request
-	// was sent.
+	// unresponsive maps the targets that did not respond, or refused the connection, to
+	// the time when the latest such request was sent. silentSince is when the first such
+	// request after the last response was sent.
 	unresponsive map[*State]time.Time
+	silentSince  time.Time
+	// down is true while the domain counts as unreachable.
+	down bool
 	// respondedSentAt is the send time of the newest request that a target responded to.
 	respondedSentAt time.Time
 	// lastSentAt is when a request was last sent to the domain.
@@ -46,16 +54,20 @@
 	d.lastSentAt = now
 }
 
-// recordNoResponse records that a target did not respond to a request.
-func (d *domain) recordNoResponse(s *State, sent time.Time) {
+// recordNoResponse records that a target did not respond to a request, or refused the
+// connection.
+func (d *domain) recordNoResponse(s *State, sent, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !sent.After(d.respondedSentAt) {
 		return
 	}
-	before := len(d.unresponsive)
+	if len(d.unresponsive) == 0 || sent.Before(d.silentSince) {
+		d.silentSince = sent
+	}
 	d.unresponsive[s] = sent
-	if before < minUnresponsive && len(d.unresponsive) == minUnresponsive {
+	if !d.down && len(d.unresponsive) >= minUnresponsive && now.Sub(d.silentSince) >= minSilence {
+		d.down = true
 		d.observer.DomainUnreachable(d.name, len(d.unresponsive))
 	}
 }
@@ -67,14 +79,17 @@
 	if !sent.After(d.respondedSentAt) {
 		return
 	}
-	wasUnreachable := len(d.unresponsive) >= minUnresponsive
 	d.respondedSentAt = sent
+	d.silentSince = now
 	for s, at := range d.unresponsive {
 		if !at.After(sent) {
 			delete(d.unresponsive, s)
+		} else if at.Before(d.silentSince) {
+			d.silentSince = at
 		}
 	}
-	if wasUnreachable && len(d.unresponsive) < minUnresponsive {
+	if d.down && len(d.unresponsive) < minUnresponsive {
+		d.down = false
 		d.recoveredAt = now
 		d.observer.DomainReachable(d.name)
 	}
@@ -85,7 +100,7 @@
 func (d *domain) awaitsProbe(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.unresponsive) >= minUnresponsive && now.Sub(d.lastSentAt) < probeInterval
+	return d.down && now.Sub(d.lastSentAt) < probeInterval
 }
 
 // unreachableTTL is how long a domain counts as unreachable after the last request to
@@ -97,7 +112,7 @@
 func (d *domain) unreachable(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.unresponsive) >= minUnresponsive && now.Sub(d.lastSentAt) < unreachableTTL
+	return d.down && now.Sub(d.lastSentAt) < unreachableTTL
 }
 
 // recoveredSince reports whether the domain became reachable again after the given
@@ -113,4 +128,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.unresponsive, s)
+	d.down = d.down && len(d.unresponsive) >= minUnresponsive
 }
--- a/internal/health/failing.go
+++ b/internal/health/failing.go
@@ -17,12 +17,12 @@
 // mark to each other. They do not forward request counts of other VMs, which would
 // then be counted more than once.
 func (s *State) detectFailing(now time.Time) {
-	failed, all := s.pooledCounts(now)
-	if failed < minFailed || failed < minFailedShare*(all+priorRequests) {
+	c := s.pooledCounts(now)
+	if c.failed < minFailed || c.failed < minFailedShare*(c.all+priorRequests) {
 		return
 	}
 	if !s.isFailing(now) {
-		s.observer.TargetFailing(s.id, failed, all)
+		s.observer.TargetFailing(s.id, c.failed, c.all)
 	}
 	s.failingAt = now
 }
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -59,9 +59,11 @@
 	// Unresponsive means that the target neither accepted nor refused a connection in
 	// time.
 	Unresponsive
-	// Busy means that the target is at capacity or that all of this VM's connections
-	// to it are in use.
+	// Busy means that all of this VM's connections to the target are in use.
 	Busy
+	// Rejected means that the target did not run the request, mostly because its queue is
+	// full.
+	Rejected
 	// Abandoned is a request that got no reply in time and was given up. Its age counts
 	// as a reply time. It is also a consecutive failure of the target, and makes the
 	// target count as unresponsive in its failure domain, but is not part of the
@@ -76,7 +78,7 @@
 // may still run it.
 func (o Outcome) MayHaveRun() bool {
 	switch o {
-	case Unreachable, Unresponsive, Busy:
+	case Unreachable, Unresponsive, Busy, Rejected:
 		return false
 	default:
 		return true
@@ -104,11 +106,9 @@
 	ejections    int
 	// ejectedAt is when the last ejection began.
 	ejectedAt time.Time
-	// down is true when the target is ejected because it can't be reached, and
-	// unresponsive when it did not respond at all.
-	down         bool
-	unresponsive bool
-	probing      bool
+	// down is true when the target is ejected because it can't be reached.
+	down    bool
+	probing bool
 	// domain is the target's failure domain; nil when it is unknown.
 	domain *domain
 
@@ -158,15 +158,17 @@
 		}
 	case Unreachable, Unresponsive:
 		s.recordFailure(now)
-		s.down, s.unresponsive = true, outcome == Unresponsive
+		s.down = true
 		s.eject(unreachableEjection, now)
 	case Busy:
 		s.ejectedUntil = later(s.ejectedUntil, now.Add(busyBackoff))
+	case Rejected:
+		s.recordRejection(now)
 	case Abandoned:
 		s.recordLatency(age, typical, now)
 		s.consecutiveFailures++
 		if s.consecutiveFailures >= ejectAfterFailures {
-			s.down, s.unresponsive = true, true
+			s.down = true
 			s.eject(failureEjection, now)
 		}
 	case Canceled:
@@ -179,17 +181,17 @@
 		return
 	}
 	switch outcome {
-	case Succeeded, Unreachable:
+	case Succeeded, Rejected:
 		s.domain.recordResponse(began, now)
-	case Unresponsive, Abandoned:
-		s.domain.recordNoResponse(s, began)
+	case Unreachable, Unresponsive, Abandoned:
+		s.domain.recordNoResponse(s, began, now)
 	case Failed, Busy, Canceled:
 	}
 }
 
 func (s *State) recordSuccess(age, typical time.Duration, now time.Time) {
 	s.recordLatency(age, typical, now)
-	s.outcomes.add(0, now)
+	s.outcomes.add(counts{all: 1}, now)
 	s.consecutiveFailures, s.ejections, s.down = 0, 0, false
 	s.ejectedUntil = time.Time{}
 }
@@ -210,7 +212,7 @@
 }
 
 func (s *State) recordFailure(now time.Time) {
-	s.outcomes.add(1, now)
+	s.outcomes.add(counts{failed: 1, all: 1}, now)
 	s.consecutiveFailures++
 	s.detectFailing(now)
 }
@@ -226,21 +228,19 @@
 	return 1 + (s.latencyRatio-1)*decay(s.latencyRatioAt, now, latencyHalfLife)
 }
 
-// pooledCounts returns the numbers of failed and of all requests, decayed, from this VM's
-// evidence and that of its peers.
-func (s *State) pooledCounts(now time.Time) (failed, all float64) {
-	failed, all = s.outcomes.decayed(now)
+// pooledCounts returns the decayed counts of this VM's evidence and that of its peers.
+func (s *State) pooledCounts(now time.Time) counts {
+	pooled := s.outcomes.decayed(now)
 	for _, peer := range s.peerOutcomes {
-		f, a := peer.decayed(now)
-		failed, all = failed+f, all+a
+		pooled = pooled.plus(peer.decayed(now))
 	}
-	return failed, all
+	return pooled
 }
 
 // failureRate is the share of failed requests in all evidence.
 func (s *State) failureRate(now time.Time) float64 {
-	failed, all := s.pooledCounts(now)
-	return failed / (all + priorRequests)
+	c := s.pooledCounts(now)
+	return c.failed / (c.all + priorRequests)
 }
 
 func decay(since, now time.Time, halfLife time.Duration) float64 {
@@ -264,6 +264,7 @@
 	defer s.mu.Unlock()
 	cost := s.decayedLatencyRatio(now) * (1 + float64(len(s.inFlight))/float64(max(slots, 1)))
 	cost *= 1 + failureCost*s.failureRate(now)
+	cost *= 1 + rejectionCost*s.rejectionRate(now)
 	if len(s.inFlight) > 0 {
 		age := float64(now.Sub(s.inFlight[0])) / float64(max(typical, time.Millisecond)) / overdueAfter
 		cost *= max(age, 1)
@@ -280,8 +281,8 @@
 
 // Ejected reports whether the target is ejected, and if so, whether the reason is that
 // it can't be reached. After an ejection for failures a target is half-open: it gets one
-// request at a time until one succeeds. The ejection of an unresponsive target ends early
-// when its failure domain recovers.
+// request at a time until one succeeds. The ejection of a target that can't be reached ends
+// early when its failure domain recovers.
 func (s *State) Ejected(now time.Time) (ejected, down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -289,7 +290,7 @@
 		if s.domain.awaitsProbe(now) {
 			return true, true
 		}
-		if s.down && s.unresponsive && s.domain.recoveredSince(s.ejectedAt) {
+		if s.down && s.domain.recoveredSince(s.ejectedAt) {
 			return false, false
 		}
 	}
@@ -303,6 +304,13 @@
 	return s.domain != nil && s.domain.unreachable(now)
 }
 
+// Unreached reports whether the target could not be reached when it was last tried.
+func (s *State) Unreached() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 // EjectedUntil returns when the target's ejection ends; zero when it is not ejected.
 func (s *State) EjectedUntil() time.Time {
 	s.mu.Lock()
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -251,3 +251,43 @@
 	}
 	require.False(t, ejected(healthy, start.Add(400*time.Millisecond)))
 }
+
+// A cut failure domain refuses connections (the fault zone_cut, variant reset).
+func TestRefusedConnectionsShowAnUnreachableFailureDomain(t *testing.T) {
+	tracker := health.NewTracker()
+	var states []*health.State
+	for _, id := range []string{"u", "v", "w", "x", "y"} {
+		states = append(states, tracker.Start(id, "b"))
+	}
+	refuse := func(at time.Time) {
+		for _, s := range states[:4] {
+			s.Begin(at)
+			s.End(at, at.Add(time.Millisecond), health.Unreachable, typical)
+		}
+	}
+	refuse(start)
+	require.False(t, states[4].DomainUnreachable(start.Add(time.Millisecond)), "the other targets may still reply")
+	refuse(start.Add(150 * time.Millisecond))
+	require.True(t, states[4].DomainUnreachable(start.Add(151*time.Millisecond)))
+}
+
+// Several targets of a domain crash at once (the fault srv_crash, variant dark), while
+// others reply: requests find them refusing at any moment.
+func TestCrashedTargetsDoNotMarkRespondingDomainUnreachable(t *testing.T) {
+	tracker := health.NewTracker()
+	healthy := tracker.Start("s", "b")
+	var crashed []*health.State
+	for _, id := range []string{"u", "v", "w", "x", "y"} {
+		crashed = append(crashed, tracker.Start(id, "b"))
+	}
+	for at := time.Duration(0); at < 2*time.Second; at += 30 * time.Millisecond {
+		sent := start.Add(at)
+		healthy.Begin(sent)
+		for _, s := range crashed {
+			s.Begin(sent)
+			s.End(sent, sent.Add(time.Millisecond), health.Unreachable, typical)
+		}
+		require.False(t, healthy.DomainUnreachable(sent.Add(time.Millisecond)))
+		healthy.End(sent, sent.Add(typical), health.Succeeded, typical)
+	}
+}
--- a/internal/health/outcomes.go
+++ b/internal/health/outcomes.go
@@ -2,20 +2,31 @@
 
 import "time"
 
-// outcomes counts failed requests and all requests with exponential decay.
-type outcomes struct {
+// counts holds decayed numbers of requests.
+type counts struct {
+	// failed are the requests that failed and all those that were not rejected.
 	failed, all float64
-	at          time.Time
+	// rejected are the requests that the target rejected without running them.
+	rejected float64
+}
+
+func (c counts) plus(other counts) counts {
+	return counts{failed: c.failed + other.failed, all: c.all + other.all, rejected: c.rejected + other.rejected}
+}
+
+// outcomes counts requests by their outcome, with exponential decay.
+type outcomes struct {
+	counts
+	at time.Time
 }
 
-// add counts a request; failed is 1 if it failed and 0 otherwise.
-func (o *outcomes) add(failed float64, now time.Time) {
-	f, a := o.decayed(now)
-	*o = outcomes{failed: f + failed, all: a + 1, at: now}
+// add counts requests.
+func (o *outcomes) add(c counts, now time.Time) {
+	*o = outcomes{counts: o.decayed(now).plus(c), at: now}
 }
 
 // decayed returns the counts decayed to the given time.
-func (o outcomes) decayed(now time.Time) (failed, all float64) {
+func (o outcomes) decayed(now time.Time) counts {
 	factor := decay(o.at, now, outcomeHalfLife)
-	return o.failed * factor, o.all * factor
+	return counts{failed: o.failed * factor, all: o.all * factor, rejected: o.rejected * factor}
 }
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// minReportedFailures is the smallest decayed count of failed requests that is
-	// reported to other VMs.
+	// minReportedFailures is the smallest decayed count of failed or of rejected requests
+	// that is reported to other VMs.
 	minReportedFailures = 0.5
 	// reportTTL is how long evidence of slow and quick replies is reported.
 	reportTTL = 2 * time.Second
@@ -107,7 +107,7 @@
 // severity orders reports: failing targets first, then slow ones, then the others.
 func severity(r *pb.TargetReport) uint32 {
 	const failing, slow = 2000, 1000
-	sum := min(r.FailedTenths, slow-1)
+	sum := min(r.FailedTenths+r.RejectedTenths, slow-1)
 	if r.FailingMs > 0 {
 		sum += failing
 	}
@@ -133,13 +133,14 @@
 		report.FirstSlowMs, report.LastSlowMs = ago(s.streak.firstSlow), ago(s.streak.lastSlow)
 		report.QuickMs = ago(s.streak.lastQuick)
 	}
-	if failed, all := s.outcomes.decayed(now); failed >= minReportedFailures {
-		report.FailedTenths, report.AllTenths = uint32(failed*tenthsPerRequest), uint32(all*tenthsPerRequest)
+	if c := s.outcomes.decayed(now); max(c.failed, c.rejected) >= minReportedFailures {
+		report.FailedTenths, report.AllTenths = uint32(c.failed*tenthsPerRequest), uint32(c.all*tenthsPerRequest)
+		report.RejectedTenths = uint32(c.rejected * tenthsPerRequest)
 	}
 	if s.isFailing(now) {
 		report.FailingMs = ago(s.failingAt)
 	}
-	if report.LastSlowMs+report.QuickMs+report.FailedTenths+report.FailingMs == 0 {
+	if report.LastSlowMs+report.QuickMs+report.FailedTenths+report.FailingMs+report.RejectedTenths == 0 {
 		return nil
 	}
 	return report
@@ -159,7 +160,7 @@
 	if report.GetFailingMs() > 0 {
 		s.mergeFailing(ago(report.GetFailingMs()))
 	}
-	if report.GetFailedTenths() > 0 {
+	if report.GetFailedTenths()+report.GetRejectedTenths() > 0 {
 		s.mergeOutcomes(from, report, now)
 		s.detectFailing(now)
 	}
@@ -176,6 +177,10 @@
 	}
 	if _, known := s.peerOutcomes[from]; known || len(s.peerOutcomes) < maxPeerVMs {
 		all := float64(report.GetAllTenths()) / tenthsPerRequest
-		s.peerOutcomes[from] = outcomes{failed: min(float64(report.GetFailedTenths())/tenthsPerRequest, all), all: all, at: now}
+		s.peerOutcomes[from] = outcomes{at: now, counts: counts{
+			failed:   min(float64(report.GetFailedTenths())/tenthsPerRequest, all),
+			all:      all,
+			rejected: float64(report.GetRejectedTenths()) / tenthsPerRequest,
+		}}
 	}
 }
--- a/internal/owner/change.go
+++ b/internal/owner/change.go
@@ -9,11 +9,12 @@
 
 const (
 	// changeReserve is the minimum time that must remain until a change's deadline when it is sent. A change
-	// that is still running at its deadline has an unknown outcome.
-	changeReserve = 100 * time.Millisecond
+	// that is still running at its deadline has an unknown outcome, whereas one that was not sent can safely
+	// be tried again. On a busy VM a reply takes a hundred milliseconds and more.
+	changeReserve = 250 * time.Millisecond
 	// changeReserveDivisor caps the reserve at 1/changeReserveDivisor of the time remaining on arrival, so
 	// that changes with short deadlines can still be sent.
-	changeReserveDivisor = 4
+	changeReserveDivisor = 2
 )
 
 // DispatchChange runs a change on an owned target, at most once per call. The reply is never nil. The outcome
--- a/internal/routing/reach.go
+++ b/internal/routing/reach.go
@@ -20,12 +20,12 @@
 	return ""
 }
 
-// unreachableServices returns the services that have targets, all of them in
-// unreachable failure domains.
+// unreachableServices returns the services that this VM can't reach because failure
+// domains are cut off.
 func (t *Table) unreachableServices(now time.Time) map[*Service]bool {
 	var unreachable map[*Service]bool
 	for _, service := range t.services {
-		if len(service.Targets) == 0 || service.reachable(now) {
+		if !service.cutOff(now) {
 			continue
 		}
 		if unreachable == nil {
@@ -36,13 +36,20 @@
 	return unreachable
 }
 
-func (s *Service) reachable(now time.Time) bool {
+// cutOff reports whether some targets are in unreachable failure domains and no other one
+// could be reached. A service whose targets have all crashed is not cut off: no other VM
+// reaches it either.
+func (s *Service) cutOff(now time.Time) bool {
+	cut := false
 	for _, target := range s.Targets {
-		if !target.Health.DomainUnreachable(now) {
-			return true
+		switch {
+		case target.Health.DomainUnreachable(now):
+			cut = true
+		case !target.Health.Unreached():
+			return false
 		}
 	}
-	return false
+	return cut
 }
 
 // blockedBy reports whether the route can't be served because the given services are
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -138,6 +138,37 @@
 	require.Empty(t, table.UnreachableRoute(now))
 }
 
+// A VM is cut off from two failure domains (the fault zone_cut, variant reset). In one of
+// them it has tried too few targets to consider it unreachable, but all that it knows
+// there are down.
+func TestServiceIsCutOffWhenItsOtherTargetsAreDown(t *testing.T) {
+	var registrations []*pb.Registration
+	for _, id := range []string{"u", "v", "w", "x", "y"} {
+		r := registration(id)
+		r.FailureDomain = "b"
+		registrations = append(registrations, r)
+	}
+	lone := registration("z")
+	lone.FailureDomain = "c"
+	table := routing.NewCompiler(health.NewTracker(), localVM, 0).Compile(configuration(append(registrations, lone)...), 1, start)
+	now := start.Add(150 * time.Millisecond)
+	refuse := func(id string, at time.Time) {
+		for _, target := range table.Match("h", "/a/x").WeightedServices[0].Service.Targets {
+			if target.ID == id {
+				target.Health.Begin(at)
+				target.Health.End(at, at, health.Unreachable, time.Millisecond)
+			}
+		}
+	}
+	for _, id := range []string{"u", "v", "w", "x"} {
+		refuse(id, start)
+		refuse(id, now)
+	}
+	require.Empty(t, table.UnreachableRoute(now))
+	refuse("z", now)
+	require.Equal(t, "long", table.UnreachableRoute(now))
+}
+
 func TestTargetsInOwnFailureDomainAreNear(t *testing.T) {
 	other := registration("y")
 	other.FailureDomain = "b"
