Gathering is delegated to the larger VMs next to the targets

Cause: on deployments whose VMs differ, a VM with 0.19 of a core needs tens of milliseconds for an exchange with 36 or 90 shards, and VMs of failure domains without targets have each exchange cross domains. With few requests each, VMs open a connection for nearly every exchange and learn little of the targets.

VMs advertise their processor and a gather address in the membership. Those with at least twice the median processor, in failure domains that hold a target of most of a route's shards, gather for the others. A VM passes the caller's request on over plain HTTP and returns the gatherer's answer; the existing state machine chooses among gatherers as among targets, with their health. Rules: one gatherer only may run a request (max_attempts); one that has another version of the routes, stops, is suspected, or refuses runs nothing, and the VM then gathers by itself; after half of the time limit without an answer the caller is told to try again. Gatherers share half of the connections and of the slack of extra requests. Equal fleets, as on the small sites, have no gatherers.

By the way: a caller's X-Deadline-Ms was forwarded beside the VM's own; it is removed.

Tests: in virtual time (lost gatherer, at most one gatherer runs a request), two gateways over sockets (version, loss, half an answer, silence, stop), processes (planned stop of the only gatherer cuts nothing, its loss costs running requests).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -39,6 +39,8 @@
 	// OtherTarget is true if the reply comes from a target other than the expected
 	// one.
 	OtherTarget bool
+	// Delegated is true if the reply is a gathered answer from another VM.
+	Delegated bool
 	// ColdFor is how long the target stays cold; zero if it is not stated.
 	ColdFor time.Duration
 }
@@ -51,6 +53,9 @@
 	// AppendAttemptHeaders appends the header lines that tell a target which target the
 	// request is meant for and how much time is left for the answer.
 	AppendAttemptHeaders(text []byte, target string, timeLeft time.Duration) []byte
+	// RemoveAttemptHeaders removes the headers that AppendAttemptHeaders sets from those of
+	// a caller's request.
+	RemoveAttemptHeaders(h http.Header)
 	// ParseReply reads the headers of a target's reply.
 	ParseReply(status int, h http.Header) ReplyMetadata
 	// SetGatherHeaders sets the headers that list the receipts in an answer and the number of
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -53,15 +53,19 @@
 	strayReplies *metrics.Counter
 }
 
-// NewClient returns a client that reads and writes the platform's headers through
-// dialect. Connections are made from sourceAddress unless it is empty.
-func NewClient(dialect Dialect, sourceAddress string, set *metrics.Set) *Client {
+// MetricPrefix is the prefix of the metrics of a client that sends to targets.
+const MetricPrefix = "carawayreel_backend"
+
+// NewClient returns a client that reads and writes headers through dialect. Connections
+// are made from sourceAddress unless it is empty. The names of its metrics in the set
+// begin with the prefix.
+func NewClient(dialect Dialect, sourceAddress string, set *metrics.Set, prefix string) *Client {
 	c := &Client{
 		dialect:      dialect,
 		dialer:       net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAlive: -1},
 		pools:        map[string]*pool{},
-		dials:        set.NewCounter("carawayreel_backend_connections_total"),
-		strayReplies: set.NewCounter("carawayreel_backend_stray_replies_total"),
+		dials:        set.NewCounter(prefix + "_connections_total"),
+		strayReplies: set.NewCounter(prefix + "_stray_replies_total"),
 	}
 	if sourceAddress != "" {
 		c.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(sourceAddress)}
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -28,6 +28,7 @@
 func (dialect) AppendAttemptHeaders(text []byte, target string, timeLeft time.Duration) []byte {
 	return fmt.Appendf(text, "Target: %s\r\nLeft: %s\r\n", target, timeLeft)
 }
+func (dialect) RemoveAttemptHeaders(http.Header) {}
 func (dialect) ParseReply(_ int, h http.Header) backend.ReplyMetadata {
 	return backend.ReplyMetadata{RequestID: h.Get("Id"), Receipt: h.Get("Receipt"), NotRun: h.Get("Not-Run") != ""}
 }
@@ -79,7 +80,7 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: x\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
-func newClient() *backend.Client { return backend.NewClient(dialect{}, "", metrics.NewSet()) }
+func newClient() *backend.Client { return backend.NewClient(dialect{}, "", metrics.NewSet(), backend.MetricPrefix) }
 
 func (s *server) target() *backend.Target {
 	return &backend.Target{ID: "t", Address: s.listener.Addr().String(), Connections: 2}
--- a/internal/backend/conn_test.go
+++ b/internal/backend/conn_test.go
@@ -35,7 +35,7 @@
 // Regression test: if the close were reported as ErrNotSent, a non-idempotent request
 // that the target may have run would be sent to another target.
 func TestConnectionCloseIsClassifiedAfterTheWrite(t *testing.T) {
-	c := NewClient(nil, "", metrics.NewSet())
+	c := NewClient(nil, "", metrics.NewSet(), MetricPrefix)
 	ended := make(chan error, 1)
 	a := &attempt{request: &Request{}, end: func(_ *Reply, err error) { ended <- err }}
 	p := &pool{open: 1}
--- a/internal/backend/request.go
+++ b/internal/backend/request.go
@@ -28,6 +28,12 @@
 	err  error
 }
 
+// Clone returns a request with the same content, whose headers may be changed until it is
+// sent.
+func (r *Request) Clone() *Request {
+	return &Request{ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header.Clone(), Body: r.Body}
+}
+
 var endOfHead = []byte("\r\n\r\n")
 
 // encoded returns the request's head without the empty line that ends it. The head is
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -172,8 +172,12 @@
 			Vm:            options.Self.ID,
 			FailureDomain: options.Self.FailureDomain,
 			PeerAddress:   options.Self.PeerAddress,
-			Incarnation:   options.Self.Incarnation,
-			State:         pb.MemberState_MEMBER_STATE_ALIVE,
+			GatherPort:    options.Self.GatherPort,
+
+			ProcessorMillicores: options.Self.ProcessorMillicores,
+
+			Incarnation: options.Self.Incarnation,
+			State:       pb.MemberState_MEMBER_STATE_ALIVE,
 		},
 		Platform:    options.Settings.GetPlatform(),
 		Peers:       options.Settings.GetPeers(),
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -118,8 +118,12 @@
 		ID:            member.Vm,
 		FailureDomain: member.FailureDomain,
 		PeerAddress:   member.PeerAddress,
-		Incarnation:   member.Incarnation,
-		State:         member.State,
+		GatherPort:    member.GatherPort,
+
+		ProcessorMillicores: member.ProcessorMillicores,
+
+		Incarnation: member.Incarnation,
+		State:       member.State,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"math"
+	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -53,6 +56,7 @@
 	// gateway serves routes. It is nil if the settings have no route address.
 	gateway         *gateway.Gateway
 	routeServer     *transport.Server
+	gatherServer    *transport.Server
 	readinessServer *transport.Server
 }
 
@@ -169,7 +173,27 @@
 		PeerAddress:   address,
 		Incarnation:   uint64(time.Now().UnixNano()),
 		State:         pb.MemberState_MEMBER_STATE_ALIVE,
+		GatherPort:    gatherPort(settings.Listen.GatherAddress),
+
+		ProcessorMillicores: uint32(math.Round(settings.Vm.ProcessorCores * millicoresPerCore)),
+	}
+}
+
+// millicoresPerCore converts cores to the unit in which VMs advertise their processor.
+const millicoresPerCore = 1000
+
+// gatherPort returns the port of the address, or zero if there is none. The settings are
+// checked when they are loaded.
+func gatherPort(address string) uint32 {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return 0
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil {
+		return 0
 	}
+	return uint32(number)
 }
 
 // listen binds the caller and peer addresses. Connections are not served before Run.
@@ -221,7 +245,7 @@
 	for _, service := range extra {
 		supervisor.Add(service)
 	}
-	for _, server := range []*transport.Server{d.routeServer, d.readinessServer} {
+	for _, server := range []*transport.Server{d.routeServer, d.gatherServer, d.readinessServer} {
 		if server != nil {
 			supervisor.Add(server)
 		}
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/gateway"
 	"github.com/carawayreel/carawayreel/internal/transport"
 	"github.com/carawayreel/carawayreel/platform"
@@ -29,7 +30,9 @@
 		d.gateway = gateway.New(gateway.Options{
 			Views: d.control, Dialect: platform.Headers{}, Settings: d.settings, Logger: d.logger, Metrics: set,
 			Targets: d.targetHealth,
-			Client:  backend.NewClient(platform.Headers{}, listen.SourceAddress, set),
+			Client:  backend.NewClient(platform.Headers{}, listen.SourceAddress, set, backend.MetricPrefix),
+			Gatherers: backend.NewClient(delegation.Dialect{Platform: platform.Headers{}},
+				listen.SourceAddress, set, delegation.MetricPrefix),
 		})
 		server, err := transport.ListenHTTP1(listen.RouteAddress, d.gateway)
 		if err != nil {
@@ -37,6 +40,13 @@
 		}
 		d.routeServer = server
 	}
+	if listen.GatherAddress != "" && d.gateway != nil {
+		server, err := transport.ListenHTTP1(listen.GatherAddress, d.gateway.GatherHandler())
+		if err != nil {
+			return errors.Wrap(err, "gather address")
+		}
+		d.gatherServer = server
+	}
 	if listen.ReadyAddress == "" {
 		return nil
 	}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -171,6 +171,7 @@
 	return &pb.Member{
 		Vm: self.ID, FailureDomain: self.FailureDomain, PeerAddress: self.PeerAddress,
 		Incarnation: self.Incarnation, State: self.State,
+		GatherPort: self.GatherPort, ProcessorMillicores: self.ProcessorMillicores,
 	}
 }
 
@@ -219,6 +220,11 @@
 			return errors.Wrap(err, "requests of routes were cut short")
 		}
 	}
+	if d.gatherServer != nil {
+		if err := d.gatherServer.Shutdown(ctx); err != nil {
+			return errors.Wrap(err, "delegated requests were cut short")
+		}
+	}
 	if err := d.callerServer.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "callers' requests were cut short")
 	}
--- /dev/null
+++ b/internal/delegation/dialect.go
@@ -0,0 +1,98 @@
+package delegation
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/carawayreel/carawayreel/internal/backend"
+)
+
+// MetricPrefix is the prefix of the metrics of the client that sends to gatherers.
+const MetricPrefix = "carawayreel_delegation"
+
+// Headers of delegated requests and their answers.
+const (
+	// versionHeader is the version of the route table that the delegating VM uses. A
+	// gatherer with another one does not run the request.
+	versionHeader = "Carawayreel-Route-Version"
+	// elapsedHeader is the time since the request was received, in microseconds.
+	elapsedHeader = "Carawayreel-Elapsed-Us"
+	// answerToHeader is the ID of the request that an answer belongs to.
+	answerToHeader = "Carawayreel-Answer-To"
+)
+
+// keepAlive tells the delegating VM how long a connection stays open. A VM delegates a
+// request every few seconds.
+const keepAlive = "timeout=60"
+
+// Request is what a delegating VM states about a request.
+type Request struct {
+	// RouteVersion is the version of the route table that the request was matched with.
+	RouteVersion uint64
+	// Elapsed is the time since the delegating VM received the request.
+	Elapsed time.Duration
+}
+
+// SetHeaders adds the statements to the headers of a delegated request.
+func (r Request) SetHeaders(h http.Header) {
+	h.Set(versionHeader, strconv.FormatUint(r.RouteVersion, 10))
+	h.Set(elapsedHeader, strconv.FormatInt(r.Elapsed.Microseconds(), 10))
+}
+
+// TakeRequest removes the statements of the delegating VM from the headers and returns
+// them. It reports false if they are missing or malformed.
+func TakeRequest(h http.Header) (Request, bool) {
+	version, versionErr := strconv.ParseUint(h.Get(versionHeader), 10, 64)
+	elapsed, elapsedErr := strconv.ParseInt(h.Get(elapsedHeader), 10, 64)
+	h.Del(versionHeader)
+	h.Del(elapsedHeader)
+	return Request{RouteVersion: version, Elapsed: time.Duration(elapsed) * time.Microsecond}, versionErr == nil && elapsedErr == nil
+}
+
+// SetAnswerHeaders sets the headers that the answer to a delegated request carries.
+func SetAnswerHeaders(h http.Header, id string) {
+	h.Set(answerToHeader, id)
+	h.Set("Keep-Alive", keepAlive)
+}
+
+// Dialect is the dialect between a delegating VM and a gatherer. Requests carry the
+// platform's headers, and answers those of a gathered answer.
+type Dialect struct {
+	// Platform is the dialect of callers and targets.
+	Platform backend.Dialect
+}
+
+// RequestID implements backend.Dialect.
+func (d Dialect) RequestID(h http.Header) string { return d.Platform.RequestID(h) }
+
+// TimeLimit implements backend.Dialect.
+func (d Dialect) TimeLimit(h http.Header) time.Duration { return d.Platform.TimeLimit(h) }
+
+// AppendAttemptHeaders implements backend.Dialect.
+func (d Dialect) AppendAttemptHeaders(text []byte, target string, timeLeft time.Duration) []byte {
+	return d.Platform.AppendAttemptHeaders(text, target, timeLeft)
+}
+
+// RemoveAttemptHeaders implements backend.Dialect.
+func (d Dialect) RemoveAttemptHeaders(h http.Header) { d.Platform.RemoveAttemptHeaders(h) }
+
+// SetGatherHeaders implements backend.Dialect.
+func (d Dialect) SetGatherHeaders(h http.Header, receipts []string, missing int) {
+	d.Platform.SetGatherHeaders(h, receipts, missing)
+}
+
+// ParseReply implements backend.Dialect. A gatherer answers 503 or 409 if it did not run
+// the request. Its answer stands for the receipt of a target.
+func (d Dialect) ParseReply(status int, h http.Header) backend.ReplyMetadata {
+	id := h.Get(answerToHeader)
+	h.Del(answerToHeader)
+	metadata := backend.ReplyMetadata{RequestID: id, Delegated: true}
+	switch status {
+	case http.StatusOK:
+		metadata.Receipt = id
+	case http.StatusServiceUnavailable, http.StatusConflict:
+		metadata.NotRun = true
+	}
+	return metadata
+}
--- a/internal/e2e/users_test.go
+++ b/internal/e2e/users_test.go
@@ -39,7 +39,14 @@
 
 func startUsers(t *testing.T) *testkit.UsersDeployment {
 	t.Helper()
-	d, err := testkit.StartUsersDeployment(testDir(t), "a", "b", "c")
+	return startUsersWithProcessors(t, 0, 0, 0)
+}
+
+// startUsersWithProcessors starts VMs in the failure domains a, b and c that advertise the
+// given processor cores.
+func startUsersWithProcessors(t *testing.T, cores ...float64) *testkit.UsersDeployment {
+	t.Helper()
+	d, err := testkit.StartUsersDeploymentWithProcessors(testDir(t), cores, "a", "b", "c")
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
 	for _, domain := range []string{"a", "b", "c"} {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -23,6 +23,8 @@
 		c.writer.WriteHeader(http.StatusGatewayTimeout)
 	case len(answer.Replies) == 0:
 		c.writer.WriteHeader(http.StatusBadGateway)
+	case len(answer.Replies) == 1 && answer.Replies[0].Delegated:
+		c.writeReply(answer.Replies[0])
 	case c.route.Gathers():
 		c.writeGathered(answer)
 	default:
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -71,7 +71,7 @@
 	v.set(c)
 	set := metrics.NewSet()
 	g := gateway.New(gateway.Options{
-		Views: v, Dialect: platform.Headers{}, Client: backend.NewClient(platform.Headers{}, "", set),
+		Views: v, Dialect: platform.Headers{}, Client: backend.NewClient(platform.Headers{}, "", set, backend.MetricPrefix),
 		Targets: health.NewTracker(), Metrics: set, Logger: zerolog.Nop(),
 		Settings: &pb.Settings{
 			Routes: &pb.RouteSettings{ExtraLoadShare: 0.2, ExtraLoadSlack: 50, ExtraLoadWindowMs: 10000, MaxWaitingRequests: 100},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -17,10 +17,14 @@
 
 // call is a caller's HTTP request and its response.
 type call struct {
-	gateway  *Gateway
-	writer   http.ResponseWriter
-	http     *http.Request
-	received time.Time
+	gateway *Gateway
+	writer  http.ResponseWriter
+	http    *http.Request
+	// arrived is when this VM received the request, and received when the first VM did.
+	// They differ if the request was delegated to this VM.
+	arrived   time.Time
+	received  time.Time
+	delegated bool
 
 	id       string
 	compiled *compiledTable
@@ -39,9 +43,9 @@
 func (c *call) serve() {
 	g := c.gateway
 	c.id = g.options.Dialect.RequestID(c.http.Header)
-	c.compiled = g.table(c.received)
+	c.compiled = g.table(c.arrived)
 	table := c.compiled.table
-	if g.paused(c.received) {
+	if g.paused(c.arrived) {
 		c.notRun("this VM was paused and its configuration is not confirmed yet", pauseRetryAfter)
 		return
 	}
@@ -72,7 +76,10 @@
 		ID: c.id, Method: c.http.Method, URI: c.http.RequestURI, Host: c.http.Host,
 		Header: endToEndHeaders(c.http.Header), Body: body,
 	}
-	c.run()
+	g.options.Dialect.RemoveAttemptHeaders(c.request.Header)
+	if !c.runDelegated() {
+		c.run()
+	}
 }
 
 // overloadRetryAfter is the retry delay told to callers of an overloaded VM.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/health"
@@ -57,6 +58,9 @@
 type Options struct {
 	Views  view.Source
 	Client Client
+	// Gatherers sends requests to other VMs that gather answers. If it is nil, this VM
+	// gathers all answers by itself.
+	Gatherers Client
 	// Targets holds the health of the targets.
 	Targets *health.Tracker
 	// Pauses detects pauses of this process; nil uses a detector of the gateway's own.
@@ -71,10 +75,12 @@
 type Gateway struct {
 	options     Options
 	fanoutState *fanout.SharedState
-	log         *requestLogger
-	settings    atomic.Pointer[pb.RouteSettings]
-	running     atomic.Int64
-	pauses      *pause.Detector
+	// delegationState is the state that delegated requests share.
+	delegationState *fanout.SharedState
+	log             *requestLogger
+	settings        atomic.Pointer[pb.RouteSettings]
+	running         atomic.Int64
+	pauses          *pause.Detector
 	// unreachable is true while this VM cannot serve some gathering route.
 	unreachable atomic.Bool
 	// stopBy is the Unix time in nanoseconds by which requests must have ended; zero
@@ -83,6 +89,7 @@
 
 	mu           sync.Mutex
 	compiler     *routing.Compiler
+	delegates    *delegates
 	compiledFrom *pb.Configuration
 	compiled     atomic.Pointer[compiledTable]
 
@@ -93,21 +100,29 @@
 
 // compiledTable is a table with the inputs that it was compiled from.
 type compiledTable struct {
-	table      *routing.Table
-	view       *view.View
-	vms        int
+	table     *routing.Table
+	view      *view.View
+	vms       int
+	gatherers int
+	// gathers is true if this VM is one of the gatherers.
+	gathers    bool
 	validUntil time.Time
+	// delegated holds, for each route whose requests this VM delegates, the route on which
+	// it does so.
+	delegated map[*routing.Route]*routing.Route
 }
 
 // New returns a Gateway that has not compiled a table yet.
 func New(options Options) *Gateway {
 	g := &Gateway{
-		options:     options,
-		fanoutState: fanout.NewSharedState(),
-		log:         newRequestLogger(options.Logger, options.Settings.GetLog(), options.Metrics),
-		counters:    newCounters(options.Metrics),
-		changed:     make(chan struct{}, 1),
-		pauses:      options.Pauses,
+		options:         options,
+		fanoutState:     fanout.NewSharedState(),
+		delegationState: fanout.NewSharedState(),
+		delegates:       newDelegates(),
+		log:             newRequestLogger(options.Logger, options.Settings.GetLog(), options.Metrics),
+		counters:        newCounters(options.Metrics),
+		changed:         make(chan struct{}, 1),
+		pauses:          options.Pauses,
 	}
 	if g.pauses == nil {
 		g.pauses = pause.NewDetector(pauseThreshold)
@@ -184,28 +199,66 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	vms := sharingVMs(current)
-	if cached = g.compiled.Load(); cached != nil && cached.table.Revision == current.Revision() &&
-		g.compiledFrom == current.Configuration && cached.vms == vms && (cached.validUntil.IsZero() || now.Before(cached.validUntil)) {
-		next := &compiledTable{table: cached.table, view: current, vms: vms, validUntil: cached.validUntil}
-		g.compiled.Store(next)
-		return next
+	next := &compiledTable{view: current, vms: sharingVMs(current)}
+	gatherers := g.gatherers(current)
+	next.gatherers, next.gathers = len(gatherers), contains(gatherers, current.Self.ID)
+	cached = g.compiled.Load()
+	if cached.fits(next, g.compiledFrom, now) {
+		next.table, next.validUntil = cached.table, cached.validUntil
+	} else {
+		g.compile(next, now)
 	}
-	table := g.compiler.Compile(current.Configuration, vms, now)
-	next := &compiledTable{table: table, view: current, vms: vms, validUntil: g.compiler.NextChange()}
-	g.compiledFrom = current.Configuration
+	next.delegated = g.delegates.compile(current, next.table, gatherers)
 	g.compiled.Store(next)
-	g.fanoutState.SetLimits(limitsOf(g.settings.Load(), vms))
-	g.fanoutState.Retain(table)
-	g.options.Client.Retain(table.HasTarget)
-	g.log.newTable(table, vms, current.ConfigurationAge(now))
 	return next
 }
 
-func limitsOf(settings *pb.RouteSettings, vms int) fanout.Limits {
+// fits reports whether the table may be used for next, if it was compiled from the given
+// configuration.
+func (c *compiledTable) fits(next *compiledTable, from *pb.Configuration, now time.Time) bool {
+	return c != nil && c.table.Revision == next.view.Revision() && from == next.view.Configuration &&
+		c.vms == next.vms && c.gatherers == next.gatherers && c.gathers == next.gathers && (c.validUntil.IsZero() || now.Before(c.validUntil))
+}
+
+// gatherers returns the VMs that gather answers for others.
+func (g *Gateway) gatherers(v *view.View) []view.VM {
+	if g.options.Gatherers == nil {
+		return nil
+	}
+	return delegation.Gatherers(v)
+}
+
+// compile compiles the table of the view and applies it. g.mu must be held.
+func (g *Gateway) compile(next *compiledTable, now time.Time) {
+	current := next.view
+	g.compiler.SetGatherers(0)
+	if next.gathers {
+		g.compiler.SetGatherers(next.gatherers)
+	}
+	next.table = g.compiler.Compile(current.Configuration, next.vms, now)
+	next.validUntil = g.compiler.NextChange()
+	g.compiledFrom = current.Configuration
+	g.fanoutState.SetLimits(next.limits(g.settings.Load()))
+	g.fanoutState.Retain(next.table)
+	g.delegationState.SetLimits(next.limits(g.settings.Load()))
+	g.delegationState.Retain(next.table)
+	g.options.Client.Retain(next.table.HasTarget)
+	g.log.newTable(next.table, next.vms, current.ConfigurationAge(now))
+}
+
+// limits returns this VM's limits of extra requests. If some VMs gather answers for the
+// others, half of the slack is theirs, since nearly all requests to shards are.
+func (c *compiledTable) limits(settings *pb.RouteSettings) fanout.Limits {
+	slack := settings.GetExtraLoadSlack() / float64(c.vms)
+	if c.gatherers > 0 {
+		slack /= 2
+	}
+	if c.gathers {
+		slack += settings.GetExtraLoadSlack() / 2 / float64(c.gatherers)
+	}
 	return fanout.Limits{
 		Share:  settings.GetExtraLoadShare(),
-		Slack:  settings.GetExtraLoadSlack() / float64(vms),
+		Slack:  slack,
 		Window: time.Duration(settings.GetExtraLoadWindowMs()) * time.Millisecond,
 	}
 }
@@ -226,7 +279,8 @@
 	if g.stopBy.Load() != 0 || g.unreachable.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{gateway: g, writer: w, http: r, received: time.Now()}
+	now := time.Now()
+	c := &call{gateway: g, writer: w, http: r, arrived: now, received: now}
 	c.serve()
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,12 +15,22 @@
 	seconds   [fanout.CallerGone + 1]*metrics.Histogram
 	refused   *metrics.Counter
 	unwritten *metrics.Counter
+	// delegated counts the requests that a gatherer answered, undelegated those that none
+	// would run, and otherVersion those that this VM did not gather because the delegating
+	// VM has another version of the routes.
+	delegated    *metrics.Counter
+	undelegated  *metrics.Counter
+	otherVersion *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
 	c := counters{
 		refused:   set.NewCounter("carawayreel_route_requests_refused_total"),
 		unwritten: set.NewCounter("carawayreel_route_answers_unwritten_total"),
+
+		delegated:    set.NewCounter("carawayreel_delegation_requests_total"),
+		undelegated:  set.NewCounter("carawayreel_delegation_requests_not_run_total"),
+		otherVersion: set.NewCounter("carawayreel_delegation_other_version_total"),
 	}
 	for outcome := range c.requests {
 		label := fanout.Outcome(outcome).String()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -22,6 +22,8 @@
 // fanoutRun runs the state machine of a call and the attempts that it decides on.
 type fanoutRun struct {
 	call     *call
+	client   Client
+	request  *backend.Request
 	machine  *fanout.Machine
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -30,6 +32,14 @@
 	trace    trace
 }
 
+// runOptions are what a run sends, to whom and with which state.
+type runOptions struct {
+	client  Client
+	state   *fanout.SharedState
+	request *backend.Request
+	input   fanout.Input
+}
+
 // extraAttemptCapacity is the initial capacity for attempts beyond the first of each
 // leg.
 const extraAttemptCapacity = 8
@@ -48,13 +58,30 @@
 		c.notRun("the route has no service", startupRetryAfter)
 		return
 	}
-	r := &fanoutRun{call: c, results: make(chan result, len(legs)*resultsPerLeg)}
-	r.trace.attempts = make([]attemptTrace, 0, len(legs)+extraAttemptCapacity)
-	r.ctx, r.cancel = detachedContext()
-	r.machine = fanout.New(c.gateway.fanoutState, c.compiled.vms, fanout.Input{
-		Route: c.route, Legs: legs, Received: c.received, Deadline: c.gateway.deadline(c.received, c.timeLimit()),
+	r := c.newRun(runOptions{
+		client: c.gateway.options.Client, state: c.gateway.fanoutState, request: c.request,
+		input: fanout.Input{
+			Route: c.route, Legs: legs, Received: c.received, Deadline: c.gateway.deadline(c.arrived, c.timeLimit()),
+		},
 	})
-	answer := r.runMachine()
+	r.conclude(r.runMachine())
+}
+
+func (c *call) newRun(options runOptions) *fanoutRun {
+	legs := len(options.input.Legs)
+	r := &fanoutRun{
+		call: c, client: options.client, request: options.request, results: make(chan result, legs*resultsPerLeg),
+		machine: fanout.New(options.state, c.compiled.vms, options.input),
+	}
+	r.trace.attempts = make([]attemptTrace, 0, legs+extraAttemptCapacity)
+	r.ctx, r.cancel = detachedContext()
+	return r
+}
+
+// conclude writes the answer, or records that the caller left if there is none, and ends
+// the run.
+func (r *fanoutRun) conclude(answer *fanout.Answer) {
+	c := r.call
 	if answer == nil {
 		c.gateway.counters.recordOutcome(fanout.CallerGone, time.Since(c.received))
 		r.cancel()
@@ -90,7 +117,7 @@
 	defer timer.Stop()
 	actions := r.machine.Start(time.Now())
 	for {
-		if len(actions.Sends) > 0 && r.call.gateway.paused(r.call.received) {
+		if len(actions.Sends) > 0 && r.call.gateway.paused(r.call.arrived) {
 			actions = r.machine.Withhold(time.Now(), actions, "this VM was paused")
 		}
 		r.carryOut(actions)
@@ -131,7 +158,7 @@
 }
 
 func (r *fanoutRun) attempt(send fanout.Send) {
-	r.call.gateway.options.Client.Go(r.ctx, &send.Target.Target, r.call.request, send.TimeLeft, func(reply *backend.Reply, err error) {
+	r.client.Go(r.ctx, &send.Target.Target, r.request, send.TimeLeft, func(reply *backend.Reply, err error) {
 		r.results <- result{attempt: send.Attempt, reply: reply, err: err}
 	})
 }
--- a/internal/routing/compiler.go
+++ b/internal/routing/compiler.go
@@ -18,6 +18,9 @@
 	// gracePeriod is how long a lapsed target may still get requests that no other
 	// target can take.
 	gracePeriod time.Duration
+	// gatherers is the number of VMs that gather answers for others if this VM is one of
+	// them, and 0 otherwise.
+	gatherers int
 
 	entries map[string]*entry
 	// nextChange is when the first lapsed target must be removed.
@@ -43,6 +46,11 @@
 // does not change, or zero if that is not necessary.
 func (c *Compiler) NextChange() time.Time { return c.nextChange }
 
+// SetGatherers states that this VM is one of n that gather answers for others, or that it
+// is not if n is 0. Gatherers share most of the connections that the targets of shards
+// allow.
+func (c *Compiler) SetGatherers(n int) { c.gatherers = n }
+
 // Compile returns the table of a configuration. The connections that each target
 // allows are shared by vms VMs.
 func (c *Compiler) Compile(configuration *pb.Configuration, vms int, now time.Time) *Table {
@@ -64,6 +72,9 @@
 			continue
 		}
 		target := c.target(e, declared[e.registration.Service], vms, now)
+		if c.gatherers > 0 && service.shard {
+			target.Connections = connectionShare(declared[service.Name].GetMaxConnections()/gatherersPart, c.gatherers)
+		}
 		service.Targets = append(service.Targets, target)
 		table.targets[id] = target
 	}
@@ -137,6 +148,10 @@
 	return target
 }
 
+// gatherersPart is the part (1/n) of the connections to a shard's targets that the
+// gatherers share. The other VMs use the rest when they can't reach a gatherer.
+const gatherersPart = 2
+
 // minConnections is the number of connections that a VM may always open to a target,
 // however many VMs there are.
 const minConnections = 1
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -48,6 +48,8 @@
 type Service struct {
 	Name    string
 	Targets []*Target
+	// shard is true if a gathering route uses the service.
+	shard bool
 }
 
 // Target is a target that may receive requests.
@@ -133,7 +135,9 @@
 			route.TimeLimit = defaultTimeLimit
 		}
 		for _, shard := range declared.Shards {
-			route.Shards = append(route.Shards, t.service(shard))
+			service := t.service(shard)
+			service.shard = true
+			route.Shards = append(route.Shards, service)
 		}
 		for _, weighted := range declared.Services {
 			route.WeightedServices = append(route.WeightedServices, WeightedService{Service: t.service(weighted.Service), Weight: weighted.Weight})
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -13,6 +13,7 @@
 // Run is a request that a target executed.
 type Run struct {
 	ID, Method, URI, Body string
+	Header                http.Header
 	At                    time.Time
 }
 
@@ -112,7 +113,7 @@
 		}
 	}
 	t.mu.Lock()
-	t.runs = append(t.runs, Run{ID: id, Method: r.Method, URI: r.RequestURI, Body: body.String(), At: time.Now()})
+	t.runs = append(t.runs, Run{ID: id, Method: r.Method, URI: r.RequestURI, Body: body.String(), At: time.Now(), Header: r.Header.Clone()})
 	n := len(t.runs)
 	t.mu.Unlock()
 	if b.ResetAfterRun {
--- a/internal/testkit/users.go
+++ b/internal/testkit/users.go
@@ -17,11 +17,13 @@
 )
 
 // UsersVM is a VM process that uses the fake of the users' platform in package users.
-// SettingsPath is the path of its settings file.
+// ProcessorCores is what the VM advertises, and SettingsPath the path of its settings file.
 type UsersVM struct {
 	ID, Domain                 string
 	RouteAddress, ReadyAddress string
 	CallerAddress, PeerAddress string
+	GatherAddress              string
+	ProcessorCores             float64
 	SettingsPath               string
 	process                    *Process
 }
@@ -40,9 +42,15 @@
 // StartUsersDeployment starts a deployment with an empty store and one VM in each of the
 // failure domains.
 func StartUsersDeployment(dir string, domains ...string) (*UsersDeployment, error) {
+	return StartUsersDeploymentWithProcessors(dir, make([]float64, len(domains)), domains...)
+}
+
+// StartUsersDeploymentWithProcessors is StartUsersDeployment with the processor cores that
+// each VM advertises.
+func StartUsersDeploymentWithProcessors(dir string, cores []float64, domains ...string) (*UsersDeployment, error) {
 	d := &UsersDeployment{Store: users.NewStore(), Targets: map[string]*users.Target{}, dir: dir}
 	d.server = httptest.NewServer(d.Store)
-	const addressesPerVM = 4
+	const addressesPerVM = 5
 	ports, err := reservePorts(portsPerDeployment)
 	if err != nil {
 		return nil, err
@@ -55,7 +63,7 @@
 		}
 		d.VMs = append(d.VMs, &UsersVM{
 			ID: "vm-" + domain, Domain: domain, RouteAddress: addresses[0], ReadyAddress: addresses[1],
-			CallerAddress: addresses[2], PeerAddress: addresses[3], SettingsPath: filepath.Join(dir, "vm-"+domain+".ini"),
+			CallerAddress: addresses[2], PeerAddress: addresses[3], GatherAddress: addresses[4], ProcessorCores: cores[i], SettingsPath: filepath.Join(dir, "vm-"+domain+".ini"),
 		})
 	}
 	for _, vm := range d.VMs {
@@ -74,11 +82,13 @@
 	text := fmt.Sprintf(`[vm]
 id = %s
 failure_domain = %s
+processor_cores = %g
 [listen]
 caller_address = %s
 peer_address = %s
 route_address = %s
 ready_address = %s
+gather_address = %s
 [platform]
 protocol = users
 address = %s
@@ -89,7 +99,7 @@
 [log]
 decision_sample = 1
 %s
-`, vm.ID, vm.Domain, vm.CallerAddress, vm.PeerAddress, vm.RouteAddress, vm.ReadyAddress,
+`, vm.ID, vm.Domain, vm.ProcessorCores, vm.CallerAddress, vm.PeerAddress, vm.RouteAddress, vm.ReadyAddress, vm.GatherAddress,
 		strings.TrimPrefix(d.server.URL, "http://"), d.VMs[0].PeerAddress, extra)
 	return errors.Wrap(os.WriteFile(vm.SettingsPath, []byte(text), 0o600), "write settings file")
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -7,6 +7,8 @@
 package view
 
 import (
+	"net"
+	"strconv"
 	"time"
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
@@ -24,6 +26,22 @@
 	Incarnation uint64
 	// State is the membership state of the VM as this process sees it.
 	State pb.MemberState
+	// GatherPort is the port, at the IP address of PeerAddress, on which the VM gathers
+	// answers for other VMs; zero if it does not.
+	GatherPort uint32
+	// ProcessorMillicores is the VM's processor in thousandths of a core; zero if it is
+	// not known.
+	ProcessorMillicores uint32
+}
+
+// GatherAddress returns the address on which the VM gathers answers for other VMs, or an
+// empty string if it does not.
+func (vm VM) GatherAddress() string {
+	host, _, err := net.SplitHostPort(vm.PeerAddress)
+	if err != nil || vm.GatherPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(int(vm.GatherPort)))
 }
 
 // CanOwn reports whether the VM may own targets: it is alive or suspect.
@@ -105,6 +123,15 @@
 	return vm, ok
 }
 
+// VMs calls yield for each member, in no particular order, until yield returns false.
+func (v *View) VMs(yield func(VM) bool) {
+	for _, vm := range v.vms {
+		if !yield(vm) {
+			return
+		}
+	}
+}
+
 // DomainVMs returns the members of a failure domain that may own targets,
 // sorted by ID. The caller must not modify the slice.
 func (v *View) DomainVMs(failureDomain string) []VM {
