--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -80,7 +80,9 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: x\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
-func newClient() *backend.Client { return backend.NewClient(dialect{}, "", metrics.NewSet(), backend.MetricPrefix) }
+func newClient() *backend.Client {
+	return backend.NewClient(dialect{}, "", metrics.NewSet(), backend.MetricPrefix)
+}
 
 func (s *server) target() *backend.Target {
 	return &backend.Target{ID: "t", Address: s.listener.Addr().String(), Connections: 2}
