--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -37,5 +37,12 @@
 	require.Zero(t, incomplete, "of %d searches", len(answers))
 	summary := stopChanges(t, changes)
 	t.Logf("%d searches", len(answers))
+	counters, err := d.Counters(t.Context(), nil)
+	require.NoError(t, err)
+	for _, target := range counters.Targets {
+		if target.ConnectionViolations+target.Crashes > 0 {
+			t.Logf("%s: %d connections over the limit reset, %d crashes", target.Target, target.ConnectionViolations, target.Crashes)
+		}
+	}
 	require.Equal(t, summary.Tokens, summary.Success)
 }
