--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -169,15 +169,13 @@
 func headerOf(options Options, startedAt time.Time) *pb.ControlTraceHeader {
 	return &pb.ControlTraceHeader{
 		Self: &pb.Member{
-			Vm:            options.Self.ID,
-			FailureDomain: options.Self.FailureDomain,
-			PeerAddress:   options.Self.PeerAddress,
-			GatherPort:    options.Self.GatherPort,
-
+			Vm:                  options.Self.ID,
+			FailureDomain:       options.Self.FailureDomain,
+			PeerAddress:         options.Self.PeerAddress,
+			GatherPort:          options.Self.GatherPort,
 			ProcessorMillicores: options.Self.ProcessorMillicores,
-
-			Incarnation: options.Self.Incarnation,
-			State:       pb.MemberState_MEMBER_STATE_ALIVE,
+			Incarnation:         options.Self.Incarnation,
+			State:               pb.MemberState_MEMBER_STATE_ALIVE,
 		},
 		Platform:    options.Settings.GetPlatform(),
 		Peers:       options.Settings.GetPeers(),
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -115,15 +115,13 @@
 
 func vmOf(member *pb.Member) view.VM {
 	return view.VM{
-		ID:            member.Vm,
-		FailureDomain: member.FailureDomain,
-		PeerAddress:   member.PeerAddress,
-		GatherPort:    member.GatherPort,
-
+		ID:                  member.Vm,
+		FailureDomain:       member.FailureDomain,
+		PeerAddress:         member.PeerAddress,
+		GatherPort:          member.GatherPort,
 		ProcessorMillicores: member.ProcessorMillicores,
-
-		Incarnation: member.Incarnation,
-		State:       member.State,
+		Incarnation:         member.Incarnation,
+		State:               member.State,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -168,13 +168,12 @@
 		address = settings.Listen.PeerAddress
 	}
 	return view.VM{
-		ID:            settings.Vm.Id,
-		FailureDomain: settings.Vm.FailureDomain,
-		PeerAddress:   address,
-		Incarnation:   uint64(time.Now().UnixNano()),
-		State:         pb.MemberState_MEMBER_STATE_ALIVE,
-		GatherPort:    gatherPort(settings.Listen.GatherAddress),
-
+		ID:                  settings.Vm.Id,
+		FailureDomain:       settings.Vm.FailureDomain,
+		PeerAddress:         address,
+		Incarnation:         uint64(time.Now().UnixNano()),
+		State:               pb.MemberState_MEMBER_STATE_ALIVE,
+		GatherPort:          gatherPort(settings.Listen.GatherAddress),
 		ProcessorMillicores: uint32(math.Round(settings.Vm.ProcessorCores * millicoresPerCore)),
 	}
 }
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -31,7 +31,7 @@
 			Views: d.control, Dialect: platform.Headers{}, Settings: d.settings, Logger: d.logger, Metrics: set,
 			Targets: d.targetHealth,
 			Client:  backend.NewClient(platform.Headers{}, listen.SourceAddress, set, backend.MetricPrefix),
-			Gatherers: backend.NewClient(delegation.Dialect{Platform: platform.Headers{}},
+			Gatherers: backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}},
 				listen.SourceAddress, set, delegation.MetricPrefix),
 		})
 		server, err := transport.ListenHTTP1(listen.RouteAddress, d.gateway)
--- a/internal/delegation/dialect.go
+++ b/internal/delegation/dialect.go
@@ -56,35 +56,13 @@
 	h.Set("Keep-Alive", keepAlive)
 }
 
-// Dialect is the dialect between a delegating VM and a gatherer. Requests carry the
-// platform's headers, and answers those of a gathered answer.
-type Dialect struct {
-	// Platform is the dialect of callers and targets.
-	Platform backend.Dialect
-}
-
-// RequestID implements backend.Dialect.
-func (d Dialect) RequestID(h http.Header) string { return d.Platform.RequestID(h) }
-
-// TimeLimit implements backend.Dialect.
-func (d Dialect) TimeLimit(h http.Header) time.Duration { return d.Platform.TimeLimit(h) }
-
-// AppendAttemptHeaders implements backend.Dialect.
-func (d Dialect) AppendAttemptHeaders(text []byte, target string, timeLeft time.Duration) []byte {
-	return d.Platform.AppendAttemptHeaders(text, target, timeLeft)
-}
-
-// RemoveAttemptHeaders implements backend.Dialect.
-func (d Dialect) RemoveAttemptHeaders(h http.Header) { d.Platform.RemoveAttemptHeaders(h) }
-
-// SetGatherHeaders implements backend.Dialect.
-func (d Dialect) SetGatherHeaders(h http.Header, receipts []string, missing int) {
-	d.Platform.SetGatherHeaders(h, receipts, missing)
-}
+// Dialect is the dialect between a delegating VM and a gatherer: requests carry the headers
+// of the embedded platform's dialect, and answers those of a gathered answer.
+type Dialect struct{ backend.Dialect }
 
 // ParseReply implements backend.Dialect. A gatherer answers 503 or 409 if it did not run
-// the request. Its answer stands for the receipt of a target.
-func (d Dialect) ParseReply(status int, h http.Header) backend.ReplyMetadata {
+// the request. The ID of the request stands for the receipt of a target.
+func (Dialect) ParseReply(status int, h http.Header) backend.ReplyMetadata {
 	id := h.Get(answerToHeader)
 	h.Del(answerToHeader)
 	metadata := backend.ReplyMetadata{RequestID: id, Delegated: true}
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
@@ -52,7 +53,7 @@
 	location := routing.Location{VM: v.Self.ID, FailureDomain: v.Self.FailureDomain}
 	for route := range table.GatheringRoutes {
 		next := delegation.NextTo(route, gatherers)
-		if len(next) == 0 || contains(next, v.Self.ID) {
+		if len(next) == 0 || containsVM(next, v.Self.ID) {
 			continue
 		}
 		targets := make([]*routing.Target, 0, len(next))
@@ -78,23 +79,24 @@
 	}
 }
 
+// has reports whether the VM with the incarnation is a gatherer.
+func (d *delegates) has(id string, incarnation int64) bool {
+	state, ok := d.states[id]
+	return ok && int64(state.incarnation) == incarnation
+}
+
 // retain drops the state of VMs that are no gatherers any more.
 func (d *delegates) retain(gatherers []view.VM) {
 	for id := range d.states {
-		if !contains(gatherers, id) {
+		if !containsVM(gatherers, id) {
 			d.tracker.Forget(id)
 			delete(d.states, id)
 		}
 	}
 }
 
-func contains(vms []view.VM, id string) bool {
-	for _, vm := range vms {
-		if vm.ID == id {
-			return true
-		}
-	}
-	return false
+func containsVM(vms []view.VM, id string) bool {
+	return slices.ContainsFunc(vms, func(vm view.VM) bool { return vm.ID == id })
 }
 
 // runDelegated passes the request on to a gatherer and reports whether the caller has been
--- a/internal/health/outcomes.go
+++ b/internal/health/outcomes.go
@@ -4,9 +4,11 @@
 
 // counts holds decayed numbers of requests.
 type counts struct {
-	// failed are the requests that failed and all those that were not rejected.
-	failed, all float64
-	// rejected are the requests that the target rejected without running them.
+	// failed counts the requests that failed or were lost.
+	failed float64
+	// all counts the requests that the target did not reject, failed ones included.
+	all float64
+	// rejected counts the requests that the target rejected without running them.
 	rejected float64
 }
 
