A gatherer does not count the headers of delegation towards the callers' limit

Cause: a caller's header just below the limit became too large by what the delegating VM adds. The gatherer answered 431, which the VM would have passed on to a caller whose request is proper.

Change: the limit is checked by the VM that the caller reached; any 4xx of a gatherer means that it did not run the request, and the VM gathers by itself. The new test failed before.

--- a/internal/delegation/dialect.go
+++ b/internal/delegation/dialect.go
@@ -60,17 +60,15 @@
 // of the embedded platform's dialect, and answers those of a gathered answer.
 type Dialect struct{ backend.Dialect }
 
-// ParseReply implements backend.Dialect. A gatherer answers 503 or 409 if it did not run
+// ParseReply implements backend.Dialect. A gatherer answers 503 or 4xx if it did not run
 // the request. The ID of the request stands for the receipt of a target.
 func (Dialect) ParseReply(status int, h http.Header) backend.ReplyMetadata {
 	id := h.Get(answerToHeader)
 	h.Del(answerToHeader)
 	metadata := backend.ReplyMetadata{RequestID: id, Delegated: true}
-	switch status {
-	case http.StatusOK:
+	metadata.NotRun = status == http.StatusServiceUnavailable || status >= 400 && status < 500
+	if status == http.StatusOK {
 		metadata.Receipt = id
-	case http.StatusServiceUnavailable, http.StatusConflict:
-		metadata.NotRun = true
 	}
 	return metadata
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -61,7 +61,7 @@
 	case c.id == "":
 		c.refuse(http.StatusBadRequest, "the request has no identity")
 		return
-	case headerBytes(c.http) > int(table.Limits.GetMaxHeaderBytes()) && table.Limits.GetMaxHeaderBytes() > 0:
+	case !c.delegated && headerBytes(c.http) > int(table.Limits.GetMaxHeaderBytes()) && table.Limits.GetMaxHeaderBytes() > 0:
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
 		return
 	case g.running.Load() > int64(g.settings.Load().GetMaxWaitingRequests()):
--- a/internal/gateway/delegate_test.go
+++ b/internal/gateway/delegate_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,6 +98,20 @@
 	require.Equal(t, 1, runs(f.small), "other routes are served directly")
 }
 
+// The headers that a delegated request carries in addition don't count towards the limit
+// of callers.
+func TestDelegationAddsNothingToTheCallersHeaders(t *testing.T) {
+	f := newDelegationFixture(t)
+	status := 200
+	for size := 3700; status != 431; size += 10 {
+		f.small.extraHeader = strings.Repeat("x", size)
+		response, _ := f.small.do(t, "GET", "/g/x", "")
+		status = response.StatusCode
+		require.Contains(t, []int{200, 431}, status)
+		require.Zero(t, runs(f.small), "%d bytes", size)
+	}
+}
+
 // While a configuration propagates, the gatherer may have another version of the routes:
 // the VM would see an answer of a version that it does not use itself.
 func TestVMGathersWhileTheGathererHasAnotherVersion(t *testing.T) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -53,6 +53,8 @@
 	metrics *metrics.Set
 	// timeLimitMs is the time limit that callers state.
 	timeLimitMs string
+	// extraHeader is the value of a further header that callers send.
+	extraHeader string
 }
 
 func recordBody(greatest byte) []byte {
@@ -128,6 +130,7 @@
 	r.Header.Set("X-Attempt-Id", "r1")
 	r.Header.Set("X-Deadline-Ms", f.timeLimitMs)
 	r.Header.Set("X-Own", "kept")
+	r.Header.Set("X-Extra", f.extraHeader)
 	response, err := f.server.Client().Do(r)
 	if err != nil {
 		return callerResponse{}, "", err
