VMs have no gatherers until the members are confirmed

Cause, found while reading the change: a large VM that has just started knows only some of the gatherers, and would take a larger part of the slack and of the targets' connections than its own. Change: while the view is paused, VMs gather by themselves, as before. The new test failed before.

--- a/internal/gateway/delegate_test.go
+++ b/internal/gateway/delegate_test.go
@@ -112,6 +112,21 @@
 	}
 }
 
+// After a start or a pause of the process, it knows only some members.
+func TestVMGathersUntilTheMembersAreConfirmed(t *testing.T) {
+	f := newDelegationFixture(t)
+	confirmed := f.small.views.Current()
+	unconfirmed := *confirmed
+	unconfirmed.Paused = true
+	f.small.views.current.Store(&unconfirmed)
+	response, _ := f.small.do(t, "GET", "/g/x", "")
+	require.Equal(t, 200, response.StatusCode)
+	require.Zero(t, runs(f.gatherer))
+	f.small.views.current.Store(confirmed)
+	f.small.do(t, "GET", "/g/x", "")
+	require.Equal(t, 2, runs(f.gatherer))
+}
+
 // While a configuration propagates, the gatherer may have another version of the routes:
 // the VM would see an answer of a version that it does not use itself.
 func TestVMGathersWhileTheGathererHasAnotherVersion(t *testing.T) {
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -57,9 +57,11 @@
 		c.vms == next.vms && c.gatherers == next.gatherers && c.gathers == next.gathers && (c.validUntil.IsZero() || now.Before(c.validUntil))
 }
 
-// gatherers returns the VMs that gather answers for others.
+// gatherers returns the VMs that gather answers for others. There are none while the
+// members are not confirmed: VMs that know only some of the gatherers would together take
+// more than the slack of extra requests and the connections of targets.
 func (g *Gateway) gatherers(v *view.View) []view.VM {
-	if g.options.Gatherers == nil {
+	if g.options.Gatherers == nil || v.Paused {
 		return nil
 	}
 	return delegation.Gatherers(v)
