A connection that was never set up is no received request

Change: such attempts are counted apart, and the target must have received exactly the others. That binds as before: a received request that is reported as not sent still fails the test.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
@@ -229,11 +230,16 @@
 func TestReceivedRequestIsNeverReportedAsNotSent(t *testing.T) {
 	s := startServer(t, func(_ int, c net.Conn, _ *http.Request) { _ = c.Close() })
 	c := newClient()
+	lost := 0
 	for i := range 500 {
 		_, err := c.Send(context.Background(), s.target(), newRequest(strconv.Itoa(i)), time.Second)
-		require.ErrorIs(t, err, backend.ErrLost)
+		if !errors.Is(err, backend.ErrConnectTimeout) {
+			require.ErrorIs(t, err, backend.ErrLost)
+			lost++
+		}
 	}
-	require.EqualValues(t, 500, s.requests.Load())
+	require.EqualValues(t, lost, s.requests.Load())
+	require.Greater(t, lost, 400)
 }
 
 // With a single connection to a target, two concurrent requests are common on a large
