--- a/internal/e2e/gather_test.go
+++ b/internal/e2e/gather_test.go
@@ -83,15 +83,23 @@
 	}))
 }
 
+// startDelegation starts two small VMs and a gatherer, the last VM, and callers of the
+// small ones once these delegate.
+func startDelegation(t *testing.T) (*testkit.UsersDeployment, *gatherCallers) {
+	t.Helper()
+	d := startUsersWithProcessors(t, 0.2, 0.2, 0.8)
+	awaitDelegation(t, d.VMs[0])
+	awaitDelegation(t, d.VMs[1])
+	callers := startGatherCallers(d.VMs[:2]...)
+	time.Sleep(300 * time.Millisecond)
+	return d, callers
+}
+
 // A planned stop of the only gatherer under load cuts no request: the other VMs gather
 // by themselves.
 func TestUsersStopOfTheGathererCutsNoRequest(t *testing.T) {
-	d := startUsersWithProcessors(t, 0.2, 0.2, 0.8)
-	small, gatherer := d.VMs[:2], d.VMs[2]
-	awaitDelegation(t, small[0])
-	awaitDelegation(t, small[1])
-	callers := startGatherCallers(small...)
-	time.Sleep(300 * time.Millisecond)
+	d, callers := startDelegation(t)
+	gatherer := d.VMs[2]
 	gatherer.Process().Signal(syscall.SIGTERM)
 	code, err := gatherer.Process().Wait(t.Context())
 	require.NoError(t, err)
@@ -105,12 +113,8 @@
 // The loss of the only gatherer costs the requests that it was gathering, at most one for
 // each caller. After its restart it gathers again.
 func TestUsersLossOfTheGathererCostsRunningRequestsOnly(t *testing.T) {
-	d := startUsersWithProcessors(t, 0.2, 0.2, 0.8)
+	d, callers := startDelegation(t)
 	small, gatherer := d.VMs[:2], d.VMs[2]
-	awaitDelegation(t, small[0])
-	awaitDelegation(t, small[1])
-	callers := startGatherCallers(small...)
-	time.Sleep(300 * time.Millisecond)
 	gatherer.Process().Kill()
 	time.Sleep(time.Second)
 	callers.end()
