A broken connection ejects its target for a moment; an ejected gatherer is not used

The listening socket of a process that is killed accepts connections until the kernel has closed all of its sockets, and then resets them. The VM counted one failure and sent the next request there again.

Ruled out: idle connections that were found closed late (the second losses have new ports), answers of the targets (causes are "reply lost" of the gatherer only).

Change: the outcome Lost is told from Failed, and ejects the target for 50 ms. Other targets are preferred; where there is none, it stays the last resort. A delegated request does not use an ejected gatherer, since the VM can gather by itself.

--- a/internal/fanout/choose.go
+++ b/internal/fanout/choose.go
@@ -94,6 +94,9 @@
 	if t.Lapsed {
 		cost *= lapsedPenalty
 	}
+	if ejected && m.in.Route.HasFallback {
+		return math.Inf(1)
+	}
 	if ejected {
 		cost *= ejectedPenalty
 	}
--- a/internal/fanout/delegation_test.go
+++ b/internal/fanout/delegation_test.go
@@ -55,6 +55,36 @@
 	}
 }
 
+// The listening socket of a process that is killed accepts connections until the kernel
+// has closed all sockets, and then resets them. Each caller, which sends its next request
+// as soon as one has failed, loses one request at most: the others are gathered by the VM
+// itself.
+func TestEndingGathererIsNotTriedAgain(t *testing.T) {
+	const callers, resets = 8, 20 * time.Millisecond
+	s := newSimulation(1, func(s *simulation, _ *routing.Target) (time.Duration, *backend.Reply, error) {
+		if s.now.Sub(start) < resets {
+			return time.Millisecond, nil, errLost
+		}
+		return time.Millisecond, nil, errNotSent
+	})
+	shared, route := newSharedState(), delegatedRoute("vm", "a")
+	for range callers {
+		for i := range 100 {
+			s.after(time.Duration(i)*2*time.Millisecond, func() { s.request(shared, route) })
+		}
+	}
+	s.runEvents()
+	lost := 0
+	for _, a := range s.answers {
+		if a.answer.Outcome == fanout.Failed {
+			lost++
+		} else {
+			require.Equal(t, fanout.NotRun, a.answer.Outcome)
+		}
+	}
+	require.LessOrEqual(t, lost, callers)
+}
+
 // A gatherer may have run a request before it was lost. The request is not sent to
 // another one, since both could together exceed the bound on targets, and the caller is
 // never told that it has not run.
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -179,7 +179,7 @@
 	case errors.Is(err, backend.ErrNotSent):
 		return health.Unreachable
 	case err != nil:
-		return health.Failed
+		return health.Lost
 	case reply.OtherTarget:
 		return health.Unreachable
 	case reply.NotRun:
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -38,10 +38,13 @@
 
 	// unreachableEjection and failureEjection are the durations of a first ejection.
 	// Each further ejection doubles the duration, up to maxEjection. busyBackoff is
-	// how long a busy target is ejected.
+	// how long a busy target is ejected. lossBackoff is how long a target is ejected
+	// whose connection broke: the socket of a process that ends accepts connections
+	// until all are closed.
 	unreachableEjection = 200 * time.Millisecond
 	failureEjection     = 150 * time.Millisecond
 	busyBackoff         = 30 * time.Millisecond
+	lossBackoff         = 50 * time.Millisecond
 	maxEjection         = 1500 * time.Millisecond
 )
 
@@ -51,8 +54,11 @@
 const (
 	// Succeeded is a successful reply.
 	Succeeded Outcome = iota
-	// Failed is an unsuccessful reply, or a reply that was lost.
+	// Failed is an unsuccessful reply.
 	Failed
+	// Lost means that the connection broke before the reply was complete. The target's
+	// process may be ending.
+	Lost
 	// Unreachable means that the target refused the connection, or that another target
 	// answers at its address.
 	Unreachable
@@ -151,8 +157,11 @@
 	switch outcome {
 	case Succeeded:
 		s.recordSuccess(age, typical, now)
-	case Failed:
+	case Failed, Lost:
 		s.recordFailure(now)
+		if outcome == Lost {
+			s.ejectedUntil = later(s.ejectedUntil, now.Add(lossBackoff))
+		}
 		if s.consecutiveFailures >= ejectAfterFailures {
 			s.eject(failureEjection, now)
 		}
@@ -185,7 +194,7 @@
 		s.domain.recordResponse(began, now)
 	case Unreachable, Unresponsive, Abandoned:
 		s.domain.recordNoResponse(s, began, now)
-	case Failed, Busy, Canceled:
+	case Failed, Lost, Busy, Canceled:
 	}
 }
 
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -105,6 +105,18 @@
 	require.Greater(t, s.Cost(start.Add(10*typical), typical, 2), 4*early)
 }
 
+// A connection that breaks is often the first sign of a process that ends.
+func TestTargetWithABrokenConnectionIsALastResortForAMoment(t *testing.T) {
+	s := health.New()
+	s.Begin(start)
+	s.End(start, start.Add(time.Millisecond), health.Lost, typical)
+	ejected, down := s.Ejected(start.Add(10 * time.Millisecond))
+	require.True(t, ejected)
+	require.False(t, down, "its other connections may work")
+	ejected, _ = s.Ejected(start.Add(100 * time.Millisecond))
+	require.False(t, ejected)
+}
+
 func TestFailuresRaiseCostAndEjectTarget(t *testing.T) {
 	s := health.New()
 	for i := range 4 {
--- a/internal/routing/delegate.go
+++ b/internal/routing/delegate.go
@@ -26,6 +26,8 @@
 		TimeLimit:  r.TimeLimit,
 		Goal:       r.Goal,
 		MaxTargets: 1,
+		// The VM gathers by itself.
+		HasFallback: true,
 		WeightedServices: []WeightedService{
 			{Service: &Service{Name: gathererService, Targets: gatherers}, Weight: 1},
 		},
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -28,6 +28,9 @@
 	Goal time.Duration
 	// MaxTargets bounds the targets of one service that may run a request.
 	MaxTargets int
+	// HasFallback is true if a request that is not run is served in another way, which
+	// is better than an ejected target.
+	HasFallback bool
 	// Shards are the services of a gathering route, and WeightedServices those of any
 	// other route, in the order of the configuration.
 	Shards           []*Service
