TestSearchRowsMatchReportedCoverage waits until the VM has noticed the lost service

Trace from the kept logs: the search was dispatched to archive-02-3 at 595.187 ms, 4 ms after the crash was ordered, over a connection whose loss the VM had not read yet. The target crashed while it ran this content alone, which refuses the content (package quarantine): no VM can tell this from a content that crashes targets. So the check narrowed a case that is allowed.

Change: before the search, searches with contents of their own run until one shows that the VM leaves the lost service out. The check itself is unchanged.

--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sort"
 	"testing"
 	"time"
@@ -110,6 +111,7 @@
 	requireSeededRows(t, d, "archive", answer, condition)
 
 	require.NoError(t, d.Fault(ctx, &standinv1.Selector{Service: service.Name, Front: "archive"}, crash))
+	awaitServiceLoss(t, d)
 	answer = search(t, d.VMs[0], "archive", condition)
 	require.Equal(t, pb.Outcome_OUTCOME_PARTIAL, answer.Outcome, answer.String())
 	require.Len(t, answer.Coverage.Missing, countPartitions(d.Profile.Snapshot("archive", answer.Snapshot))/4)
@@ -119,6 +121,19 @@
 	requireSeededRows(t, d, "archive", answer, condition)
 }
 
+// awaitServiceLoss waits until a VM leaves a lost service out. A search that is dispatched
+// before the VM has noticed the loss may be refused everywhere: it was running alone when
+// its target crashed. Each search therefore has content of its own.
+func awaitServiceLoss(t *testing.T, d *testkit.Deployment) {
+	t.Helper()
+	attempt := 0
+	require.NoError(t, testkit.Poll(t.Context(), 5*time.Second, func() bool {
+		attempt++
+		answer := search(t, d.VMs[0], "archive", prefix("name", fmt.Sprintf("attempt-%d", attempt)))
+		return answer.Outcome == pb.Outcome_OUTCOME_PARTIAL
+	}))
+}
+
 // An edit and a transfer each run once, even if resubmitted to another VM.
 func TestChangesRunOnce(t *testing.T) {
 	d := start(t, testkit.Options{Profile: "demo", VMsPerDomain: 1})
