--- a/internal/change/change.go
+++ b/internal/change/change.go
@@ -215,7 +215,11 @@
 		return outcomeResponse(r.Token, notRunResult("malformed token; nothing ran"))
 	}
 	if c.serves(token.Issuer) {
-		return c.lookupOutcome(token)
+		response := c.lookupOutcome(token)
+		if response.Reason != reasonNoRecord || c.servesNow(token.Issuer) {
+			return response
+		}
+		// This VM is stopping. The change may have been submitted to its successor.
 	}
 	return c.forwardOutcome(ctx, token)
 }
--- a/internal/change/records.go
+++ b/internal/change/records.go
@@ -202,6 +202,9 @@
 	r.stopped = true
 }
 
+// Stopped reports whether Stop was called.
+func (r *Records) Stopped() bool { return r.stopped }
+
 // IssuerRecords is an issuer with the records of its tokens, for handover to a successor.
 type IssuerRecords struct {
 	Issuer  Issuer
