Watchers read a changing store at different times; seeds replace the first list

Starts and states of targets change the store all the time, so that each of 12 watchers read it again after 400 ms, all of them the same changes; and each VM read the list of VMs at its start although its seeds named the others.

A VM that reads the list seldom and has seeds reads it at its start only if it has found no other VM within 1 s.

--- a/internal/control/budget_test.go
+++ b/internal/control/budget_test.go
@@ -247,3 +247,72 @@
 		require.Less(t, 9*2*(4+0.2)+3000.0/60, float64(storeReadCapacity), "at 3,000 VMs")
 	}
 }
+
+// startSeeded starts VMs with the settings of the users' deployments: they find each other by seeds, and the
+// watchers may wait for 2 s.
+func startSeeded(domains, perDomain int) *simulation {
+	s := newSimulation()
+	const seed = "10.0.0.1:vm-0-000"
+	for d := range domains {
+		for i := range perDomain {
+			name, domain := fmt.Sprintf("vm-%d-%03d", d, i), fmt.Sprintf("domain-%d", d)
+			s.listVM(name, domain)
+			machine := s.startVM(name, domain, uint64(len(s.vmList))).machine
+			machine.config.watchWait, machine.config.listInterval = 2*time.Second, 30*time.Second
+			machine.config.seeds = []string{seed}
+		}
+	}
+	return s
+}
+
+// Starts, health and configurations of targets change the store many times a second on a large deployment
+// (the impairments release and config_storm). Each watcher reads it less than once a second, and together they
+// keep all VMs current.
+func TestWatchersShareTheReadingOfAStoreThatChangesOften(t *testing.T) {
+	const domains, perDomain = 6, 4
+	s := startSeeded(domains, perDomain)
+	s.write(manyFronts(domains, 1))
+	s.run(5 * time.Second)
+	s.calls = 0
+	written := map[uint64]time.Duration{}
+	for range 150 {
+		written[s.write(manyFronts(domains, 1)).Revision] = s.now
+		s.run(100 * time.Millisecond)
+	}
+	const watchers = 2 * domains
+	require.Less(t, float64(s.calls)/15, float64(watchers))
+	for _, name := range s.names {
+		last := time.Duration(0)
+		for revision, adopted := range s.vms[name].adoptedAt {
+			if at, ok := written[revision]; ok {
+				last = max(last, adopted-at)
+			}
+		}
+		require.Less(t, last, time.Second, name)
+	}
+}
+
+// A failure domain that is cut off from the others has its own watchers.
+func TestDomainThatIsCutOffReadsTheStoreItself(t *testing.T) {
+	s := startSeeded(6, 4)
+	s.write(manyFronts(6, 1))
+	s.run(5 * time.Second)
+	s.partitioned = func(a, b string) bool { return (a == "domain-0") != (b == "domain-0") && a != "platform" && b != "platform" }
+	for range 50 {
+		written := s.write(manyFronts(6, 1)).Revision
+		at := s.now
+		s.run(2500 * time.Millisecond)
+		for _, name := range s.names {
+			require.GreaterOrEqual(t, s.vms[name].machine.revision(), written, "%s, %s after the write", name, s.now-at)
+		}
+	}
+}
+
+// Most VMs need no list of the others at their start: a seed names them.
+func TestVMsThatFindASeedDoNotReadTheList(t *testing.T) {
+	const vms = 24
+	s := startSeeded(6, 4)
+	s.run(5 * time.Second)
+	listReads := s.listReads
+	require.LessOrEqual(t, listReads, vms/4)
+}
--- a/internal/control/distribute.go
+++ b/internal/control/distribute.go
@@ -35,6 +35,9 @@
 	// isolatedListInterval is the maximum time between two list reads by a VM that knows no live VM: others
 	// may have registered since.
 	isolatedListInterval = 5 * time.Second
+	// firstListDelay is the time in which a VM that reads the list seldom finds the others through its seeds.
+	// Only if it has found none by then, it reads the list.
+	firstListDelay = time.Second
 	// fanOut is the number of VMs that each VM forwards a revision to.
 	fanOut = 4
 	// maxHops limits how many times a revision is forwarded.
@@ -43,7 +46,7 @@
 
 // callPlatform starts the platform calls that are due.
 func (m *machine) callPlatform() {
-	if !m.list.running && !m.now.Before(m.list.nextAt) {
+	if !m.list.running && !m.now.Before(m.list.nextAt) && !m.deferFirstList() {
 		m.list.running = true
 		m.list.sentAt = m.now
 		m.decide(&pb.ControlDecision{Kind: &pb.ControlDecision_ReadList{ReadList: &pb.ReadVmList{}}})
@@ -60,6 +63,18 @@
 	}
 }
 
+// deferFirstList defers the first reading of the list if this VM reads it seldom and has seeds, and reports
+// whether it is not due yet. Once the seeds have named other VMs, it is not needed.
+func (m *machine) deferFirstList() bool {
+	if len(m.config.seeds) == 0 || m.config.listInterval <= isolatedListInterval || !m.list.nextAt.IsZero() {
+		return false
+	}
+	if hasPeer, _ := m.table.HasLivePeer(); hasPeer {
+		m.list.nextAt = m.now.Add(m.nextListDelay())
+	}
+	return m.now.Sub(m.start) < firstListDelay
+}
+
 func (m *machine) watchStore(wait time.Duration) {
 	m.watch.running = true
 	m.watch.sentAt = m.now
@@ -137,7 +152,7 @@
 		return
 	}
 	m.watch.succeededAt = sentAt
-	m.watch.nextAt = sentAt.Add(max(minWatchInterval, m.config.watchWait/watchIntervalDivisor))
+	m.watch.nextAt = sentAt.Add(m.watchInterval())
 	if !m.isWatcher() {
 		m.watch.nextAt = m.now.Add(m.readInterval())
 	}
@@ -152,6 +167,17 @@
 	m.confirm(sentAt)
 }
 
+// watchInterval returns the time between the starts of two watches. If watches may wait for longer than
+// confirmInterval, it differs from one VM and one version to the next: while the store changes often, the
+// watchers of all failure domains then read it at different times and pass on what they read, rather than all
+// reading the same.
+func (m *machine) watchInterval() time.Duration {
+	shortest := max(minWatchInterval, m.config.watchWait/watchIntervalDivisor)
+	const steps = 1 << 10
+	step := xxhash.Sum64String(m.vm+"\x00"+strconv.FormatUint(m.storeVersion, 36)) % steps
+	return shortest + max(m.config.watchWait-confirmInterval, 0)*time.Duration(step)/steps
+}
+
 func (m *machine) readInterval() time.Duration {
 	if m.configuration == nil {
 		return initialReadInterval
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -26,13 +26,13 @@
 	partitioned func(a, b string) bool
 	storeDown   bool
 	// dropHeartbeat reports whether the next heartbeat is lost.
-	dropHeartbeat  func() bool
-	store          *pb.Configuration
-	version        uint64
-	calls          int
-	vmList         []*pb.ListedVm
-	pendingWatches map[int]func()
-	latency        time.Duration
+	dropHeartbeat    func() bool
+	store            *pb.Configuration
+	version          uint64
+	calls, listReads int
+	vmList           []*pb.ListedVm
+	pendingWatches   map[int]func()
+	latency          time.Duration
 }
 
 type simulatedVM struct {
@@ -286,6 +286,7 @@
 
 func (s *simulation) readList(vm *simulatedVM) {
 	s.calls++
+	s.listReads++
 	read := &pb.VmListRead{Failed: s.platformDown(vm)}
 	if !read.Failed {
 		read.Vms = append(read.Vms, s.vmList...)
