Attempts in another failure domain are relayed in one message

Cause: half of the exchanges of a gathered answer cross failure domains, whoever gathers: a shard's three targets are in three of six domains.

Change: a gathering VM sends the first attempts of a failure domain, if there are 8 or more, in one message to a gatherer in that domain. It returns the receipts and the greatest records of all successful replies. Retries and hedges are sent directly. A relay returns without the last replies after the hedge delay, unless more than a quarter is missing; a batch that was not run is sent directly without using the budget of retries, a lost one with it; no shard's bound on targets is exceeded. A gatherer prefers the same failure domains for all services, so that there are few messages.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -25,6 +25,9 @@
 	// ErrConnectTimeout means that the request was not sent because the connection was
 	// neither accepted nor refused in time.
 	ErrConnectTimeout = errors.New("no answer to the connection set-up")
+	// ErrUnfinished means that a relay did not wait for the reply any longer. The target
+	// may have run the request.
+	ErrUnfinished = errors.New("the relay did not wait for the reply")
 )
 
 // ReplyMetadata holds the metadata in the headers of a reply.
@@ -68,6 +71,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Took is the reply time that a relay measured; zero if the target replied to this VM.
+	Took time.Duration
 	ReplyMetadata
 }
 
--- a/internal/delegation/dialect.go
+++ b/internal/delegation/dialect.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
@@ -18,6 +19,12 @@
 	versionHeader = "Carawayreel-Route-Version"
 	// elapsedHeader is the time since the request was received, in microseconds.
 	elapsedHeader = "Carawayreel-Elapsed-Us"
+	// targetsHeader lists the IDs of the targets that a relay asks, separated by commas. A
+	// delegated request without it is gathered.
+	targetsHeader = "Carawayreel-Targets"
+	// stragglerHeader is the time in microseconds after which a relay returns without the
+	// last few replies.
+	stragglerHeader = "Carawayreel-Straggler-Us"
 	// answerToHeader is the ID of the request that an answer belongs to.
 	answerToHeader = "Carawayreel-Answer-To"
 )
@@ -32,22 +39,48 @@
 	RouteVersion uint64
 	// Elapsed is the time since the delegating VM received the request.
 	Elapsed time.Duration
+	// Targets are the IDs of the targets that a relay asks; none if the request is to be
+	// gathered.
+	Targets []string
+	// StragglerDelay is the time after which a relay returns without the last few replies.
+	StragglerDelay time.Duration
 }
 
 // SetHeaders adds the statements to the headers of a delegated request.
 func (r Request) SetHeaders(h http.Header) {
 	h.Set(versionHeader, strconv.FormatUint(r.RouteVersion, 10))
 	h.Set(elapsedHeader, strconv.FormatInt(r.Elapsed.Microseconds(), 10))
+	if len(r.Targets) > 0 {
+		h.Set(targetsHeader, strings.Join(r.Targets, ","))
+		h.Set(stragglerHeader, strconv.FormatInt(r.StragglerDelay.Microseconds(), 10))
+	}
 }
 
 // TakeRequest removes the statements of the delegating VM from the headers and returns
 // them. It reports false if they are missing or malformed.
 func TakeRequest(h http.Header) (Request, bool) {
-	version, versionErr := strconv.ParseUint(h.Get(versionHeader), 10, 64)
-	elapsed, elapsedErr := strconv.ParseInt(h.Get(elapsedHeader), 10, 64)
-	h.Del(versionHeader)
-	h.Del(elapsedHeader)
-	return Request{RouteVersion: version, Elapsed: time.Duration(elapsed) * time.Microsecond}, versionErr == nil && elapsedErr == nil
+	version, versionErr := strconv.ParseUint(take(h, versionHeader), 10, 64)
+	elapsed, elapsedErr := microseconds(take(h, elapsedHeader))
+	r := Request{RouteVersion: version, Elapsed: elapsed}
+	ok := versionErr == nil && elapsedErr == nil
+	if targets := take(h, targetsHeader); targets != "" {
+		var err error
+		r.Targets = strings.Split(targets, ",")
+		r.StragglerDelay, err = microseconds(take(h, stragglerHeader))
+		ok = ok && err == nil
+	}
+	return r, ok
+}
+
+func take(h http.Header, name string) string {
+	value := h.Get(name)
+	h.Del(name)
+	return value
+}
+
+func microseconds(text string) (time.Duration, error) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	return time.Duration(n) * time.Microsecond, err
 }
 
 // SetAnswerHeaders sets the headers that the answer to a delegated request carries.
--- a/internal/fanout/finish.go
+++ b/internal/fanout/finish.go
@@ -85,7 +85,12 @@
 // not be carried out yet. Legs that have no other attempt in flight fail with the cause.
 func (m *Machine) Withhold(now time.Time, actions Actions, cause string) Actions {
 	m.startEvent(now)
-	for _, send := range actions.Sends {
+	sends := actions.Sends
+	for _, b := range actions.Batches {
+		m.endBatch(b.ID, health.Canceled)
+		sends = append(sends, b.Sends...)
+	}
+	for _, send := range sends {
 		a := &m.attempts[send.Attempt]
 		a.ended = true
 		l := &m.legs[a.leg]
--- a/internal/fanout/leg.go
+++ b/internal/fanout/leg.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
@@ -77,6 +78,13 @@
 	t.notBefore = now.Add(retryBackoff)
 }
 
+// withdraw forgets an attempt that never left for the target.
+func (l *leg) withdraw(target string) {
+	l.running--
+	l.sends--
+	l.attempts = slices.DeleteFunc(l.attempts, func(t targetAttempts) bool { return t.target == target })
+}
+
 // mayHaveRun reports whether an attempt that has ended may have run.
 func (l *leg) mayHaveRun() bool {
 	for i := range l.attempts {
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -63,6 +63,7 @@
 
 	legs     []leg
 	attempts []attempt
+	batches  []batch
 	now      time.Time
 	actions  Actions
 	answered bool
@@ -105,11 +106,16 @@
 	}
 	for i := range m.legs {
 		m.shared.deposit(m.legs[i].service.Name, m.now)
-		if chosen[i] == nil {
+	}
+	m.sendBatches(chosen)
+	for i := range m.legs {
+		switch {
+		case m.legs[i].running > 0:
+		case chosen[i] == nil:
 			m.failLeg(&m.legs[i], "no target can be reached")
-			continue
+		default:
+			m.send(i, chosen[i], FirstAttempt)
 		}
-		m.send(i, chosen[i], FirstAttempt)
 	}
 	return m.finishEvent()
 }
@@ -117,22 +123,28 @@
 // Ended handles the end of an attempt.
 func (m *Machine) Ended(now time.Time, id int, reply *backend.Reply, err error) Actions {
 	m.startEvent(now)
+	outcome := m.endAttempt(id, reply, err, now)
+	if leg := m.attempts[id].leg; !m.answered && m.legs[leg].reply == nil {
+		m.handleResult(leg, reply, err, outcome)
+	}
+	return m.finishEvent()
+}
+
+// endAttempt records the end of an attempt; at is when its target replied.
+func (m *Machine) endAttempt(id int, reply *backend.Reply, err error, at time.Time) health.Outcome {
 	a := &m.attempts[id]
 	a.ended = true
 	l := &m.legs[a.leg]
 	outcome := outcomeOf(reply, err)
-	l.end(a.target.ID, outcome.MayHaveRun(), now)
+	l.end(a.target.ID, outcome.MayHaveRun(), m.now)
 	if reply == nil && !outcome.MayHaveRun() {
 		l.sends--
 	}
-	a.target.Health.End(a.sentAt, now, outcome, m.latencies.typical)
+	a.target.Health.End(a.sentAt, at, outcome, m.latencies.typical)
 	if outcome == health.Succeeded {
-		m.shared.recordReply(m.in.Route, now.Sub(a.sentAt))
-	}
-	if !m.answered && l.reply == nil {
-		m.handleResult(a.leg, reply, err, outcome)
+		m.shared.recordReply(m.in.Route, at.Sub(a.sentAt))
 	}
-	return m.finishEvent()
+	return outcome
 }
 
 // Abandon handles the end of an attempt that was given up.
@@ -178,6 +190,8 @@
 		return health.Unresponsive
 	case errors.Is(err, backend.ErrNotSent):
 		return health.Unreachable
+	case errors.Is(err, backend.ErrUnfinished):
+		return health.Canceled
 	case err != nil:
 		return health.Lost
 	case reply.OtherTarget:
@@ -292,6 +306,11 @@
 }
 
 func (m *Machine) send(index int, target *routing.Target, reason Reason) {
+	m.actions.Sends = append(m.actions.Sends, m.begin(index, target, reason))
+}
+
+// begin begins an attempt and returns its send.
+func (m *Machine) begin(index int, target *routing.Target, reason Reason) Send {
 	l := &m.legs[index]
 	l.begin(target.ID)
 	id := len(m.attempts)
@@ -300,9 +319,7 @@
 	if reason != Hedge {
 		l.hedgeAt = m.now.Add(m.hedgeDelay(l.service.Name))
 	}
-	m.actions.Sends = append(m.actions.Sends, Send{
-		Attempt: id, Leg: index, Target: target, Reason: reason, TimeLeft: m.in.Deadline.Sub(m.now),
-	})
+	return Send{Attempt: id, Leg: index, Target: target, Reason: reason, TimeLeft: m.in.Deadline.Sub(m.now)}
 }
 
 func (m *Machine) failLeg(l *leg, cause string) {
--- /dev/null
+++ b/internal/fanout/relay.go
@@ -0,0 +1,249 @@
+package fanout
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/routing"
+)
+
+// Exchanges with targets in other failure domains are most of the bytes between domains.
+// The first attempts of a gathered answer are therefore sent in one message per domain to
+// a relay there, which returns the replies in one message with the greatest records only.
+// Retries and hedges are sent directly, so that a lost or slow relay costs no answer.
+
+// ErrNotRelayed means that a relay did not send a batch, or one of its sends, which shows
+// nothing about the targets.
+var ErrNotRelayed = errors.New("not sent by the relay")
+
+const (
+	// minBatchSends is the minimum number of sends of a batch. A smaller one saves little
+	// and often waits for a target that pauses.
+	minBatchSends = 8
+	// relayPatience is the delay, in hedge delays, after which the legs of a batch that
+	// has not been returned are hedged. A relay returns after one hedge delay.
+	relayPatience = 2
+)
+
+// batch is a batch of attempts that a relay was told to send.
+type batch struct {
+	relay    *routing.Target
+	sentAt   time.Time
+	attempts []int
+}
+
+// sendBatches sends the first attempts to targets in failure domains with a relay.
+func (m *Machine) sendBatches(chosen []*routing.Target) {
+	if len(m.in.Relays) == 0 || !m.in.Route.Gathers() || !m.in.Route.Idempotent {
+		return
+	}
+	legs := map[string][]int{}
+	for i, target := range chosen {
+		if target != nil && len(m.in.Relays[target.FailureDomain]) > 0 {
+			legs[target.FailureDomain] = append(legs[target.FailureDomain], i)
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(legs)) {
+		relay := m.chooseRelay(m.in.Relays[domain])
+		if relay != nil && len(legs[domain]) >= minBatchSends {
+			m.sendBatch(relay, legs[domain], chosen)
+		}
+	}
+}
+
+// chooseRelay returns the relay with the lowest expected reply time, or nil if none can
+// be reached.
+func (m *Machine) chooseRelay(relays []*routing.Target) *routing.Target {
+	var best *routing.Target
+	lowest := math.Inf(1)
+	for _, relay := range relays {
+		if ejected, _ := relay.Health.Ejected(m.now); ejected {
+			continue
+		}
+		if cost := relay.Health.Cost(m.now, m.latencies.typical, relay.Slots); cost < lowest {
+			best, lowest = relay, cost
+		}
+	}
+	return best
+}
+
+func (m *Machine) sendBatch(relay *routing.Target, legs []int, chosen []*routing.Target) {
+	b := Batch{
+		ID: len(m.batches), Relay: relay, TimeLeft: m.in.Deadline.Sub(m.now),
+		StragglerDelay: m.hedgeDelay(m.legs[legs[0]].service.Name),
+	}
+	state := batch{relay: relay, sentAt: m.now}
+	for _, i := range legs {
+		send := m.begin(i, chosen[i], FirstAttempt)
+		m.legs[i].hedgeAt = m.now.Add(relayPatience * b.StragglerDelay)
+		b.Sends = append(b.Sends, send)
+		state.attempts = append(state.attempts, send.Attempt)
+	}
+	m.batches = append(m.batches, state)
+	relay.Health.Begin(m.now)
+	m.actions.Batches = append(m.actions.Batches, b)
+}
+
+// EndedBatch handles the end of a batch: the results of its sends in their order, or the
+// error of the exchange with the relay.
+func (m *Machine) EndedBatch(now time.Time, id int, results []Result, err error) Actions {
+	m.startEvent(now)
+	if err != nil {
+		m.handleLostBatch(id, err)
+		return m.finishEvent()
+	}
+	m.endBatch(id, health.Succeeded)
+	for i, attempt := range m.batches[id].attempts {
+		m.handleRelayed(attempt, results[i])
+	}
+	return m.finishEvent()
+}
+
+// handleRelayed handles the result of one attempt of a batch. Its reply replaces that of a
+// hedge: the relay returns the greatest records of all its successful replies, so that
+// these can only be used together.
+func (m *Machine) handleRelayed(attempt int, result Result) {
+	if errors.Is(result.Err, ErrNotRelayed) {
+		m.handleNotRelayed(attempt, result.Err, false)
+		return
+	}
+	a := &m.attempts[attempt]
+	at := m.now
+	if result.Reply != nil {
+		at = a.sentAt.Add(result.Reply.Took)
+	}
+	outcome := m.endAttempt(attempt, result.Reply, result.Err, at)
+	if l := &m.legs[a.leg]; !m.answered && (outcome == health.Succeeded || l.reply == nil) {
+		m.handleResult(a.leg, result.Reply, result.Err, outcome)
+	}
+}
+
+// handleLostBatch handles a batch that the relay did not send or did not return.
+func (m *Machine) handleLostBatch(id int, err error) {
+	outcome := outcomeOf(nil, err)
+	if errors.Is(err, ErrNotRelayed) {
+		outcome = health.Rejected
+	}
+	m.endBatch(id, outcome)
+	for _, attempt := range m.batches[id].attempts {
+		m.handleNotRelayed(attempt, err, outcome.MayHaveRun())
+	}
+}
+
+// handleNotRelayed handles an attempt without a result, which shows nothing about its
+// target.
+func (m *Machine) handleNotRelayed(attempt int, err error, mayHaveRun bool) {
+	a := &m.attempts[attempt]
+	a.ended = true
+	a.target.Health.End(a.sentAt, m.now, health.Canceled, m.latencies.typical)
+	l := &m.legs[a.leg]
+	reason := Failover
+	if mayHaveRun {
+		l.end(a.target.ID, true, m.now)
+		reason = Retry
+	} else {
+		l.withdraw(a.target.ID)
+	}
+	if !m.answered && l.reply == nil && l.running == 0 {
+		l.cause = "relay: " + err.Error()
+		m.retryLeg(a.leg, reason)
+	}
+}
+
+// AbandonBatch handles the end of a batch that was given up.
+func (m *Machine) AbandonBatch(now time.Time, id int, outcome health.Outcome) {
+	m.startEvent(now)
+	m.endBatch(id, outcome)
+	for _, attempt := range m.batches[id].attempts {
+		m.Abandon(now, attempt, health.Canceled)
+	}
+}
+
+// endBatch records the end of a batch at its relay.
+func (m *Machine) endBatch(id int, outcome health.Outcome) {
+	b := &m.batches[id]
+	b.relay.Health.End(b.sentAt, m.now, outcome, m.latencies.typical)
+}
+
+// maxStragglerDivisor bounds the stragglers of a batch to this part (1/n) of its targets. If
+// more replies are missing, the targets are overloaded rather than paused, and sending the
+// request once more would add to that.
+const maxStragglerDivisor = 4
+
+// Relaying is the state of a batch at its relay. It is not safe for concurrent use.
+type Relaying struct {
+	route   *routing.Route
+	shared  *SharedState
+	targets []*routing.Target
+	sentAt  time.Time
+	// stragglersAt is when the relay stops to wait for the last few replies.
+	stragglersAt time.Time
+	typical      time.Duration
+	results      []Result
+	pending      int
+}
+
+// NewRelaying returns the state of a batch that is sent now. Targets that the relay does
+// not know are nil; they must not be sent to.
+func NewRelaying(shared *SharedState, route *routing.Route, targets []*routing.Target, now time.Time, stragglerDelay time.Duration) *Relaying {
+	r := &Relaying{
+		route: route, shared: shared, targets: targets, sentAt: now, stragglersAt: now.Add(stragglerDelay),
+		typical: shared.latencies(route).typical, results: make([]Result, len(targets)),
+	}
+	for i, target := range targets {
+		if target == nil {
+			r.results[i].Err = errors.Wrap(ErrNotRelayed, "the target is not known")
+			continue
+		}
+		r.results[i].Err = backend.ErrUnfinished
+		r.pending++
+		target.Health.Begin(now)
+	}
+	return r
+}
+
+// Ended handles the result of the send to the target with the given index.
+func (r *Relaying) Ended(now time.Time, index int, result Result) {
+	r.pending--
+	if result.Reply != nil {
+		result.Reply.Took = now.Sub(r.sentAt)
+	}
+	r.results[index] = result
+	outcome := outcomeOf(result.Reply, result.Err)
+	r.targets[index].Health.End(r.sentAt, now, outcome, r.typical)
+	if outcome == health.Succeeded {
+		r.shared.recordReply(r.route, now.Sub(r.sentAt))
+	}
+}
+
+// Abandon handles the end of a send that was given up.
+func (r *Relaying) Abandon(now time.Time, index int, outcome health.Outcome) {
+	r.pending--
+	r.targets[index].Health.End(r.sentAt, now, outcome, r.typical)
+}
+
+// Pending returns the number of sends in flight.
+func (r *Relaying) Pending() int { return r.pending }
+
+// Done reports whether the results must be returned now, and if not, when to ask again
+// even if no send has ended.
+func (r *Relaying) Done(now, deadline time.Time) (done bool, wakeAt time.Time) {
+	switch {
+	case r.pending == 0 || !now.Before(deadline):
+		return true, time.Time{}
+	case now.Before(r.stragglersAt):
+		return false, earlier(deadline, r.stragglersAt)
+	default:
+		return r.pending <= len(r.targets)/maxStragglerDivisor, deadline
+	}
+}
+
+// Results returns the results in the order of the targets. Those of sends in flight are
+// backend.ErrUnfinished.
+func (r *Relaying) Results() []Result { return slices.Clone(r.results) }
--- a/internal/fanout/types.go
+++ b/internal/fanout/types.go
@@ -23,6 +23,9 @@
 	Received time.Time
 	// Deadline is the time by which the caller must have an answer.
 	Deadline time.Time
+	// Relays holds the VMs that may relay the first attempts of a gathered answer, by their
+	// failure domain.
+	Relays map[string][]*routing.Target
 }
 
 // Reason is the reason for an attempt.
@@ -49,6 +52,24 @@
 	TimeLeft time.Duration
 }
 
+// Batch is the instruction to have a relay send the request to several targets. Each of
+// the sends is an attempt.
+type Batch struct {
+	ID    int
+	Relay *routing.Target
+	Sends []Send
+	// StragglerDelay is the time after which the relay returns without the last few replies.
+	StragglerDelay time.Duration
+	// TimeLeft is the remaining time to state to the relay.
+	TimeLeft time.Duration
+}
+
+// Result is the result of one attempt.
+type Result struct {
+	Reply *backend.Reply
+	Err   error
+}
+
 // Outcome is the result of a request.
 type Outcome int
 
@@ -88,7 +109,8 @@
 
 // Actions are what must be done after an event.
 type Actions struct {
-	Sends []Send
+	Sends   []Send
+	Batches []Batch
 	// WakeAt is when the next Tick is due.
 	WakeAt time.Time
 	// Answer ends the request; no actions follow it.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
@@ -25,6 +26,8 @@
 	arrived   time.Time
 	received  time.Time
 	delegated bool
+	// relay is what another VM told this one to relay; nil for a request that is gathered.
+	relay *delegation.Request
 
 	id       string
 	compiled *compiledTable
@@ -77,7 +80,10 @@
 		Header: endToEndHeaders(c.http.Header), Body: body,
 	}
 	g.options.Dialect.RemoveAttemptHeaders(c.request.Header)
-	if !c.runDelegated() {
+	switch {
+	case c.relay != nil:
+		c.runRelay()
+	case !c.runDelegated():
 		c.run()
 	}
 }
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -79,6 +79,21 @@
 	}
 }
 
+// relays returns the VMs that relay to the targets in their failure domains, without those
+// in the domain of the given VM.
+func (d *delegates) relays(self view.VM, gatherers []view.VM) map[string][]*routing.Target {
+	relays := map[string][]*routing.Target{}
+	for _, vm := range gatherers {
+		if vm.FailureDomain != self.FailureDomain {
+			relays[vm.FailureDomain] = append(relays[vm.FailureDomain], d.target(vm))
+		}
+	}
+	for _, targets := range relays {
+		routing.Location{VM: self.ID, FailureDomain: self.FailureDomain}.SortByPreference(targets)
+	}
+	return relays
+}
+
 // has reports whether the VM with the incarnation is a gatherer.
 func (d *delegates) has(id string, incarnation int64) bool {
 	state, ok := d.states[id]
@@ -146,6 +161,9 @@
 		c := &call{
 			gateway: g, writer: w, http: r, arrived: now, received: now.Add(-stated.Elapsed - delegationMargin), delegated: true,
 		}
+		if len(stated.Targets) > 0 {
+			c.relay = &stated
+		}
 		if g.table(now).table.Version != stated.RouteVersion {
 			g.counters.otherVersion.Inc()
 			w.WriteHeader(http.StatusConflict)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,11 @@
 	delegated    *metrics.Counter
 	undelegated  *metrics.Counter
 	otherVersion *metrics.Counter
+	// batches counts the batches that this VM had relayed, lostBatches those of them that
+	// were not relayed or whose replies were lost, and relayedBatches those that it relayed.
+	batches        *metrics.Counter
+	lostBatches    *metrics.Counter
+	relayedBatches *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -31,6 +36,10 @@
 		delegated:    set.NewCounter("carawayreel_delegation_requests_total"),
 		undelegated:  set.NewCounter("carawayreel_delegation_requests_not_run_total"),
 		otherVersion: set.NewCounter("carawayreel_delegation_other_version_total"),
+
+		batches:        set.NewCounter("carawayreel_delegation_batches_total"),
+		lostBatches:    set.NewCounter("carawayreel_delegation_batches_lost_total"),
+		relayedBatches: set.NewCounter("carawayreel_delegation_batches_relayed_total"),
 	}
 	for outcome := range c.requests {
 		label := fanout.Outcome(outcome).String()
--- a/internal/gateway/request_logger.go
+++ b/internal/gateway/request_logger.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
@@ -48,30 +49,35 @@
 // attemptTrace is an attempt as it is logged.
 type attemptTrace struct {
 	target, domain, service string
-	reason                  fanout.Reason
-	sent, took              time.Duration
-	result                  string
+	// relay is the VM that relayed the attempt; empty if it was sent directly.
+	relay      string
+	reason     fanout.Reason
+	sent, took time.Duration
+	result     string
 }
 
 func (t *trace) sent(send fanout.Send, at time.Duration) {
 	if send.Reason != fanout.FirstAttempt {
 		t.extraAttempts++
 	}
-	t.attempts = append(t.attempts, attemptTrace{
+	if missing := send.Attempt + 1 - len(t.attempts); missing > 0 {
+		t.attempts = append(t.attempts, make([]attemptTrace, missing)...)
+	}
+	t.attempts[send.Attempt] = attemptTrace{
 		target: send.Target.ID, domain: send.Target.FailureDomain, service: send.Target.Service,
 		reason: send.Reason, sent: at, result: "running",
-	})
+	}
 }
 
-func (t *trace) ended(res result, at time.Duration) {
-	attempt := &t.attempts[res.attempt]
+func (t *trace) ended(id int, reply *backend.Reply, err error, at time.Duration) {
+	attempt := &t.attempts[id]
 	attempt.took = at - attempt.sent
 	switch {
-	case res.err != nil:
-		attempt.result = res.err.Error()
-	case res.reply.NotRun:
+	case err != nil:
+		attempt.result = err.Error()
+	case reply.NotRun:
 		attempt.result = "not run"
-	case res.reply.Successful():
+	case reply.Successful():
 		attempt.result = "ok"
 	default:
 		attempt.result = "failed"
@@ -80,6 +86,9 @@
 
 // MarshalZerologObject encodes one attempt.
 func (a attemptTrace) MarshalZerologObject(e *zerolog.Event) {
+	if a.relay != "" {
+		e.Str("relay", a.relay)
+	}
 	e.Str("service", a.service).Str("target", a.target).Str("domain", a.domain).Str("reason", string(a.reason)).
 		Int64("sent_us", a.sent.Microseconds()).Int64("took_us", a.took.Microseconds()).Str("result", a.result)
 }
@@ -136,6 +145,20 @@
 	}
 }
 
+// relayed logs a batch of which not all targets succeeded.
+func (l *requestLogger) relayed(c *call, results []fanout.Result) {
+	succeeded := 0
+	for _, result := range results {
+		if result.Reply != nil && result.Reply.Successful() {
+			succeeded++
+		}
+	}
+	if succeeded < len(results) && l.allow(true) {
+		l.logger.Info().Str("request", c.id).Str("route", c.route.Name).Uint64("version", c.compiled.table.Version).
+			Int("targets", len(results)).Int("succeeded", succeeded).Dur("took", time.Since(c.arrived)).Msg("batch relayed")
+	}
+}
+
 // refused logs a request that was answered without a target.
 func (l *requestLogger) refused(c *call, status int, cause string) {
 	if !l.allow(false) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,11 +12,13 @@
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
-// result is the result of one attempt.
+// result is the result of one attempt, or of a batch.
 type result struct {
 	attempt int
-	reply   *backend.Reply
-	err     error
+	// batch is the batch that the result belongs to; nil for an attempt.
+	batch *fanout.Batch
+	reply *backend.Reply
+	err   error
 }
 
 // fanoutRun runs the state machine of a call and the attempts that it decides on.
@@ -62,6 +64,7 @@
 		client: c.gateway.options.Client, state: c.gateway.fanoutState, request: c.request,
 		input: fanout.Input{
 			Route: c.route, Legs: legs, Received: c.received, Deadline: c.gateway.deadline(c.arrived, c.timeLimit()),
+			Relays: c.compiled.relays,
 		},
 	})
 	r.conclude(r.runMachine())
@@ -117,7 +120,7 @@
 	defer timer.Stop()
 	actions := r.machine.Start(time.Now())
 	for {
-		if len(actions.Sends) > 0 && r.call.gateway.paused(r.call.arrived) {
+		if len(actions.Sends)+len(actions.Batches) > 0 && r.call.gateway.paused(r.call.arrived) {
 			actions = r.machine.Withhold(time.Now(), actions, "this VM was paused")
 		}
 		r.carryOut(actions)
@@ -155,6 +158,14 @@
 		r.trace.sent(send, time.Since(r.call.received))
 		r.attempt(send)
 	}
+	for _, batch := range actions.Batches {
+		r.inFlight++
+		for _, send := range batch.Sends {
+			r.trace.sent(send, time.Since(r.call.received))
+			r.trace.attempts[send.Attempt].relay = batch.Relay.ID
+		}
+		r.attemptBatch(&batch)
+	}
 }
 
 func (r *fanoutRun) attempt(send fanout.Send) {
@@ -165,7 +176,10 @@
 
 func (r *fanoutRun) ended(res result) fanout.Actions {
 	r.inFlight--
-	r.trace.ended(res, time.Since(r.call.received))
+	if res.batch != nil {
+		return r.endedBatch(res)
+	}
+	r.trace.ended(res.attempt, res.reply, res.err, time.Since(r.call.received))
 	return r.machine.Ended(time.Now(), res.attempt, res.reply, res.err)
 }
 
@@ -210,6 +224,10 @@
 func (r *fanoutRun) abandonAll(outcome health.Outcome) {
 	for ; r.inFlight > 0; r.inFlight-- {
 		res := <-r.results
+		if res.batch != nil {
+			r.machine.AbandonBatch(time.Now(), res.batch.ID, outcome)
+			continue
+		}
 		r.machine.Abandon(time.Now(), res.attempt, outcome)
 	}
 }
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -22,6 +22,8 @@
 	// delegated holds, for each route whose requests this VM delegates, the route on which
 	// it does so.
 	delegated map[*routing.Route]*routing.Route
+	// relays holds the VMs that relay to targets in other failure domains, by domain.
+	relays map[string][]*routing.Target
 }
 
 // table returns the compiled table of the current view.
@@ -43,6 +45,7 @@
 		g.compile(next, now)
 	}
 	next.delegated = g.delegates.compile(current, next.table, gatherers)
+	next.relays = g.delegates.relays(current.Self, gatherers)
 	if g.options.Gatherers != nil {
 		g.options.Gatherers.Retain(g.delegates.has)
 	}
--- a/internal/routing/compiler.go
+++ b/internal/routing/compiler.go
@@ -80,7 +80,7 @@
 	}
 	for _, service := range table.services {
 		slices.SortFunc(service.Targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
-		c.location.setDistances(service.Targets)
+		c.location.setDistances(service.Targets, c.gatherers > 0 && service.shard)
 	}
 	return table
 }
--- a/internal/routing/delegate.go
+++ b/internal/routing/delegate.go
@@ -16,11 +16,8 @@
 // of the given gatherers. The request is sent to one gatherer only, unless that one did
 // not run it: two gatherers could together exceed the route's bound on targets.
 func (r *Route) Delegated(location Location, gatherers []*Target) *Route {
-	location.setDistances(gatherers)
-	// Gatherers of equal cost are chosen in their order, which differs between VMs.
-	slices.SortFunc(gatherers, func(a, b *Target) int {
-		return cmp.Compare(xxhash.Sum64String(location.VM+"\x00"+a.ID), xxhash.Sum64String(location.VM+"\x00"+b.ID))
-	})
+	location.setDistances(gatherers, false)
+	location.SortByPreference(gatherers)
 	return &Route{
 		Route:      &pb.Route{Name: r.Name},
 		TimeLimit:  r.TimeLimit,
@@ -34,6 +31,14 @@
 	}
 }
 
+// SortByPreference sorts targets of equal cost in the order in which this VM chooses them,
+// which differs between VMs.
+func (l Location) SortByPreference(targets []*Target) {
+	slices.SortFunc(targets, func(a, b *Target) int {
+		return cmp.Compare(xxhash.Sum64String(l.VM+"\x00"+a.ID), xxhash.Sum64String(l.VM+"\x00"+b.ID))
+	})
+}
+
 // GatheringRoutes calls yield for each route whose answers are gathered, in no particular
 // order, until yield returns false.
 func (t *Table) GatheringRoutes(yield func(*Route) bool) {
--- a/internal/routing/distance.go
+++ b/internal/routing/distance.go
@@ -21,15 +21,16 @@
 }
 
 // setDistances sets the distance of a service's targets and the idle limit of
-// connections to them.
-func (l Location) setDistances(targets []*Target) {
+// connections to them. If it is relayed, messages to other failure domains are fewer when
+// the VM prefers the same ones for all services.
+func (l Location) setDistances(targets []*Target, relayed bool) {
 	otherDistance := Equidistant
 	for _, t := range targets {
 		if t.FailureDomain == l.FailureDomain {
 			otherDistance = Far
 		}
 	}
-	preferred := l.preferred(targets)
+	preferred := l.preferred(targets, relayed)
 	for _, t := range targets {
 		near := t.FailureDomain == l.FailureDomain || otherDistance == Equidistant && t == preferred
 		if near {
@@ -44,14 +45,26 @@
 }
 
 // preferred returns the target that this VM prefers if the service has no target in
-// its failure domain: rendezvous hashing spreads the VMs over the targets.
-func (l Location) preferred(targets []*Target) *Target {
+// its failure domain: rendezvous hashing spreads the VMs, or if it is relayed the failure
+// domains, over the targets.
+func (l Location) preferred(targets []*Target, relayed bool) *Target {
 	var best *Target
-	var highest uint64
+	var highest preference
 	for _, t := range targets {
-		if hash := xxhash.Sum64String(l.VM + "\x00" + t.ID); best == nil || hash > highest {
-			best, highest = t, hash
+		p := preference{target: xxhash.Sum64String(l.VM + "\x00" + t.ID)}
+		if relayed {
+			p.domain = xxhash.Sum64String(l.FailureDomain + "\x00" + t.FailureDomain)
+		}
+		if best == nil || p.exceeds(highest) {
+			best, highest = t, p
 		}
 	}
 	return best
 }
+
+// preference orders targets by their failure domain first.
+type preference struct{ domain, target uint64 }
+
+func (p preference) exceeds(other preference) bool {
+	return p.domain > other.domain || p.domain == other.domain && p.target > other.target
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -120,6 +120,9 @@
 	return ok && target.Started == started
 }
 
+// Target returns the target with the ID, or nil if there is none.
+func (t *Table) Target(id string) *Target { return t.targets[id] }
+
 // TargetCount returns the number of targets that may receive requests.
 func (t *Table) TargetCount() int { return len(t.targets) }
 
