--- /dev/null
+++ b/internal/delegation/relayed_test.go
@@ -0,0 +1,83 @@
+package delegation_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/delegation"
+	"github.com/carawayreel/carawayreel/internal/fanout"
+)
+
+func relayReply(status int, body []byte) *backend.Reply {
+	return &backend.Reply{Status: status, Body: body, ReplyMetadata: backend.ReplyMetadata{NotRun: status == http.StatusServiceUnavailable}}
+}
+
+func TestResultsSurviveTheMessage(t *testing.T) {
+	reply := func(status int, metadata backend.ReplyMetadata) fanout.Result {
+		return fanout.Result{Reply: &backend.Reply{Status: status, Took: 7 * time.Millisecond, ReplyMetadata: metadata}}
+	}
+	results := []fanout.Result{
+		reply(500, backend.ReplyMetadata{Receipt: "f"}),
+		reply(200, backend.ReplyMetadata{Receipt: "r1"}),
+		reply(200, backend.ReplyMetadata{Receipt: "r2"}),
+		reply(503, backend.ReplyMetadata{NotRun: true}),
+		reply(421, backend.ReplyMetadata{OtherTarget: true}),
+	}
+	kinds := []error{
+		backend.ErrNotSent, backend.ErrBusy, backend.ErrConnectTimeout, backend.ErrLost, backend.ErrUnfinished, fanout.ErrNotRelayed,
+	}
+	for _, kind := range kinds {
+		results = append(results, fanout.Result{Err: errors.Wrap(kind, "cause")})
+	}
+	body, err := delegation.EncodeResults(results, []byte("records"))
+	require.NoError(t, err)
+	parsed, err := delegation.ParseResults(relayReply(200, body), len(results))
+	require.NoError(t, err)
+	require.Len(t, parsed, len(results))
+	require.False(t, parsed[0].Reply.Successful())
+	require.True(t, parsed[1].Reply.Successful())
+	require.Equal(t, "r1", parsed[1].Reply.Receipt)
+	require.Equal(t, "records", string(parsed[1].Reply.Body), "the first successful reply holds the records of all")
+	require.Equal(t, 7*time.Millisecond, parsed[1].Reply.Took)
+	require.Empty(t, parsed[2].Reply.Body)
+	require.True(t, parsed[3].Reply.NotRun)
+	require.ErrorIs(t, parsed[4].Err, backend.ErrNotSent, "another target replied")
+	for i, kind := range kinds {
+		require.ErrorIs(t, parsed[5+i].Err, kind)
+	}
+}
+
+func TestUnusableReplyOfARelay(t *testing.T) {
+	body, err := delegation.EncodeResults([]fanout.Result{{Err: backend.ErrLost}}, nil)
+	require.NoError(t, err)
+	_, err = delegation.ParseResults(relayReply(503, nil), 1)
+	require.ErrorIs(t, err, fanout.ErrNotRelayed)
+	for _, reply := range []*backend.Reply{relayReply(500, body), relayReply(200, body[:len(body)-1]), relayReply(200, []byte("\xff"))} {
+		_, err = delegation.ParseResults(reply, 1)
+		require.ErrorIs(t, err, backend.ErrLost)
+	}
+	_, err = delegation.ParseResults(relayReply(200, body), 2)
+	require.ErrorIs(t, err, backend.ErrLost)
+}
+
+// A relay's reply is read from the network.
+func FuzzParseResults(f *testing.F) {
+	body, err := delegation.EncodeResults([]fanout.Result{{Err: backend.ErrLost}, {Err: backend.ErrBusy}}, []byte("records"))
+	require.NoError(f, err)
+	f.Add(body, 2)
+	f.Fuzz(func(t *testing.T, body []byte, size int) {
+		results, err := delegation.ParseResults(relayReply(200, body), size)
+		if err != nil {
+			return
+		}
+		require.Len(t, results, size)
+		for _, result := range results {
+			require.NotEqual(t, result.Reply == nil, result.Err == nil)
+		}
+	})
+}
