A call that the owner aborts halfway is neither a break nor a request that may have run

The client checks the permission to send before each write. A request was two writes, head and body, since net/http flushes the head of a body whose type it does not know. The check failed between the two when the target had just been handed over, or when the time was up, and the client reported a connection that broke: the content became suspect as if it had crashed the target, and a change counted as one that may have run.

Change: net/http gets the body as a type that it knows, so that a short request is one write. A check that fails after a part was written ends as Withheld: the target does not run a request whose body is incomplete, and the connection is closed.

--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -26,6 +26,7 @@
 		require.NoError(t, d.AwaitReady(t.Context()))
 	}
 	answers := searches.stopAndCheck(t)
+	logTargetFaults(t, d)
 	require.Empty(t, searches.failures)
 	incomplete := 0
 	for _, answer := range answers {
@@ -37,6 +38,12 @@
 	require.Zero(t, incomplete, "of %d searches", len(answers))
 	summary := stopChanges(t, changes)
 	t.Logf("%d searches", len(answers))
+	require.Equal(t, summary.Tokens, summary.Success)
+}
+
+// logTargetFaults logs the targets that crashed or had to reset connections.
+func logTargetFaults(t *testing.T, d *testkit.Deployment) {
+	t.Helper()
 	counters, err := d.Counters(t.Context(), nil)
 	require.NoError(t, err)
 	for _, target := range counters.Targets {
@@ -44,5 +51,4 @@
 			t.Logf("%s: %d connections over the limit reset, %d crashes", target.Target, target.ConnectionViolations, target.Crashes)
 		}
 	}
-	require.Equal(t, summary.Tokens, summary.Success)
 }
--- a/internal/owner/completion.go
+++ b/internal/owner/completion.go
@@ -54,6 +54,8 @@
 		return result{status: pb.SubStatus_SUB_STATUS_FAILED, reason: failure.Kind.String(), mayHaveRun: true}
 	case target.Broken:
 		suspects := h.suspectRunningContents(time.Now())
+		o.logger.Info().Err(c.err).Str("request", w.requestID).Str("target", w.target).Dur("took", c.duration).
+			Int("suspects", len(suspects)).Msg("connection broke; the contents that ran on the target are suspect")
 		h.step(Event{Kind: EventBreak, Job: id})
 		event.Result = ResultBroken
 		time.AfterFunc(brokenSlotHold, func() { h.finish(id, event) })
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -7,7 +7,9 @@
 package target
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -89,13 +91,22 @@
 }
 
 // noRetryClient prevents the automatic retries of net/http. It removes from each request what makes it
-// replayable: the function to rewind the body and the idempotency headers.
+// replayable: the function to rewind the body and the idempotency headers. It also lets net/http write the head
+// and a short body together, for which the body must be a type that it knows.
 type noRetryClient struct {
 	client *http.Client
 }
 
 // Do sends the request at most once.
 func (c *noRetryClient) Do(request *http.Request) (*http.Response, error) {
+	if request.Body != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return nil, errors.Wrap(err, "request body")
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		request.ContentLength = int64(len(body))
+	}
 	request.GetBody = nil
 	request.Header.Del("Idempotency-Key")
 	request.Header.Del("X-Idempotency-Key")
@@ -212,6 +223,9 @@
 		return &Error{Kind: ConnectFailed, Cause: err}
 	case u == nil, !u.wroteOrClose():
 		return &Error{Kind: Withheld, Cause: err}
+	case u.aborted.Load():
+		// The target does not run a request whose body is incomplete.
+		return u.closeWithError(Withheld, err)
 	case u.conn.broken.Load():
 		return u.closeWithError(Broken, err)
 	case ctx.Err() != nil:
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -181,6 +182,40 @@
 	require.Zero(t, f.applied.Load())
 }
 
+// A check that fails between two writes of a request, as when the target is handed over in between, is neither a
+// break of the connection nor a request that may have run.
+func TestCheckThatFailsHalfwayIsNotABreak(t *testing.T) {
+	f := newFakeTarget(t)
+	c := f.client(2)
+	_, err := c.Apply(t.Context(), applyRequest, nil)
+	require.NoError(t, err)
+	errCheck := errors.New("paused")
+	checks := 0
+	long := &pb.TargetApplyRequest{Token: strings.Repeat("t", 64<<10)}
+	_, err = c.Apply(t.Context(), long, func() error {
+		if checks++; checks > 1 {
+			return errCheck
+		}
+		return nil
+	})
+	failure := requireKind(t, target.Withheld, err)
+	require.False(t, failure.Sent())
+	require.ErrorIs(t, err, errCheck)
+	require.Eventually(t, func() bool { return c.Connections() == 0 }, 2*time.Second, time.Millisecond)
+	require.EqualValues(t, 1, f.applied.Load())
+}
+
+func TestShortRequestIsOneWrite(t *testing.T) {
+	f := newFakeTarget(t)
+	checks := 0
+	_, err := f.client(1).Apply(t.Context(), applyRequest, func() error {
+		checks++
+		return nil
+	})
+	require.NoError(t, err)
+	require.Equal(t, 1, checks)
+}
+
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	f := newFakeTarget(t)
 	f.Close()
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -53,6 +53,8 @@
 	writtenBefore int64
 	// check runs before each write; an error from it aborts the call.
 	check func() error
+	// aborted is set when the check has failed. The request is then incomplete: there was more to write.
+	aborted atomic.Bool
 }
 
 // begin marks the connection as in use by a call.
@@ -76,6 +78,7 @@
 	}
 	if u := c.current.Load(); u != nil {
 		if err := u.check(); err != nil {
+			u.aborted.Store(true)
 			return 0, err
 		}
 	}
--- a/internal/target/errors.go
+++ b/internal/target/errors.go
@@ -13,8 +13,8 @@
 type FailureKind int
 
 const (
-	// Withheld means that nothing was written because the caller's check failed, the context was done or no
-	// connection was available.
+	// Withheld means that the request was not written, or only a part of it that the target does not run, because
+	// the caller's check failed, the context was done or no connection was available.
 	Withheld FailureKind = iota + 1
 	// ConnectFailed means that no connection could be opened because the target or the network path to it is down.
 	// Nothing was written.
