--- a/internal/routing/distance.go
+++ b/internal/routing/distance.go
@@ -45,15 +45,15 @@
 }
 
 // preferred returns the target that this VM prefers if the service has no target in
-// its failure domain: rendezvous hashing spreads the VMs, or if it is relayed the failure
-// domains, over the targets.
+// its failure domain: rendezvous hashing spreads the VMs over the targets, or if it is
+// relayed over the failure domains.
 func (l Location) preferred(targets []*Target, relayed bool) *Target {
 	var best *Target
 	var highest preference
 	for _, t := range targets {
 		p := preference{target: xxhash.Sum64String(l.VM + "\x00" + t.ID)}
 		if relayed {
-			p.domain = xxhash.Sum64String(l.FailureDomain + "\x00" + t.FailureDomain)
+			p.domain = xxhash.Sum64String(l.VM + "\x00" + t.FailureDomain)
 		}
 		if best == nil || p.exceeds(highest) {
 			best, highest = t, p
