--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -225,7 +225,8 @@
 		return &Error{Kind: Withheld, Cause: err}
 	case u.aborted.Load():
 		// The target does not run a request whose body is incomplete.
-		return u.closeWithError(Withheld, err)
+		_ = u.conn.Close()
+		return &Error{Kind: Withheld, Cause: err}
 	case u.conn.broken.Load():
 		return u.closeWithError(Broken, err)
 	case ctx.Err() != nil:
