Searches are not sent shortly before their deadline

Trace from the kept logs: the first search waited 995 ms at archive-04-3 for the end of the guard time and was dispatched with 3 ms left; the coordinator cancelled it at its deadline while the target crashed. The owner saw a cancelled call, not a broken connection, so the content was not suspect there. The second crash (archive-04-2) thus counted as the first, and the content was allowed one more target, archive-04-1.

Change: a search is sent only while 20 ms, or a tenth of its time if that is less, remain. Otherwise it is refused as expired, which it would have been anyway.

--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -26,6 +26,15 @@
 	ReasonBroken = "broken"
 )
 
+const (
+	// searchReserve is the minimum time that must remain until a search's deadline when it is sent. No reply would
+	// arrive in time later, and the cancellation at the deadline would hide that the search crashed its target.
+	searchReserve = 20 * time.Millisecond
+	// searchReserveDivisor caps the reserve at 1/searchReserveDivisor of the time remaining on arrival, so that
+	// searches with short deadlines are sent as well.
+	searchReserveDivisor = 10
+)
+
 // admissionError explains why work is refused. Refused work has not run.
 type admissionError struct {
 	status pb.SubStatus
@@ -93,7 +102,7 @@
 		received:  received,
 		deadline:  received.Add(time.Duration(r.RemainingUs) * time.Microsecond),
 	}
-	w.sendBy = w.deadline
+	w.sendBy = w.deadline.Add(-min(searchReserve, w.deadline.Sub(received)/searchReserveDivisor))
 	w.callerErr = ctx.Err
 	w.send = func(ctx context.Context, h *handler, check func() error) (replySummary, error) {
 		return sendSearch(ctx, h, check, r, reply, w.deadline)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -254,6 +254,17 @@
 	require.Zero(t, fake.ran.Load())
 }
 
+// A search that waits until shortly before its deadline is refused: it would use its target in vain, and if it
+// crashed it, the deadline would come before the broken connection.
+func TestSearchIsNotSentShortlyBeforeItsDeadline(t *testing.T) {
+	fake := newFakeTarget(t)
+	guarded := func(options *owner.Options) { options.Limits.GuardMs = 390 }
+	o := newDeployment(fake).owner(guarded)
+	requireStatus(t, pb.SubStatus_SUB_STATUS_SHED, o.Dispatch(t.Context(), subRequest("a", time.Millisecond)))
+	requireStatus(t, pb.SubStatus_SUB_STATUS_SHED, o.Dispatch(t.Context(), subRequest("a", 400*time.Millisecond)))
+	require.Zero(t, fake.ran.Load())
+}
+
 func TestChangeToADownTargetIsNotRun(t *testing.T) {
 	fake := newFakeTarget(t)
 	o := newDeployment(fake).owner(nil)
