Relays get only sends that should succeed, and return before the hedge delay

Stragglers are retried after the way back from the relay.

Change: targets that are ejected, lapsed, cold, slow or failing, or that turn away more than 5 % of the requests, are sent to directly. A relay returns after 0.8 hedge delays.

--- a/internal/control/budget_test.go
+++ b/internal/control/budget_test.go
@@ -297,7 +297,9 @@
 	s := startSeeded(6, 4)
 	s.write(manyFronts(6, 1))
 	s.run(5 * time.Second)
-	s.partitioned = func(a, b string) bool { return (a == "domain-0") != (b == "domain-0") && a != "platform" && b != "platform" }
+	s.partitioned = func(a, b string) bool {
+		return (a == "domain-0") != (b == "domain-0") && a != "platform" && b != "platform"
+	}
 	for range 50 {
 		written := s.write(manyFronts(6, 1)).Revision
 		at := s.now
--- a/internal/fanout/relay.go
+++ b/internal/fanout/relay.go
@@ -26,9 +26,15 @@
 	// minBatchSends is the minimum number of sends of a batch. A smaller one saves little
 	// and often waits for a target that pauses.
 	minBatchSends = 8
-	// relayPatience is the delay, in hedge delays, after which the legs of a batch that
-	// has not been returned are hedged. A relay returns after one hedge delay.
+	// stragglerFactor is the straggler delay of a batch in hedge delays. The rest is for
+	// the way from the relay: stragglers are retried when they would be hedged.
+	stragglerFactor = 0.8
+	// relayPatience is the delay, in straggler delays, after which the legs of a batch that
+	// has not been returned are hedged.
 	relayPatience = 2
+	// maxRelayedRejectionRate is the rejection rate of a target above which it is sent to
+	// directly: a rejection in a batch is known only when the batch returns.
+	maxRelayedRejectionRate = 0.05
 )
 
 // batch is a batch of attempts that a relay was told to send.
@@ -45,7 +51,7 @@
 	}
 	legs := map[string][]int{}
 	for i, target := range chosen {
-		if target != nil && len(m.in.Relays[target.FailureDomain]) > 0 {
+		if target != nil && len(m.in.Relays[target.FailureDomain]) > 0 && m.repliesSoon(target) {
 			legs[target.FailureDomain] = append(legs[target.FailureDomain], i)
 		}
 	}
@@ -57,6 +63,13 @@
 	}
 }
 
+// repliesSoon reports whether the target is expected to reply in the usual time.
+func (m *Machine) repliesSoon(t *routing.Target) bool {
+	ejected, _ := t.Health.Ejected(m.now)
+	return !ejected && !t.Lapsed && !m.now.Before(t.ColdUntil) && !t.Health.Failing(m.now) &&
+		t.Health.Speed(m.now) == health.Normal && t.Health.RejectionRate(m.now) <= maxRelayedRejectionRate
+}
+
 // chooseRelay returns the relay with the lowest expected reply time, or nil if none can
 // be reached.
 func (m *Machine) chooseRelay(relays []*routing.Target) *routing.Target {
@@ -76,7 +89,7 @@
 func (m *Machine) sendBatch(relay *routing.Target, legs []int, chosen []*routing.Target) {
 	b := Batch{
 		ID: len(m.batches), Relay: relay, TimeLeft: m.in.Deadline.Sub(m.now),
-		StragglerDelay: m.hedgeDelay(m.legs[legs[0]].service.Name),
+		StragglerDelay: time.Duration(stragglerFactor * float64(m.hedgeDelay(m.legs[legs[0]].service.Name))),
 	}
 	state := batch{relay: relay, sentAt: m.now}
 	for _, i := range legs {
--- a/internal/fanout/relay_test.go
+++ b/internal/fanout/relay_test.go
@@ -58,6 +58,28 @@
 	require.Len(t, actions.Answer.Replies, 10)
 }
 
+// While targets turn requests away (the fault srv_grey, variant shed), each rejection must
+// be known at once, so that the retry is in time.
+func TestTargetsThatRejectAreSentToDirectly(t *testing.T) {
+	route, relays := relayedRoute(12)
+	for _, shard := range route.Shards[:2] {
+		for _, target := range shard.Targets {
+			for range 4 {
+				target.Health.Begin(start)
+				target.Health.End(start, start, health.Rejected, time.Millisecond)
+			}
+		}
+	}
+	now := start.Add(time.Second)
+	m := fanout.New(newSharedState(), 1, fanout.Input{
+		Route: route, Legs: route.Shards, Received: now, Deadline: now.Add(route.TimeLimit), Relays: relays,
+	})
+	actions := m.Start(now)
+	require.Len(t, actions.Sends, 2)
+	require.Len(t, actions.Batches, 1)
+	require.Len(t, actions.Batches[0].Sends, 10)
+}
+
 // A relay that was killed, has another version of the routes or is cut off costs the time
 // until that is known. Where it did not run the batch, no budget of retries is used.
 func TestBatchThatIsNotRelayedIsSentDirectly(t *testing.T) {
