--- a/internal/delegation/relayed_test.go
+++ b/internal/delegation/relayed_test.go
@@ -21,7 +21,7 @@
 	reply := func(status int, metadata backend.ReplyMetadata) fanout.Result {
 		return fanout.Result{Reply: &backend.Reply{Status: status, Took: 7 * time.Millisecond, ReplyMetadata: metadata}}
 	}
-	results := []fanout.Result{
+	answered := []fanout.Result{
 		reply(500, backend.ReplyMetadata{Receipt: "f"}),
 		reply(200, backend.ReplyMetadata{Receipt: "r1"}),
 		reply(200, backend.ReplyMetadata{Receipt: "r2"}),
@@ -31,6 +31,8 @@
 	kinds := []error{
 		backend.ErrNotSent, backend.ErrBusy, backend.ErrConnectTimeout, backend.ErrLost, backend.ErrUnfinished, fanout.ErrNotRelayed,
 	}
+	results := make([]fanout.Result, 0, len(answered)+len(kinds))
+	results = append(results, answered...)
 	for _, kind := range kinds {
 		results = append(results, fanout.Result{Err: errors.Wrap(kind, "cause")})
 	}
@@ -48,7 +50,7 @@
 	require.True(t, parsed[3].Reply.NotRun)
 	require.ErrorIs(t, parsed[4].Err, backend.ErrNotSent, "another target replied")
 	for i, kind := range kinds {
-		require.ErrorIs(t, parsed[5+i].Err, kind)
+		require.ErrorIs(t, parsed[len(answered)+i].Err, kind)
 	}
 }
 
--- a/internal/fanout/relay_test.go
+++ b/internal/fanout/relay_test.go
@@ -143,7 +143,7 @@
 	require.Nil(t, actions.Answer)
 	last := m.Tick(start.Add(79 * time.Millisecond))
 	require.NotNil(t, last.Answer)
-	receipts := []string{}
+	receipts := make([]string, 0, len(last.Answer.Replies))
 	for _, reply := range last.Answer.Replies {
 		receipts = append(receipts, reply.Receipt)
 	}
