--- a/internal/delegation/delegation.go
+++ b/internal/delegation/delegation.go
@@ -5,7 +5,8 @@
 // long for that, and a VM whose failure domain has none of the targets has every exchange
 // cross domains. Both instead pass the caller's request on to a gatherer: a VM with more
 // processor, next to the targets, which sees each target often enough to know its health
-// and to keep its connections in use.
+// and to keep its connections in use. A VM that gathers has a gatherer in another failure
+// domain relay its exchanges with the targets there, in one message.
 package delegation
 
 import (
--- a/internal/delegation/dialect.go
+++ b/internal/delegation/dialect.go
@@ -33,7 +33,7 @@
 // request every few seconds.
 const keepAlive = "timeout=60"
 
-// Request is what a delegating VM states about a request.
+// Request is what a delegating VM states about a request or a batch.
 type Request struct {
 	// RouteVersion is the version of the route table that the request was matched with.
 	RouteVersion uint64
@@ -90,7 +90,8 @@
 }
 
 // Dialect is the dialect between a delegating VM and a gatherer: requests carry the headers
-// of the embedded platform's dialect, and answers those of a gathered answer.
+// of the embedded platform's dialect, and answers those of a gathered answer. The answer of
+// a relay is a RelayedReplies message.
 type Dialect struct{ backend.Dialect }
 
 // ParseReply implements backend.Dialect. A gatherer answers 503 or 4xx if it did not run
--- a/internal/fanout/relay.go
+++ b/internal/fanout/relay.go
@@ -13,11 +13,6 @@
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
-// Exchanges with targets in other failure domains are most of the bytes between domains.
-// The first attempts of a gathered answer are therefore sent in one message per domain to
-// a relay there, which returns the replies in one message with the greatest records only.
-// Retries and hedges are sent directly, so that a lost or slow relay costs no answer.
-
 // ErrNotRelayed means that a relay did not send a batch, or one of its sends, which shows
 // nothing about the targets.
 var ErrNotRelayed = errors.New("not sent by the relay")
@@ -44,7 +39,10 @@
 	attempts []int
 }
 
-// sendBatches sends the first attempts to targets in failure domains with a relay.
+// sendBatches sends the first attempts to targets in another failure domain in one message
+// to a relay there, which returns the replies in one message with the greatest records
+// only: exchanges with such targets are most of the bytes between domains. Retries and
+// hedges are sent directly, so that a lost or slow relay costs no answer.
 func (m *Machine) sendBatches(chosen []*routing.Target) {
 	if len(m.in.Relays) == 0 || !m.in.Route.Gathers() || !m.in.Route.Idempotent {
 		return
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -143,7 +143,8 @@
 	return true
 }
 
-// GatherHandler serves the requests that other VMs delegate to this one.
+// GatherHandler serves the requests that other VMs delegate to this one, and relays their
+// batches.
 func (g *Gateway) GatherHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.running.Add(1)
