--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -102,6 +102,7 @@
 	}
 	if !m.coverageMet(reachable) {
 		m.reject("too few services have a target that can be reached")
+		m.actions.Answer.Unreachable = true
 		return m.actions
 	}
 	for i := range m.legs {
