--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -222,7 +222,7 @@
 	if l.running > 0 {
 		return
 	}
-	if l.mayHaveRun() && !m.in.Route.Idempotent {
+	if l.mayHaveRun() && !m.in.Route.Idempotent || reply != nil && reply.Unreachable {
 		m.failLeg(l, l.cause)
 		return
 	}
