--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -44,9 +44,6 @@
 	OtherTarget bool
 	// Delegated is true if the reply is a gathered answer from another VM.
 	Delegated bool
-	// Unreachable is true if another VM did not run the request because it reaches too few
-	// targets.
-	Unreachable bool
 	// ColdFor is how long the target stays cold; zero if it is not stated.
 	ColdFor time.Duration
 }
--- a/internal/delegation/dialect.go
+++ b/internal/delegation/dialect.go
@@ -25,9 +25,6 @@
 	// stragglerHeader is the time in microseconds after which a relay returns without the
 	// last few replies.
 	stragglerHeader = "Carawayreel-Straggler-Us"
-	// unreachableHeader marks the refusal of a request for which a gatherer reaches too few
-	// targets.
-	unreachableHeader = "Carawayreel-Unreachable"
 	// answerToHeader is the ID of the request that an answer belongs to.
 	answerToHeader = "Carawayreel-Answer-To"
 )
@@ -92,9 +89,6 @@
 	h.Set("Keep-Alive", keepAlive)
 }
 
-// SetUnreachable marks the refusal of a request for which this VM reaches too few targets.
-func SetUnreachable(h http.Header) { h.Set(unreachableHeader, "1") }
-
 // Dialect is the dialect between a delegating VM and a gatherer: requests carry the headers
 // of the embedded platform's dialect, and answers those of a gathered answer. The answer of
 // a relay is a RelayedReplies message.
@@ -105,7 +99,7 @@
 func (Dialect) ParseReply(status int, h http.Header) backend.ReplyMetadata {
 	id := h.Get(answerToHeader)
 	h.Del(answerToHeader)
-	metadata := backend.ReplyMetadata{RequestID: id, Delegated: true, Unreachable: take(h, unreachableHeader) != ""}
+	metadata := backend.ReplyMetadata{RequestID: id, Delegated: true}
 	metadata.NotRun = status == http.StatusServiceUnavailable || status >= 400 && status < 500
 	if status == http.StatusOK {
 		metadata.Receipt = id
--- a/internal/fanout/delegation_test.go
+++ b/internal/fanout/delegation_test.go
@@ -85,21 +85,6 @@
 	require.LessOrEqual(t, lost, callers)
 }
 
-// Other gatherers beyond a cut would cost time, and those on this side refuse as well.
-func TestRefusalForWantOfTargetsIsFinal(t *testing.T) {
-	sent := 0
-	s := newSimulation(1, func(*simulation, *routing.Target) (time.Duration, *backend.Reply, error) {
-		sent++
-		reply := notRunReply()
-		reply.Unreachable = true
-		return time.Millisecond, reply, nil
-	})
-	s.request(newSharedState(), delegatedRoute("vm", "a", "b", "c"))
-	s.runEvents()
-	require.Equal(t, 1, sent)
-	require.Equal(t, fanout.NotRun, s.answers[0].answer.Outcome)
-}
-
 // A gatherer may have run a request before it was lost. The request is not sent to
 // another one, since both could together exceed the bound on targets, and the caller is
 // never told that it has not run.
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -102,7 +102,6 @@
 	}
 	if !m.coverageMet(reachable) {
 		m.reject("too few services have a target that can be reached")
-		m.actions.Answer.Unreachable = true
 		return m.actions
 	}
 	for i := range m.legs {
@@ -222,7 +221,7 @@
 	if l.running > 0 {
 		return
 	}
-	if l.mayHaveRun() && !m.in.Route.Idempotent || reply != nil && reply.Unreachable {
+	if l.mayHaveRun() && !m.in.Route.Idempotent {
 		m.failLeg(l, l.cause)
 		return
 	}
--- a/internal/fanout/types.go
+++ b/internal/fanout/types.go
@@ -103,8 +103,6 @@
 	Missing int
 	// RetryAfter is the delay after which a retry may succeed; set only for NotRun.
 	RetryAfter time.Duration
-	// Unreachable is true if the request was not run because too few targets can be reached.
-	Unreachable bool
 	// Cause is why the answer is not complete, for the log.
 	Cause string
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,7 +8,6 @@
 	"strconv"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
-	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 )
 
@@ -19,9 +18,6 @@
 func (c *call) write(answer *fanout.Answer) {
 	switch {
 	case answer.Outcome == fanout.NotRun:
-		if c.delegated && answer.Unreachable {
-			delegation.SetUnreachable(c.writer.Header())
-		}
 		c.writeNotRun(answer.RetryAfter)
 	case answer.Outcome == fanout.TimedOut:
 		c.writer.WriteHeader(http.StatusGatewayTimeout)
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -115,8 +115,7 @@
 }
 
 // runDelegated passes the request on to a gatherer and reports whether the caller has been
-// answered. If not, no gatherer has run the request. The caller is refused if a gatherer in
-// this VM's failure domain reaches too few targets, since this VM reaches no others.
+// answered. If not, no gatherer has run the request.
 func (c *call) runDelegated() bool {
 	route := c.compiled.delegated[c.route]
 	if route == nil || c.delegated {
@@ -133,8 +132,7 @@
 		},
 	})
 	answer := r.runMachine()
-	notRun := answer != nil && answer.Outcome == fanout.NotRun
-	if notRun && !r.refusedInDomain && time.Since(c.received) < limit {
+	if answer != nil && answer.Outcome == fanout.NotRun && time.Since(c.received) < limit {
 		c.gateway.counters.undelegated.Inc()
 		c.gateway.log.undelegated(c, &r.trace, answer.Cause)
 		r.cancel()
--- a/internal/gateway/delegate_test.go
+++ b/internal/gateway/delegate_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/delegation"
@@ -151,43 +150,6 @@
 	require.Equal(t, 2, runs(f.small))
 }
 
-// A gatherer behind the same cut learns of it first, as it sends to all targets. The VM
-// refuses the request at once instead of waiting for targets that the cut hides from it.
-func TestRefusalOfAGathererInTheSameDomainIsPassedOn(t *testing.T) {
-	for domain, status := range map[string]int{"a": 503, "b": 200} {
-		f := newDelegationFixture(t)
-		f.serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = delegation.TakeRequest(r.Header)
-			delegation.SetAnswerHeaders(w.Header(), "r1")
-			delegation.SetUnreachable(w.Header())
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}))
-		current := *f.small.views.Current()
-		current.Self.FailureDomain = domain
-		f.small.views.current.Store(&current)
-		response, _ := f.small.do(t, "GET", "/g/x", "")
-		require.Equal(t, status, response.StatusCode, domain)
-		for name := range response.Header {
-			require.NotContains(t, name, "Carawayreel")
-		}
-		if status == 503 {
-			require.Zero(t, runs(f.small))
-			require.NotEmpty(t, response.Header.Get("Retry-After"))
-		}
-	}
-}
-
-func TestGathererSaysThatItReachesTooFewTargets(t *testing.T) {
-	f := newDelegationFixture(t)
-	c := proto.CloneOf(f.gatherer.views.Current().Configuration)
-	c.Revision++
-	c.Registrations = nil
-	f.gatherer.views.set(c)
-	response, _ := f.small.do(t, "GET", "/g/x", "")
-	require.Equal(t, 503, response.StatusCode)
-	require.Zero(t, runs(f.small))
-}
-
 // A gatherer that is lost in the middle may have run the request, so it is not run again.
 // Half an answer is no success.
 func TestLossOfTheGathererIsNoSuccessAndRunsNothingAgain(t *testing.T) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -32,9 +32,6 @@
 	results  chan result
 	inFlight int
 	trace    trace
-	// refusedInDomain is true if a gatherer in this VM's failure domain refused the request
-	// because it reaches too few targets.
-	refusedInDomain bool
 }
 
 // runOptions are what a run sends, to whom and with which state.
@@ -183,10 +180,6 @@
 		return r.endedBatch(res)
 	}
 	r.trace.ended(res.attempt, res.reply, res.err, time.Since(r.call.received))
-	if res.reply != nil && res.reply.Unreachable {
-		domain := r.trace.attempts[res.attempt].domain
-		r.refusedInDomain = r.refusedInDomain || domain == r.call.compiled.view.Self.FailureDomain
-	}
 	return r.machine.Ended(time.Now(), res.attempt, res.reply, res.err)
 }
 
