A relay that was paused while it read a batch sends nothing

A process paused in between acted on a configuration that was not confirmed.

Change: the check is repeated before the sends, as for gathered requests.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -70,6 +70,11 @@
 		c.writer.WriteHeader(http.StatusConflict)
 		return
 	}
+	// The process may have been paused while it read the body.
+	if c.gateway.paused(c.arrived) {
+		c.notRun("this VM was paused", pauseRetryAfter)
+		return
+	}
 	c.gateway.counters.relayedBatches.Inc()
 	targets := make([]*routing.Target, len(c.relay.Targets))
 	for i, id := range c.relay.Targets {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,6 +21,7 @@
 	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/gateway"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/pause"
 	"github.com/carawayreel/carawayreel/internal/standin/users"
 	"github.com/carawayreel/carawayreel/internal/view"
 	"github.com/carawayreel/carawayreel/platform"
@@ -36,11 +38,20 @@
 const shardsPerDomain = 8
 
 func newRelayFixture(t *testing.T) *relayFixture {
+	t.Helper()
+	return newRelayFixtureWith(t, func(*gateway.Options) {})
+}
+
+// newRelayFixtureWith is newRelayFixture with options of the relay that the test modifies.
+func newRelayFixtureWith(t *testing.T, modify func(*gateway.Options)) *relayFixture {
 	t.Helper()
 	f := &relayFixture{targets: map[string]*users.Target{}}
 	client := backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}}, "", metrics.NewSet(), delegation.MetricPrefix)
 	f.gatherer = newFixtureWith(t, func(o *gateway.Options) { o.Gatherers = client })
-	f.relay = newFixtureWith(t, func(o *gateway.Options) { o.Gatherers = client })
+	f.relay = newFixtureWith(t, func(o *gateway.Options) {
+		o.Gatherers = client
+		modify(o)
+	})
 	configuration := &pb.Configuration{Revision: 2, RouteTable: &pb.RouteTable{Version: 4, Routes: []*pb.Route{{
 		Name: "gather", Host: "h", Prefix: "/g/", Idempotent: true, TimeLimitMs: 800, LatencyGoalMs: 300, MaxTargets: 2,
 		RowLimit: 3, LeastCoverage: 0.5,
@@ -155,6 +166,31 @@
 	}
 }
 
+// slowBody is a body that takes a while to read.
+type slowBody struct{ delay time.Duration }
+
+func (b slowBody) Read([]byte) (int, error) {
+	time.Sleep(b.delay)
+	return 0, io.EOF
+}
+
+// A relay whose process was paused since it received a batch may have an old
+// configuration.
+func TestRelayThatWasPausedSendsNothing(t *testing.T) {
+	const threshold = 100 * time.Millisecond
+	pauses := pause.NewDetector(threshold)
+	pauses.Start(time.Now())
+	f := newRelayFixtureWith(t, func(o *gateway.Options) { o.Pauses = pauses })
+	r := httptest.NewRequest("GET", "/g/x", slowBody{delay: 2 * threshold})
+	r.Host = "h"
+	r.Header.Set("X-Attempt-Id", "r1")
+	delegation.Request{RouteVersion: 4, Targets: []string{"s8"}, StragglerDelay: time.Second}.SetHeaders(r.Header)
+	w := httptest.NewRecorder()
+	f.relay.gateway.GatherHandler().ServeHTTP(w, r)
+	require.Equal(t, 503, w.Code)
+	require.Empty(t, f.targets["s8"].Runs())
+}
+
 // A relay that is lost, paused or returns half an answer costs no answer: each shard has a
 // second target or, as here, gets the request once more.
 func TestLossOfTheRelayCostsNoAnswer(t *testing.T) {
