--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -181,7 +181,7 @@
 	pauses := pause.NewDetector(threshold)
 	pauses.Start(time.Now())
 	f := newRelayFixtureWith(t, func(o *gateway.Options) { o.Pauses = pauses })
-	r := httptest.NewRequest("GET", "/g/x", slowBody{delay: 2 * threshold})
+	r := httptest.NewRequest(http.MethodGet, "/g/x", slowBody{delay: 2 * threshold})
 	r.Host = "h"
 	r.Header.Set("X-Attempt-Id", "r1")
 	delegation.Request{RouteVersion: 4, Targets: []string{"s8"}, StragglerDelay: time.Second}.SetHeaders(r.Header)
