--- a/internal/fanout/relay.go
+++ b/internal/fanout/relay.go
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/health"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
@@ -181,80 +180,3 @@
 	b := &m.batches[id]
 	b.relay.Health.End(b.sentAt, m.now, outcome, m.latencies.typical)
 }
-
-// maxStragglerDivisor bounds the stragglers of a batch to this part (1/n) of its targets. If
-// more replies are missing, the targets are overloaded rather than paused, and sending the
-// request once more would add to that.
-const maxStragglerDivisor = 4
-
-// Relaying is the state of a batch at its relay. It is not safe for concurrent use.
-type Relaying struct {
-	route   *routing.Route
-	shared  *SharedState
-	targets []*routing.Target
-	sentAt  time.Time
-	// stragglersAt is when the relay stops to wait for the last few replies.
-	stragglersAt time.Time
-	typical      time.Duration
-	results      []Result
-	pending      int
-}
-
-// NewRelaying returns the state of a batch that is sent now. Targets that the relay does
-// not know are nil; they must not be sent to.
-func NewRelaying(shared *SharedState, route *routing.Route, targets []*routing.Target, now time.Time, stragglerDelay time.Duration) *Relaying {
-	r := &Relaying{
-		route: route, shared: shared, targets: targets, sentAt: now, stragglersAt: now.Add(stragglerDelay),
-		typical: shared.latencies(route).typical, results: make([]Result, len(targets)),
-	}
-	for i, target := range targets {
-		if target == nil {
-			r.results[i].Err = errors.Wrap(ErrNotRelayed, "the target is not known")
-			continue
-		}
-		r.results[i].Err = backend.ErrUnfinished
-		r.pending++
-		target.Health.Begin(now)
-	}
-	return r
-}
-
-// Ended handles the result of the send to the target with the given index.
-func (r *Relaying) Ended(now time.Time, index int, result Result) {
-	r.pending--
-	if result.Reply != nil {
-		result.Reply.Took = now.Sub(r.sentAt)
-	}
-	r.results[index] = result
-	outcome := outcomeOf(result.Reply, result.Err)
-	r.targets[index].Health.End(r.sentAt, now, outcome, r.typical)
-	if outcome == health.Succeeded {
-		r.shared.recordReply(r.route, now.Sub(r.sentAt))
-	}
-}
-
-// Abandon handles the end of a send that was given up.
-func (r *Relaying) Abandon(now time.Time, index int, outcome health.Outcome) {
-	r.pending--
-	r.targets[index].Health.End(r.sentAt, now, outcome, r.typical)
-}
-
-// Pending returns the number of sends in flight.
-func (r *Relaying) Pending() int { return r.pending }
-
-// Done reports whether the results must be returned now, and if not, when to ask again
-// even if no send has ended.
-func (r *Relaying) Done(now, deadline time.Time) (done bool, wakeAt time.Time) {
-	switch {
-	case r.pending == 0 || !now.Before(deadline):
-		return true, time.Time{}
-	case now.Before(r.stragglersAt):
-		return false, earlier(deadline, r.stragglersAt)
-	default:
-		return r.pending <= len(r.targets)/maxStragglerDivisor, deadline
-	}
-}
-
-// Results returns the results in the order of the targets. Those of sends in flight are
-// backend.ErrUnfinished.
-func (r *Relaying) Results() []Result { return slices.Clone(r.results) }
