--- a/internal/gateway/delegate_test.go
+++ b/internal/gateway/delegate_test.go
@@ -31,7 +31,7 @@
 
 func newDelegationFixture(t *testing.T) *delegationFixture {
 	t.Helper()
-	client := backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}}, "", metrics.NewSet(), delegation.MetricPrefix)
+	client := newGatherClient()
 	f := &delegationFixture{
 		small:    newFixtureWith(t, func(o *gateway.Options) { o.Gatherers = client }),
 		gatherer: newFixture(t),
@@ -43,25 +43,41 @@
 // serve makes the handler the gatherer that the small VM knows.
 func (f *delegationFixture) serve(t *testing.T, handler http.Handler) {
 	t.Helper()
-	f.gatherServer = httptest.NewServer(handler)
-	t.Cleanup(f.gatherServer.Close)
-	address := f.gatherServer.Listener.Addr().String()
-	_, port, err := net.SplitHostPort(address)
-	require.NoError(t, err)
-	number, err := strconv.Atoi(port)
-	require.NoError(t, err)
-	vm := func(id string, millicores uint32) view.VM {
-		return view.VM{
-			ID: id, FailureDomain: "a", PeerAddress: "127.0.0.1:1", GatherPort: uint32(number), Incarnation: uint64(number),
-			ProcessorMillicores: millicores, State: pb.MemberState_MEMBER_STATE_ALIVE,
-		}
-	}
+	var port uint32
+	f.gatherServer, port = startGatherServer(t, handler)
+	vm := func(id string, millicores uint32) view.VM { return gatherVM(id, "a", millicores, port) }
 	f.small.views.current.Store(view.Build(view.Input{
 		Self: vm("vm", 192), VMs: []view.VM{vm("vm2", 192), vm("vm3", 192), vm("large", 800)},
 		Configuration: f.small.views.Current().Configuration,
 	}, nil))
 }
 
+// newGatherClient returns a client of gatherers.
+func newGatherClient() *backend.Client {
+	return backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}}, "", metrics.NewSet(), delegation.MetricPrefix)
+}
+
+// startGatherServer serves the handler until the test ends, and returns the server's port.
+func startGatherServer(t *testing.T, handler http.Handler) (*httptest.Server, uint32) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	_, port, err := net.SplitHostPort(server.Listener.Addr().String())
+	require.NoError(t, err)
+	number, err := strconv.Atoi(port)
+	require.NoError(t, err)
+	return server, uint32(number)
+}
+
+// gatherVM returns a live VM that offers to gather on the port. Each port is another
+// incarnation.
+func gatherVM(id, domain string, millicores, port uint32) view.VM {
+	return view.VM{
+		ID: id, FailureDomain: domain, PeerAddress: "127.0.0.1:1", GatherPort: port, Incarnation: uint64(port),
+		ProcessorMillicores: millicores, State: pb.MemberState_MEMBER_STATE_ALIVE,
+	}
+}
+
 func runs(f *fixture) int {
 	n := 0
 	for _, target := range f.targets {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -5,26 +5,21 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/gateway"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/pause"
 	"github.com/carawayreel/carawayreel/internal/standin/users"
 	"github.com/carawayreel/carawayreel/internal/view"
-	"github.com/carawayreel/carawayreel/platform"
 )
 
 // relayFixture is a VM that gathers in the failure domain a, and a relay in b. Half of the
@@ -32,7 +27,6 @@
 type relayFixture struct {
 	gatherer, relay *fixture
 	targets         map[string]*users.Target
-	relayServer     *httptest.Server
 }
 
 const shardsPerDomain = 8
@@ -46,7 +40,7 @@
 func newRelayFixtureWith(t *testing.T, modify func(*gateway.Options)) *relayFixture {
 	t.Helper()
 	f := &relayFixture{targets: map[string]*users.Target{}}
-	client := backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}}, "", metrics.NewSet(), delegation.MetricPrefix)
+	client := newGatherClient()
 	f.gatherer = newFixtureWith(t, func(o *gateway.Options) { o.Gatherers = client })
 	f.relay = newFixtureWith(t, func(o *gateway.Options) {
 		o.Gatherers = client
@@ -76,18 +70,8 @@
 // serve makes the handler the relay, and the configuration that of both VMs.
 func (f *relayFixture) serve(t *testing.T, configuration *pb.Configuration, handler http.Handler) {
 	t.Helper()
-	f.relayServer = httptest.NewServer(handler)
-	t.Cleanup(f.relayServer.Close)
-	_, port, err := net.SplitHostPort(f.relayServer.Listener.Addr().String())
-	require.NoError(t, err)
-	number, err := strconv.Atoi(port)
-	require.NoError(t, err)
-	vm := func(id, domain string, millicores uint32) view.VM {
-		return view.VM{
-			ID: id, FailureDomain: domain, PeerAddress: "127.0.0.1:1", GatherPort: uint32(number), Incarnation: uint64(number),
-			ProcessorMillicores: millicores, State: pb.MemberState_MEMBER_STATE_ALIVE,
-		}
-	}
+	_, port := startGatherServer(t, handler)
+	vm := func(id, domain string, millicores uint32) view.VM { return gatherVM(id, domain, millicores, port) }
 	gatherer, relay := vm("vm", "a", 800), vm("relay", "b", 800)
 	small := []view.VM{vm("small1", "a", 192), vm("small2", "b", 192), vm("small3", "a", 192)}
 	f.gatherer.views.current.Store(view.Build(view.Input{Self: gatherer, VMs: append(small, relay), Configuration: configuration}, nil))
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -57,20 +56,6 @@
 	WithoutConfiguration bool
 }
 
-// VM is one VM of a deployment.
-type VM struct {
-	ID            string
-	FailureDomain string
-	CallerAddress string
-	PeerAddress   string
-	RelayAddress  string
-	Caller        carawayreelv1connect.CallerServiceClient
-	Admin         carawayreelv1connect.AdminServiceClient
-
-	process      *Process
-	settingsPath string
-}
-
 // Deployment is a stand-in and the VMs that use it. Each runs as a process.
 type Deployment struct {
 	Profile *profile.Profile
@@ -302,47 +287,6 @@
 	return filepath.Join(d.options.Dir, name+".log")
 }
 
-// PID returns the process ID of the VM.
-func (vm *VM) PID() int {
-	return vm.process.PID()
-}
-
-// Kill kills the VM's process with SIGKILL and waits for it to exit.
-func (vm *VM) Kill() {
-	vm.process.Kill()
-}
-
-// Pause suspends the VM's process with SIGSTOP until Resume is called.
-func (vm *VM) Pause() {
-	vm.process.Signal(syscall.SIGSTOP)
-}
-
-// Resume continues a VM that Pause suspended.
-func (vm *VM) Resume() {
-	vm.process.Signal(syscall.SIGCONT)
-}
-
-// Terminate starts a planned stop with SIGTERM and does not wait for the process to
-// exit.
-func (vm *VM) Terminate() {
-	vm.process.Signal(syscall.SIGTERM)
-}
-
-// Stop performs a planned stop, waits for the process to exit and returns its exit
-// code.
-func (vm *VM) Stop(ctx context.Context) (int, error) {
-	vm.Terminate()
-	return vm.Wait(ctx)
-}
-
-// Wait waits for the VM's process to exit, for at most stopTimeout, and returns its
-// exit code.
-func (vm *VM) Wait(ctx context.Context) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
-	return vm.process.Wait(ctx)
-}
-
 // InDomain returns the VMs of a failure domain.
 func (d *Deployment) InDomain(failureDomain string) []*VM {
 	var vms []*VM
