backend: bound the framing of chunked replies

Cause: a reply was bounded by 32 MiB on the connection. One-byte chunks take six bytes each, so a target that sent them without end cost a VM 5.6 million chunks before its reply was cut off. Class: work per byte that a target sends was not bounded by what the reply delivers.

Ruled out: other cases of testkit.EndlessReplies; their cost is bounded by the head's 64 KiB, the line length of chunk headers and net/http's bound of trailers.

Change: bytes of chunked encoding beyond the body are bounded by 512 KiB plus a quarter of the body. Replies of gatherers are read by the same code.

TestChunkedRepliesArriveWhole: chunks of 1, 64, 4,096 and 65,536 bytes arrive whole. Not bounded in this way: a caller's body in small chunks, which is bounded by the configured max_body_bytes only.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -194,7 +194,7 @@
 		return nil, 0, errors.Wrap(ErrLost, err.Error())
 	}
 	cn.bound.left = maxReplyBytes * encodingFactor
-	body, err := c.readBody(response)
+	body, err := c.readBody(cn, response)
 	if err != nil {
 		return nil, 0, errors.Wrap(ErrLost, err.Error())
 	}
@@ -227,7 +227,7 @@
 }
 
 // readBody reads the whole body of a response without closing it.
-func (c *Client) readBody(response *http.Response) ([]byte, error) {
+func (c *Client) readBody(cn *conn, response *http.Response) ([]byte, error) {
 	if response.Body == http.NoBody {
 		// The reply to a HEAD request has a length but no body.
 		return nil, nil
@@ -235,6 +235,9 @@
 	if length := response.ContentLength; length > 0 {
 		return c.replyMemory.readFull(response.Body, int(min(length, maxReplyBytes+1)))
 	}
+	if len(response.TransferEncoding) > 0 {
+		return c.replyMemory.readAll(newFramingLimiter(response.Body, cn))
+	}
 	return c.replyMemory.readAll(response.Body)
 }
 
--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -16,6 +16,11 @@
 	// encodingFactor bounds a body on the connection relative to its decoded size. Chunks
 	// of a few bytes each take several times their size.
 	encodingFactor = 2
+	// maxFramingBytes and maxFramingShare bound the bytes of chunked encoding that are not
+	// part of the body: a fixed number and a share of the body. Each chunk costs processor
+	// time, however few bytes of the body it carries.
+	maxFramingBytes = 512 << 10
+	maxFramingShare = 0.25
 	// maxLargeReplyBytes bounds the memory that all replies larger than largeReplyBytes
 	// take while they are read. VMs have as little as 184 MB.
 	maxLargeReplyBytes = 32 << 20
@@ -31,6 +36,8 @@
 type boundedReader struct {
 	inner io.Reader
 	left  int
+	// total is the number of bytes read so far.
+	total int
 }
 
 // Read implements io.Reader. It returns errTooLong when the bound is reached.
@@ -40,6 +47,35 @@
 	}
 	n, err := r.inner.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	r.total += n
+	return n, err
+}
+
+// framingLimiter reads a chunked body and fails when its encoding takes too many bytes of
+// the connection.
+type framingLimiter struct {
+	body io.Reader
+	// taken returns the number of bytes of the connection that have been decoded, and start
+	// is its value before the body.
+	taken     func() int
+	start     int
+	delivered int
+}
+
+// newFramingLimiter returns a limiter for a body that is decoded from the connection.
+func newFramingLimiter(body io.Reader, c *conn) *framingLimiter {
+	taken := func() int { return c.bound.total - c.reader.Buffered() }
+	return &framingLimiter{body: body, taken: taken, start: taken()}
+}
+
+// Read implements io.Reader. It returns errTooLong when the limit is exceeded.
+func (l *framingLimiter) Read(p []byte) (int, error) {
+	n, err := l.body.Read(p)
+	l.delivered += n
+	framing := l.taken() - l.start - l.delivered
+	if float64(framing) > maxFramingBytes+maxFramingShare*float64(l.delivered) {
+		return n, errors.Wrap(errTooLong, "chunks are too small")
+	}
 	return n, err
 }
 
--- a/internal/backend/limit_test.go
+++ b/internal/backend/limit_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,3 +63,36 @@
 	require.NoError(t, ctx.Err())
 	require.Less(t, s.Sent(), int64(targets*maxAcceptedBytes/2))
 }
+
+// Limits on endless replies must not cut off the chunked replies of honest targets.
+func TestChunkedRepliesArriveWhole(t *testing.T) {
+	for _, chunkBytes := range []int{1, 64, 4096, 65536} {
+		for _, bodyBytes := range []int{1, 400, 8 << 10, 64 << 10, 1 << 20} {
+			if chunkBytes == 1 && bodyBytes > 64<<10 {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d bytes in chunks of %d", bodyBytes, chunkBytes), func(t *testing.T) {
+				body := strings.Repeat("0123456789abcdef", bodyBytes/16+1)[:bodyBytes]
+				s := startServer(t, func(_ int, c net.Conn, r *http.Request) {
+					_, _ = io.WriteString(c, chunkedReply(r.Header.Get("Id"), body, chunkBytes))
+				})
+				for _, id := range []string{"1", "2"} {
+					reply, err := newClient().Send(context.Background(), s.target(), newRequest(id), 10*time.Second)
+					require.NoError(t, err)
+					require.Equal(t, body, string(reply.Body))
+				}
+			})
+		}
+	}
+}
+
+// chunkedReply returns a reply whose body is sent in chunks of the given size.
+func chunkedReply(id, body string, chunkBytes int) string {
+	var reply strings.Builder
+	fmt.Fprintf(&reply, "HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: r\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	for part := range slices.Chunk([]byte(body), chunkBytes) {
+		fmt.Fprintf(&reply, "%x\r\n%s\r\n", len(part), part)
+	}
+	reply.WriteString("0\r\n\r\n")
+	return reply.String()
+}
