--- /dev/null
+++ b/internal/e2e/crashing_request_test.go
@@ -0,0 +1,119 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayreel/carawayreel/internal/standin/users"
+	"github.com/carawayreel/carawayreel/internal/testkit"
+)
+
+const (
+	// crashStableWindow is the bounds' stable_window_ms of the users' sites.
+	crashStableWindow = 4 * time.Second
+	// maxSendsAfterCrashes is how many retries the rule BUDGET allows after that window.
+	maxSendsAfterCrashes = 3
+	crashedTargetDown    = 800 * time.Millisecond
+)
+
+// Guards against a request that crashes each target that runs it being sent to further
+// targets without end, at all VMs, while its caller repeats it.
+func TestCrashingRequestIsNotSentWithoutEnd(t *testing.T) {
+	for _, uri := range []string{"/g/poison", "/e/poison"} {
+		t.Run(uri, func(t *testing.T) {
+			d := startUsers(t)
+			crashOn(d, "poison")
+			load := startCleanLoad(d)
+			random := rand.New(rand.NewPCG(1, 2))
+			for range 60 {
+				vm := d.VMs[random.IntN(len(d.VMs))]
+				sendRequest(vm, newClient(), "POST", uri)
+				time.Sleep(150 * time.Millisecond)
+			}
+			load.stop(t)
+			requireFewSends(t, d, uri)
+		})
+	}
+}
+
+// crashOn makes all targets crash on requests whose URI contains the text, and register
+// anew after each restart.
+func crashOn(d *testkit.UsersDeployment, text string) {
+	for _, target := range d.Targets {
+		target.SetBehavior(users.Behavior{Delay: 5 * time.Millisecond, CrashOn: text, Down: crashedTargetDown})
+		target.OnRestart(func() { d.Store.Register(target, users.Ready, 1) })
+	}
+}
+
+// requireFewSends checks the rule BUDGET for a request that crashes its targets.
+func requireFewSends(t *testing.T, d *testkit.UsersDeployment, uri string) {
+	t.Helper()
+	var crashes []time.Time
+	for _, target := range d.Targets {
+		crashes = append(crashes, target.Crashes()...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	t.Logf("%d crashes", len(crashes))
+	if len(crashes) < 3 {
+		return
+	}
+	late := map[string]bool{}
+	for _, target := range d.Targets {
+		for _, run := range target.Runs() {
+			if run.URI == uri && run.At.After(crashes[2].Add(crashStableWindow)) {
+				late[fmt.Sprintf("%s at %s", run.ID, target.ID)] = true
+			}
+		}
+	}
+	require.LessOrEqual(t, len(late), maxSendsAfterCrashes, "sends after the third crash: %v", late)
+}
+
+// cleanLoad sends requests that crash no target.
+type cleanLoad struct {
+	cancel         context.CancelFunc
+	done           sync.WaitGroup
+	mu             sync.Mutex
+	served, others int
+}
+
+func startCleanLoad(d *testkit.UsersDeployment) *cleanLoad {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &cleanLoad{cancel: cancel}
+	for i, vm := range d.VMs {
+		l.done.Go(func() {
+			client := newClient()
+			for n := 0; ctx.Err() == nil; n++ {
+				status, _, _ := sendRequest(vm, client, "GET", fmt.Sprintf("/g/clean-%d-%d", i, n))
+				l.record(status)
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	return l
+}
+
+func (l *cleanLoad) record(status int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if status == 200 {
+		l.served++
+		return
+	}
+	l.others++
+}
+
+// stop ends the load and checks that clean requests were served.
+func (l *cleanLoad) stop(t *testing.T) {
+	t.Helper()
+	l.cancel()
+	l.done.Wait()
+	t.Logf("clean requests: %d served, %d others", l.served, l.others)
+	require.Greater(t, l.served, 9*l.others)
+}
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -28,6 +27,10 @@
 	Shed bool
 	// ResetAfterRun runs the request and resets the connection instead of responding.
 	ResetAfterRun bool
+	// CrashOn crashes the target when it begins to run a request whose URI contains the
+	// text; empty for none. It restarts after Down.
+	CrashOn string
+	Down    time.Duration
 }
 
 // Target is one fake target. It is safe for concurrent use.
@@ -37,19 +40,63 @@
 	// Records is the body of the response to each executed request.
 	Records []byte
 
+	listener  *crashListener
 	mu        sync.Mutex
 	behavior  Behavior
 	runs      []Run
 	abandoned int
+	crashes   []time.Time
+	boots     int
+	onRestart func()
 }
 
 // NewTarget starts a target on a free port of the loopback interface.
 func NewTarget(id, service, domain string, records []byte) *Target {
 	t := &Target{ID: id, Service: service, Domain: domain, Records: records}
-	t.Server = httptest.NewServer(t)
+	listener, err := newCrashListener()
+	if err != nil {
+		panic(err)
+	}
+	t.listener = listener
+	t.Server = httptest.NewUnstartedServer(t)
+	_ = t.Server.Listener.Close()
+	t.Server.Listener = listener
+	t.Server.Start()
 	return t
 }
 
+// Crash resets the target's connections. It refuses new ones until it has restarted.
+func (t *Target) Crash(down time.Duration) {
+	t.mu.Lock()
+	t.crashes = append(t.crashes, time.Now())
+	t.mu.Unlock()
+	t.listener.crash(down, t.restarted)
+}
+
+func (t *Target) restarted() {
+	t.mu.Lock()
+	t.boots++
+	notify := t.onRestart
+	t.mu.Unlock()
+	if notify != nil {
+		notify()
+	}
+}
+
+// OnRestart sets a function that is called after each restart.
+func (t *Target) OnRestart(notify func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onRestart = notify
+}
+
+// Crashes returns the times of the target's crashes.
+func (t *Target) Crashes() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]time.Time(nil), t.crashes...)
+}
+
 // States that a target registers with.
 const (
 	Ready    = "ready"
@@ -58,9 +105,12 @@
 
 // Register writes the target's registration with its state and sequence number.
 func (s *Store) Register(t *Target, state string, sequence int) {
+	t.mu.Lock()
+	boots := t.boots
+	t.mu.Unlock()
 	s.Put("servers/"+t.ID, map[string]any{
 		"service": t.Service, "address": t.Server.Listener.Addr().String(), "zone": t.Domain, "version": "v1",
-		"slots": 2, "state": state, "cold_left_ms": 0, "seq": sequence, "born": 1000,
+		"slots": 2, "state": state, "cold_left_ms": 0, "seq": sequence, "born": 1000 + boots,
 	})
 }
 
@@ -116,6 +166,10 @@
 	t.runs = append(t.runs, Run{ID: id, Method: r.Method, URI: r.RequestURI, Body: body.String(), At: time.Now(), Header: r.Header.Clone()})
 	n := len(t.runs)
 	t.mu.Unlock()
+	if b.CrashOn != "" && strings.Contains(r.RequestURI, b.CrashOn) {
+		t.Crash(b.Down)
+		return
+	}
 	if b.ResetAfterRun {
 		resetConnection(w)
 		return
@@ -145,8 +199,6 @@
 	if err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
+	resetOnClose(conn)
 	_ = conn.Close()
 }
