fanout: quarantine the contents of route requests that crash targets

A request under which targets crashed was sent on at each attempt of its caller, at every VM, and took whole shards down.

Cause: routes remembered nothing of a content beyond one attempt; max_attempts and the budget of retries start anew with each. The quarantine served searches and changes only.

Ruled out: retries within one attempt alone (the route without retries failed too); a quarantine that is lost on the way (none was asked).

Change: quarantine.Guard puts a content whose reply was lost on trial, one target at a time, and quarantines it after a loss on trial; VMs share it by announcements and heartbeats. A reply on an older connection of the target, or to the content, withdraws the suspicion. backend.ErrNoReply tells a broken connection from other lost replies, also through relays.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -20,6 +20,9 @@
 var (
 	ErrNotSent = errors.New("request not sent")
 	ErrLost    = errors.New("reply lost")
+	// ErrNoReply is the ErrLost of a target that closed or reset the connection before it sent
+	// any byte of a reply. Its process may have crashed.
+	ErrNoReply = errors.Wrap(ErrLost, "no reply")
 	// ErrBusy means that the request was not sent because no connection was free.
 	ErrBusy = errors.New("all connections to the target are in use")
 	// ErrConnectTimeout means that the request was not sent because the connection was
@@ -71,6 +74,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// ConnectedAt is when the connection to the target was set up; zero if a relay has it.
+	ConnectedAt time.Time
 	// Took is the reply time that a relay measured; zero if the target replied to this VM.
 	Took time.Duration
 	ReplyMetadata
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -213,7 +213,9 @@
 	if response.Close || endsWithConnection(response) {
 		idleFor = 0
 	}
-	return &Reply{Status: response.StatusCode, Header: response.Header, Body: body, ReplyMetadata: metadata}, idleFor, nil
+	return &Reply{
+		Status: response.StatusCode, Header: response.Header, Body: body, ConnectedAt: cn.connectedAt, ReplyMetadata: metadata,
+	}, idleFor, nil
 }
 
 // readHead reads the head of a reply and skips interim replies, those with a 1xx status.
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,9 +18,10 @@
 // noticed also while the connection is idle.
 type conn struct {
 	net.Conn
-	client *Client
-	pool   *pool
-	reader *bufio.Reader
+	connectedAt time.Time
+	client      *Client
+	pool        *pool
+	reader      *bufio.Reader
 	// bound limits the bytes that reader may take from the connection. The goroutine that
 	// reads sets it before each part of a reply.
 	bound *boundedReader
@@ -59,7 +62,7 @@
 
 func newConn(inner net.Conn, client *Client, p *pool) *conn {
 	bound := &boundedReader{inner: inner}
-	c := &conn{Conn: inner, client: client, pool: p, bound: bound, reader: bufio.NewReaderSize(bound, bufferSize)}
+	c := &conn{Conn: inner, connectedAt: time.Now(), client: client, pool: p, bound: bound, reader: bufio.NewReaderSize(bound, bufferSize)}
 	go c.serve()
 	return c
 }
@@ -190,8 +193,12 @@
 	if written != nil {
 		cause += "; " + written.Error()
 	}
-	if c.sent.Load() == 0 {
+	switch {
+	case c.sent.Load() == 0:
 		return errors.Wrap(ErrNotSent, cause)
+	case errors.Is(read, io.EOF) || errors.Is(read, syscall.ECONNRESET) || errors.Is(read, syscall.EPIPE):
+		return errors.Wrap(ErrNoReply, cause)
+	default:
+		return errors.Wrap(ErrLost, cause)
 	}
-	return errors.Wrap(ErrLost, cause)
 }
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/carawayreel/carawayreel/internal/control"
 	"github.com/carawayreel/carawayreel/internal/coordinator/search"
@@ -133,3 +134,51 @@
 	}
 	return owners
 }
+
+const (
+	// maxAnnouncedVMs bounds the VMs that are told of a content at once. The others learn of
+	// it by heartbeats.
+	maxAnnouncedVMs = 32
+	// contentAnnounceTimeout is the timeout of one announcement.
+	contentAnnounceTimeout = time.Second
+)
+
+// contentAnnouncer tells other VMs of contents of routes that may crash targets.
+type contentAnnouncer struct {
+	views  view.Source
+	peers  *peer.Client
+	list   *quarantine.List
+	logger zerolog.Logger
+}
+
+// Announce implements gateway.Announcer.
+func (a contentAnnouncer) Announce(digests []uint64) {
+	now := time.Now()
+	var entries []*pb.QuarantineEntry
+	for _, digest := range digests {
+		if entry := a.list.Entry(digest, now); entry != nil {
+			entries = append(entries, entry)
+		}
+	}
+	if len(entries) == 0 {
+		return
+	}
+	current, told := a.views.Current(), 0
+	for vm := range current.VMs {
+		if vm.ID == current.Self.ID || !vm.CanOwn() {
+			continue
+		}
+		if told++; told > maxAnnouncedVMs {
+			return
+		}
+		go a.send(vm, entries)
+	}
+}
+
+func (a contentAnnouncer) send(vm view.VM, entries []*pb.QuarantineEntry) {
+	ctx, cancel := context.WithTimeout(context.Background(), contentAnnounceTimeout)
+	defer cancel()
+	if err := a.peers.Announce(ctx, vm, entries); err != nil {
+		a.logger.Info().Err(err).Str("vm", vm.ID).Msg("contents not announced; heartbeats repeat them")
+	}
+}
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -10,6 +10,7 @@
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/gateway"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/transport"
 	"github.com/carawayreel/carawayreel/platform"
 )
@@ -29,8 +30,9 @@
 		metrics.RegisterSet(set)
 		d.gateway = gateway.New(gateway.Options{
 			Views: d.control, Dialect: platform.Headers{}, Settings: d.settings, Logger: d.logger, Metrics: set,
-			Targets: d.targetHealth,
-			Client:  backend.NewClient(platform.Headers{}, listen.SourceAddress, set, backend.MetricPrefix),
+			Targets: d.targetHealth, Guard: quarantine.NewGuard(d.quarantine),
+			Announcer: contentAnnouncer{views: d.control, peers: d.peers, list: d.quarantine, logger: d.logger},
+			Client:    backend.NewClient(platform.Headers{}, listen.SourceAddress, set, backend.MetricPrefix),
 			Gatherers: backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}},
 				listen.SourceAddress, set, delegation.MetricPrefix),
 		})
--- a/internal/delegation/relayed.go
+++ b/internal/delegation/relayed.go
@@ -52,6 +52,7 @@
 	{backend.ErrNotSent, pb.RelayedResult_RELAYED_RESULT_UNREACHABLE},
 	{backend.ErrUnfinished, pb.RelayedResult_RELAYED_RESULT_UNFINISHED},
 	{fanout.ErrNotRelayed, pb.RelayedResult_RELAYED_RESULT_NOT_RELAYED},
+	{backend.ErrNoReply, pb.RelayedResult_RELAYED_RESULT_NO_REPLY},
 	{backend.ErrLost, pb.RelayedResult_RELAYED_RESULT_LOST},
 }
 
--- a/internal/fanout/finish.go
+++ b/internal/fanout/finish.go
@@ -85,6 +85,7 @@
 // not be carried out yet. Legs that have no other attempt in flight fail with the cause.
 func (m *Machine) Withhold(now time.Time, actions Actions, cause string) Actions {
 	m.startEvent(now)
+	m.content.endTrial()
 	sends := actions.Sends
 	for _, b := range actions.Batches {
 		m.endBatch(b.ID, health.Canceled)
--- a/internal/fanout/fixture_test.go
+++ b/internal/fanout/fixture_test.go
@@ -58,7 +58,7 @@
 }
 
 func newSharedState() *fanout.SharedState {
-	s := fanout.NewSharedState()
+	s := fanout.NewSharedState(nil)
 	s.SetLimits(fanout.Limits{Share: 0.2, Slack: 100, Window: 10 * time.Second})
 	return s
 }
--- a/internal/fanout/leg.go
+++ b/internal/fanout/leg.go
@@ -31,6 +31,8 @@
 	// retry is scheduled.
 	retryAt     time.Time
 	retryReason Reason
+	// held is true while the leg waits until the content of the request may be sent.
+	held bool
 	// done is true when no further attempt will be made.
 	done  bool
 	cause string
--- a/internal/fanout/load_test.go
+++ b/internal/fanout/load_test.go
@@ -103,7 +103,7 @@
 		}
 		return serve(s, target)
 	})
-	shared := fanout.NewSharedState()
+	shared := fanout.NewSharedState(nil)
 	shared.SetLimits(fanout.Limits{Share: 0.2, Slack: 8, Window: 10 * time.Second})
 	route := gatheringRoute(services(10))
 	route.LeastCoverage = 0.9
@@ -140,7 +140,7 @@
 			}
 		})
 		for range vms {
-			shared := fanout.NewSharedState()
+			shared := fanout.NewSharedState(nil)
 			shared.SetLimits(fanout.Limits{Share: 0.2, Slack: slack / vms, Window: window})
 			route := gatheringRoute(services(2))
 			for i := range 13 * perSecond {
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -7,6 +7,7 @@
 
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
@@ -46,6 +47,8 @@
 	target *routing.Target
 	sentAt time.Time
 	ended  bool
+	// onTrial is true if the content was on trial when the attempt was sent.
+	onTrial bool
 }
 
 // Machine is the state machine of one request. It is not safe for concurrent use.
@@ -61,6 +64,9 @@
 	// Legs that the answer requires retry beyond it.
 	busyRetryUntil time.Time
 
+	// content decides whether the request may be sent, as its content may crash targets.
+	content content
+
 	legs     []leg
 	attempts []attempt
 	batches  []batch
@@ -73,6 +79,7 @@
 // the limits.
 func New(shared *SharedState, vms int, in Input) *Machine {
 	m := &Machine{in: in, shared: shared, vms: vms, latencies: shared.latencies(in.Route)}
+	m.content = content{guard: shared.guard, digest: in.Content}
 	m.legs = make([]leg, len(in.Legs))
 	m.attempts = make([]attempt, 0, len(in.Legs)+extraAttemptCapacity)
 	for i, service := range in.Legs {
@@ -104,9 +111,24 @@
 		m.reject("too few services have a target that can be reached")
 		return m.actions
 	}
+	admission, until := m.content.check(now)
+	if admission == quarantine.Refused || admission == quarantine.OnTrial && !m.content.beginTrial(now) {
+		m.refuseContent(admission, until)
+		return m.actions
+	}
 	for i := range m.legs {
 		m.shared.deposit(m.legs[i].service.Name, m.now)
 	}
+	if admission == quarantine.OnTrial {
+		m.startTrial(chosen)
+		return m.finishEvent()
+	}
+	m.sendFirst(chosen)
+	return m.finishEvent()
+}
+
+// sendFirst sends the first attempts to the chosen targets. Legs without one fail.
+func (m *Machine) sendFirst(chosen []*routing.Target) {
 	m.sendBatches(chosen)
 	for i := range m.legs {
 		switch {
@@ -117,7 +139,6 @@
 			m.send(i, chosen[i], FirstAttempt)
 		}
 	}
-	return m.finishEvent()
 }
 
 // Ended handles the end of an attempt.
@@ -144,6 +165,7 @@
 	if outcome == health.Succeeded {
 		m.shared.recordReply(m.in.Route, at.Sub(a.sentAt))
 	}
+	m.content.ended(a, reply, err, m.now)
 	return outcome
 }
 
@@ -153,6 +175,7 @@
 	a.ended = true
 	m.legs[a.leg].end(a.target.ID, true, now)
 	a.target.Health.End(a.sentAt, now, outcome, m.latencies.typical)
+	m.content.abandoned(a, now)
 }
 
 // Tick handles the timers that are due.
@@ -210,6 +233,7 @@
 	l := &m.legs[index]
 	if outcome == health.Succeeded {
 		l.reply = reply
+		m.releaseHeld()
 		return
 	}
 	if reply != nil {
@@ -240,8 +264,12 @@
 		m.failLeg(l, l.cause)
 		return
 	}
+	if m.heldBack(l, reason) {
+		return
+	}
 	target := m.chooseTarget(l)
 	if target == nil {
+		m.content.endTrial()
 		if l.hasBackoff(m.now) && (m.now.Before(m.busyRetryUntil) || m.isRequired(l)) {
 			l.retryAt, l.retryReason = m.now.Add(retryBackoff), reason
 			return
@@ -249,7 +277,8 @@
 		m.failLeg(l, l.cause)
 		return
 	}
-	if reason != Failover && !m.shared.withdraw(l.service.Name, m.retryPriority(l), m.now) {
+	if reason != Failover && reason != FirstAttempt && !m.shared.withdraw(l.service.Name, m.retryPriority(l), m.now) {
+		m.content.endTrial()
 		m.failLeg(l, l.cause+"; the budget of retries is spent")
 		return
 	}
@@ -283,7 +312,7 @@
 func (m *Machine) hedge(index int) {
 	l := &m.legs[index]
 	l.hedgeAt = time.Time{}
-	if l.running == 0 || !m.in.Route.Idempotent || !m.maySend(l) {
+	if l.running == 0 || !m.in.Route.Idempotent || !m.maySend(l) || m.content.restricted(m.now) {
 		return
 	}
 	target := m.chooseTarget(l)
@@ -314,7 +343,7 @@
 	l := &m.legs[index]
 	l.begin(target.ID)
 	id := len(m.attempts)
-	m.attempts = append(m.attempts, attempt{leg: index, target: target, sentAt: m.now})
+	m.attempts = append(m.attempts, attempt{leg: index, target: target, sentAt: m.now, onTrial: m.content.onTrial})
 	target.Health.Begin(m.now)
 	if reason != Hedge {
 		l.hedgeAt = m.now.Add(m.hedgeDelay(l.service.Name))
--- a/internal/fanout/shared_state.go
+++ b/internal/fanout/shared_state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/coordinator/latency"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
@@ -32,6 +33,8 @@
 // SharedState holds the latency statistics, budgets of extra requests and cold-start
 // limiters that all requests of one VM share. It is safe for concurrent use.
 type SharedState struct {
+	guard *quarantine.Guard
+
 	mu           sync.Mutex
 	limits       Limits
 	replyTimes   map[string]*latency.Histogram
@@ -39,9 +42,11 @@
 	coldLimiters map[string]*coldLimiter
 }
 
-// NewSharedState returns an empty SharedState.
-func NewSharedState() *SharedState {
+// NewSharedState returns an empty SharedState. The guard decides on requests that may crash
+// targets; nil if their targets are VMs.
+func NewSharedState(guard *quarantine.Guard) *SharedState {
 	return &SharedState{
+		guard:        guard,
 		replyTimes:   map[string]*latency.Histogram{},
 		buckets:      map[string]*tokenBucket{},
 		coldLimiters: map[string]*coldLimiter{},
--- a/internal/fanout/types.go
+++ b/internal/fanout/types.go
@@ -23,6 +23,9 @@
 	Received time.Time
 	// Deadline is the time by which the caller must have an answer.
 	Deadline time.Time
+	// Content identifies what the request asks, apart from its ID: repeats of a request have
+	// the same content.
+	Content uint64
 	// Relays holds the VMs that may relay the first attempts of a gathered answer, by their
 	// failure domain.
 	Relays map[string][]*routing.Target
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,7 @@
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/fanout"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
@@ -33,6 +34,8 @@
 	compiled *compiledTable
 	route    *routing.Route
 	request  *backend.Request
+	// content identifies what the request asks; see fanout.Input.
+	content uint64
 }
 
 // startupRetryAfter is the retry delay told to callers of a VM that has no routes yet:
@@ -80,6 +83,11 @@
 		Header: endToEndHeaders(c.http.Header), Body: body,
 	}
 	g.options.Dialect.RemoveAttemptHeaders(c.request.Header)
+	c.content = contentDigest(c.request)
+	if admission, until := g.options.Guard.Check(c.content, c.arrived); admission == quarantine.Refused {
+		c.notRun("targets crashed while they ran requests with this content", until.Sub(c.arrived))
+		return
+	}
 	switch {
 	case c.relay != nil:
 		c.runRelay()
--- /dev/null
+++ b/internal/gateway/content.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
+)
+
+// contentDigest identifies what a request asks: its method, host, URI and body. Repeats of a
+// request have other IDs and time limits but the same digest.
+func contentDigest(r *backend.Request) uint64 {
+	const separator = "\x00"
+	digest := xxhash.New()
+	for _, part := range []string{"route", r.Method, r.Host, r.URI} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.WriteString(separator)
+	}
+	_, _ = digest.Write(r.Body)
+	return digest.Sum64()
+}
+
+// reportFindings logs what the guard has found and announces it to other VMs.
+func (g *Gateway) reportFindings() {
+	findings := g.options.Guard.TakeFindings()
+	if len(findings) == 0 {
+		return
+	}
+	var digests []uint64
+	for _, finding := range findings {
+		switch finding.Admission {
+		case quarantine.OnTrial:
+			g.counters.contentsOnTrial.Inc()
+		case quarantine.Refused:
+			g.counters.contentsQuarantined.Inc()
+		case quarantine.Admitted:
+			g.counters.contentsCleared.Inc()
+		}
+		g.log.contentFound(finding)
+		digests = append(digests, finding.Digest)
+	}
+	if g.options.Announcer != nil {
+		g.options.Announcer.Announce(digests)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/health"
 	"github.com/carawayreel/carawayreel/internal/pause"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/routing"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
@@ -50,6 +51,12 @@
 	CloseIdle(now time.Time)
 }
 
+// Announcer tells other VMs that contents are quarantined or on trial.
+type Announcer interface {
+	// Announce sends what is known of the contents to other VMs. It does not block.
+	Announce(digests []uint64)
+}
+
 // Options are the settings and dependencies of a Gateway.
 type Options struct {
 	Views  view.Source
@@ -59,6 +66,10 @@
 	Gatherers Client
 	// Targets holds the health of the targets.
 	Targets *health.Tracker
+	// Guard decides on requests that may crash targets; nil uses one of the gateway's own.
+	Guard *quarantine.Guard
+	// Announcer tells other VMs what the guard finds; may be nil.
+	Announcer Announcer
 	// Pauses detects pauses of this process; nil uses a detector of the gateway's own.
 	Pauses   *pause.Detector
 	Dialect  backend.Dialect
@@ -96,10 +107,13 @@
 
 // New returns a Gateway that has not compiled a table yet.
 func New(options Options) *Gateway {
+	if options.Guard == nil {
+		options.Guard = quarantine.NewGuard(quarantine.New(quarantine.DefaultLimits()))
+	}
 	g := &Gateway{
 		options:         options,
-		fanoutState:     fanout.NewSharedState(),
-		delegationState: fanout.NewSharedState(),
+		fanoutState:     fanout.NewSharedState(options.Guard),
+		delegationState: fanout.NewSharedState(nil),
 		delegates:       newDelegates(),
 		log:             newRequestLogger(options.Logger, options.Settings.GetLog(), options.Metrics),
 		counters:        newCounters(options.Metrics),
@@ -144,6 +158,8 @@
 		case <-ticker.C:
 			now := time.Now()
 			g.pauses.Tick(g.options.Views.Current(), now)
+			g.options.Guard.Tick(now)
+			g.reportFindings()
 			g.options.Client.CloseIdle(now)
 			if g.options.Gatherers != nil {
 				g.options.Gatherers.CloseIdle(now)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,12 @@
 	batches        *metrics.Counter
 	lostBatches    *metrics.Counter
 	relayedBatches *metrics.Counter
+	// contentsOnTrial counts the contents that this VM put on trial because a target seems to
+	// have crashed while it ran them, contentsQuarantined those for which that happened on
+	// trial, and contentsCleared the suspicions that it withdrew.
+	contentsOnTrial     *metrics.Counter
+	contentsQuarantined *metrics.Counter
+	contentsCleared     *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -40,6 +46,10 @@
 		batches:        set.NewCounter("carawayreel_delegation_batches_total"),
 		lostBatches:    set.NewCounter("carawayreel_delegation_batches_lost_total"),
 		relayedBatches: set.NewCounter("carawayreel_delegation_batches_relayed_total"),
+
+		contentsOnTrial:     set.NewCounter("carawayreel_route_contents_on_trial_total"),
+		contentsQuarantined: set.NewCounter("carawayreel_route_contents_quarantined_total"),
+		contentsCleared:     set.NewCounter("carawayreel_route_contents_cleared_total"),
 	}
 	for outcome := range c.requests {
 		label := fanout.Outcome(outcome).String()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -46,6 +46,7 @@
 		}
 		r.trace.ended(send.Attempt, results[i].Reply, results[i].Err, time.Since(r.call.received))
 	}
+	defer r.call.gateway.reportFindings()
 	return r.machine.EndedBatch(time.Now(), res.batch.ID, results, err)
 }
 
--- a/internal/gateway/request_logger.go
+++ b/internal/gateway/request_logger.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,6 +12,7 @@
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
 )
 
 // unusualReserve is the part of the rate limiter's burst that is reserved for log lines
@@ -129,7 +131,7 @@
 	if ordinary && !l.sampled(c.id) || !l.allow(ordinary) {
 		return
 	}
-	l.logger.Info().Str("request", c.id).Str("route", c.route.Name).
+	l.logger.Info().Str("request", c.id).Str("content", fmt.Sprintf("%016x", c.content)).Str("route", c.route.Name).
 		Uint64("version", c.compiled.table.Version).Uint64("revision", c.compiled.table.Revision).
 		Int64("configuration_age_ms", c.compiled.view.ConfigurationAge(c.received).Milliseconds()).
 		Str("outcome", answer.Outcome.String()).Str("cause", answer.Cause).
@@ -169,6 +171,15 @@
 		Str("host", c.http.Host).Str("uri", c.http.RequestURI).Msg("request refused")
 }
 
+// contentFound logs a change in what is known of a content that may crash targets.
+func (l *requestLogger) contentFound(f quarantine.Finding) {
+	if !l.allow(f.Admission == quarantine.Admitted) {
+		return
+	}
+	l.logger.Warn().Str("content", fmt.Sprintf("%016x", f.Digest)).Str("service", f.Ref.Service).
+		Str("target", f.Ref.Target).Str("admission", f.Admission.String()).Msg("content that may crash targets")
+}
+
 // DomainUnreachable implements health.Observer.
 func (l *requestLogger) DomainUnreachable(failureDomain string, unresponsiveTargets int) {
 	if l.allow(false) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -64,7 +64,7 @@
 		client: c.gateway.options.Client, state: c.gateway.fanoutState, request: c.request,
 		input: fanout.Input{
 			Route: c.route, Legs: legs, Received: c.received, Deadline: c.gateway.deadline(c.arrived, c.timeLimit()),
-			Relays: c.compiled.relays,
+			Content: c.content, Relays: c.compiled.relays,
 		},
 	})
 	r.conclude(r.runMachine())
@@ -180,6 +180,7 @@
 		return r.endedBatch(res)
 	}
 	r.trace.ended(res.attempt, res.reply, res.err, time.Since(r.call.received))
+	defer r.call.gateway.reportFindings()
 	return r.machine.Ended(time.Now(), res.attempt, res.reply, res.err)
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -58,6 +58,8 @@
 	Quarantined bool
 	// Crashed holds the targets with unexpired crashes that were not cleared, in ascending order.
 	Crashed []TargetRef
+	// Crashes is the number of these crashes.
+	Crashes int
 	// SinceLastCrash is the time since the last of these crashes.
 	SinceLastCrash time.Duration
 	// Ambiguous is true if another content was also running at all of these crashes, so that they do not show
@@ -182,6 +184,12 @@
 	return l.clear(digest, func(ref TargetRef) bool { return ref.Service == service })
 }
 
+// ClearAll records that the content succeeded, which clears the suspicions of all services. It reports whether
+// there were any.
+func (l *List) ClearAll(digest uint64) bool {
+	return l.clear(digest, func(TargetRef) bool { return true })
+}
+
 // clear increments the epoch of the matching records. The records stay until they expire, as tombstones that
 // propagate the clearing to other VMs.
 func (l *List) clear(digest uint64, matches func(TargetRef) bool) bool {
@@ -212,6 +220,7 @@
 	for ref, r := range l.contents[digest] {
 		if r.crashes > 0 && now.Before(r.expires) {
 			verdict.Crashed = append(verdict.Crashed, ref)
+			verdict.Crashes += int(r.crashes)
 			verdict.Quarantined = verdict.Quarantined || r.alone > 0
 			expires = maxTime(expires, r.expires)
 		}
