--- /dev/null
+++ b/internal/e2e/advice_test.go
@@ -0,0 +1,58 @@
+package e2e_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayreel/carawayreel/internal/standin/users"
+)
+
+// Guards against a target that names a limit in its replies being sent more than that by all
+// VMs together.
+func TestNamedRateLimitIsKeptByAllVMs(t *testing.T) {
+	const window = 4 * time.Second
+	limits := map[string]float64{"s0a": 12, "s0b": 12, "s1a": 1, "s2c": 40}
+	d := startUsers(t)
+	for _, target := range d.Targets {
+		target.SetBehavior(users.Behavior{Delay: 5 * time.Millisecond})
+	}
+	load := startCleanLoad(d)
+	time.Sleep(time.Second)
+	for id, limit := range limits {
+		d.Targets[id].SetBehavior(users.Behavior{
+			Delay: 5 * time.Millisecond, Header: http.Header{"Server-Limit": {strconv.FormatFloat(limit, 'f', -1, 64)}},
+		})
+	}
+	named := time.Now()
+	time.Sleep(window + 5*time.Second)
+	load.stop(t)
+	for id, limit := range limits {
+		allowed := int(1.5*limit*window.Seconds()) + 5
+		most := mostInWindow(d.Targets[id].Arrivals(), named.Add(window), window)
+		t.Logf("%s: %d requests in 4 s, allowed %d", id, most, allowed)
+		require.LessOrEqual(t, most, allowed, id)
+		require.GreaterOrEqual(t, most, int(limit*window.Seconds()/3), "%s: the limit is made use of", id)
+	}
+}
+
+// mostInWindow returns the largest number of times in any window that begins at or after from.
+func mostInWindow(times []time.Time, from time.Time, window time.Duration) int {
+	most := 0
+	for i, first := range times {
+		if first.Before(from) {
+			continue
+		}
+		count := 0
+		for _, at := range times[i:] {
+			if at.Sub(first) < window {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -27,6 +27,8 @@
 	Shed bool
 	// ResetAfterRun runs the request and resets the connection instead of responding.
 	ResetAfterRun bool
+	// Header holds headers that are added to all replies.
+	Header http.Header
 	// CrashOn crashes the target when it begins to run a request whose URI contains the
 	// text; empty for none. It restarts after Down.
 	CrashOn string
@@ -45,6 +47,7 @@
 	behavior  Behavior
 	runs      []Run
 	abandoned int
+	arrivals  []time.Time
 	crashes   []time.Time
 	boots     int
 	onRestart func()
@@ -128,6 +131,13 @@
 	return append([]Run(nil), t.runs...)
 }
 
+// Arrivals returns the times at which requests reached the target, in order.
+func (t *Target) Arrivals() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]time.Time(nil), t.arrivals...)
+}
+
 // Abandoned returns the number of requests that clients abandoned before the response.
 func (t *Target) Abandoned() int {
 	t.mu.Lock()
@@ -143,6 +153,12 @@
 	t.mu.Unlock()
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
+	for name, values := range b.Header {
+		w.Header()[name] = values
+	}
+	t.mu.Lock()
+	t.arrivals = append(t.arrivals, time.Now())
+	t.mu.Unlock()
 	switch {
 	case r.Header.Get("X-Target-Instance") != t.ID:
 		w.Header().Set("X-Instance-Id", t.ID)
