fanout: send no requests to targets that say in replies that they leave

A target that leaves without reporting it to the store was used until it ended.

Cause: no code read the header. Same class as the named limits.

Change: such a target is a last resort for 0.6 of the drain time, as one whose registration has ended, and unused after it. A relay does not send to it.

--- a/internal/e2e/advice_test.go
+++ b/internal/e2e/advice_test.go
@@ -39,6 +39,29 @@
 	}
 }
 
+// Guards against requests that reach a target later than the drain time after it has said
+// in its replies that it leaves, while its registration still says that it is ready.
+func TestLeavingTargetIsNotUsed(t *testing.T) {
+	const drain = 3 * time.Second
+	d := startUsers(t)
+	load := startCleanLoad(d)
+	time.Sleep(time.Second)
+	target := d.Targets["s0a"]
+	target.SetBehavior(users.Behavior{Header: http.Header{"Server-Leaving": {"1"}}})
+	time.Sleep(drain)
+	before := len(target.Arrivals())
+	vm := d.VMs[1]
+	vm.Process().Kill()
+	require.NoError(t, d.StartVM(vm))
+	time.Sleep(3 * time.Second)
+	load.cancel()
+	load.done.Wait()
+	after := target.Arrivals()[before:]
+	t.Logf("%d requests before, %d after the drain time and a restart", before, len(after))
+	require.Positive(t, before)
+	require.LessOrEqual(t, len(after), 1, "a restarted VM may not know it yet")
+}
+
 // mostInWindow returns the largest number of times in any window that begins at or after from.
 func mostInWindow(times []time.Time, from time.Time, window time.Duration) int {
 	most := 0
--- a/internal/fanout/choose.go
+++ b/internal/fanout/choose.go
@@ -32,7 +32,7 @@
 	repeatPenalty = 3
 	// coldPenalty multiplies the cost of a cold target, which replies more slowly.
 	coldPenalty = 2.5
-	// lapsedPenalty makes targets whose registration has ended the last resort.
+	// lapsedPenalty makes targets that leave, or whose registration has ended, the last resort.
 	lapsedPenalty = 1000
 	// ejectedPenalty makes ejected targets the second-to-last resort, before lapsed ones.
 	ejectedPenalty = 100
@@ -92,6 +92,13 @@
 		return math.Inf(1)
 	}
 	cost := t.Health.Cost(m.now, m.latencies.typical, t.Slots)
+	switch m.shared.advice.Use(adviceKey(t), m.now) {
+	case advisory.Unusable:
+		return math.Inf(1)
+	case advisory.LastResort:
+		cost *= lapsedPenalty
+	case advisory.Usable:
+	}
 	switch t.Distance {
 	case routing.Far:
 		cost *= crossDomainPenalty
--- a/internal/fanout/relaying.go
+++ b/internal/fanout/relaying.go
@@ -29,8 +29,8 @@
 	pending      int
 }
 
-// NewRelaying returns the state of a batch that is sent now. Targets that the relay does
-// not know are nil; they must not be sent to.
+// NewRelaying returns the state of a batch that is sent now. Targets that the relay does not
+// know, or that want no requests, are nil; they must not be sent to.
 func NewRelaying(shared *SharedState, route *routing.Route, targets []*routing.Target, now time.Time, stragglerDelay time.Duration) *Relaying {
 	r := &Relaying{
 		route: route, shared: shared, targets: targets, sentAt: now, stragglersAt: now.Add(stragglerDelay),
@@ -38,7 +38,7 @@
 	}
 	for i, target := range targets {
 		if target == nil {
-			r.results[i].Err = errors.Wrap(ErrNotRelayed, "the target is not known")
+			r.results[i].Err = errors.Wrap(ErrNotRelayed, "the target is not known or wants no requests")
 			continue
 		}
 		r.results[i].Err = backend.ErrUnfinished
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,11 +130,13 @@
 		g.pauses = pause.NewDetector(pauseThreshold)
 	}
 	gracePeriod := time.Duration(float64(options.Settings.GetRoutes().GetDrainMs())*gracePeriodShare) * time.Millisecond
+	options.Advice.SetGrace(gracePeriod)
 	self := options.Views.Current().Self
 	g.compiler = routing.NewCompiler(options.Targets, routing.Location{VM: self.ID, FailureDomain: self.FailureDomain}, gracePeriod)
 	options.Targets.Observe(g.log)
 	g.settings.Store(options.Settings.GetRoutes())
 	options.Metrics.NewGauge("carawayreel_route_requests_running", func() float64 { return float64(g.running.Load()) })
+	options.Metrics.NewGauge("carawayreel_route_targets_leaving", func() float64 { return float64(options.Advice.Counts(time.Now()).Leaving) })
 	options.Metrics.NewGauge("carawayreel_route_targets_limited", func() float64 { return float64(options.Advice.Counts(time.Now()).Limited) })
 	return g
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/carawayreel/carawayreel/internal/advisory"
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/fanout"
@@ -77,12 +78,12 @@
 		return
 	}
 	c.gateway.counters.relayedBatches.Inc()
+	now := time.Now()
 	targets := make([]*routing.Target, len(c.relay.Targets))
 	for i, id := range c.relay.Targets {
-		targets[i] = c.compiled.table.Target(id)
+		targets[i] = c.relayTarget(id, now)
 	}
 	ctx, cancel := detachedContext()
-	now := time.Now()
 	r := &relayRun{
 		call: c, cancel: cancel, results: make(chan relayResult, len(targets)),
 		deadline: c.gateway.deadline(c.arrived, c.timeLimit()),
@@ -104,6 +105,20 @@
 	go r.linger()
 }
 
+// relayTarget returns the target with the ID, or nil if this VM does not know it or must not
+// send to it.
+func (c *call) relayTarget(id string, now time.Time) *routing.Target {
+	target := c.compiled.table.Target(id)
+	if target == nil {
+		return nil
+	}
+	key := advisory.Target{ID: target.ID, Started: target.Started}
+	if c.gateway.options.Advice.Use(key, now) == advisory.Unusable {
+		return nil
+	}
+	return target
+}
+
 // await waits until the results must be returned. It reports false if the other VM has
 // given the batch up.
 func (r *relayRun) await() bool {
