fanout: keep the pauses that targets ask for with 503 and Retry-After

Requests went on to targets that had just turned one away for some time.

Cause: no code read the header. Same class as the named limits.

Change: such a target gets nothing from this VM, also as a relay, until the time is over (ten minutes at most). Callers that cannot be served are told when.

--- a/internal/advisory/advisory_test.go
+++ b/internal/advisory/advisory_test.go
@@ -123,6 +123,20 @@
 	require.Empty(t, b.Updates(at(11*time.Minute)))
 }
 
+// A pause holds for the VM that was told; others ask for themselves.
+func TestPauseIsKeptAndEnds(t *testing.T) {
+	b := advisory.NewBoard()
+	b.Observe(target, advisory.Advice{Pause: 2 * time.Second}, at(0), at(0))
+	b.Observe(target, advisory.Advice{Pause: time.Second}, at(0), at(0))
+	b.Observe(target, advisory.Advice{}, at(-time.Second), at(time.Second))
+	require.Equal(t, advisory.Unusable, b.Use(target, at(1900*time.Millisecond)))
+	require.Equal(t, at(2*time.Second), b.AvailableAt(target, nil, at(time.Second)))
+	require.Equal(t, advisory.Usable, b.Use(target, at(2*time.Second)))
+	require.Empty(t, b.Updates(at(time.Second)))
+	b.Observe(target, advisory.Advice{Pause: 1000 * time.Hour}, at(0), at(0))
+	require.Equal(t, advisory.Usable, b.Use(target, at(11*time.Minute)), "a pause has a bound")
+}
+
 // A VM that knows only itself after its start must not take the whole limit.
 func TestRestartedVMAssumesOtherSharers(t *testing.T) {
 	b := advisory.NewBoard()
--- a/internal/e2e/advice_test.go
+++ b/internal/e2e/advice_test.go
@@ -62,6 +62,38 @@
 	require.LessOrEqual(t, len(after), 1, "a restarted VM may not know it yet")
 }
 
+// Guards against requests to a target that has turned one away with 503 and Retry-After
+// before that time is over.
+func TestTargetThatAsksForAPauseGetsIt(t *testing.T) {
+	const pause = 3 * time.Second
+	d := startUsers(t)
+	load := startCleanLoad(d)
+	time.Sleep(time.Second)
+	targets := []*users.Target{d.Targets["s0a"], d.Targets["s0b"], d.Targets["s0c"]}
+	arrivals := func() int {
+		n := 0
+		for _, target := range targets {
+			n += len(target.Arrivals())
+		}
+		return n
+	}
+	for _, target := range targets {
+		target.SetBehavior(users.Behavior{Shed: true, Header: http.Header{"Retry-After": {"3"}}})
+	}
+	time.Sleep(500 * time.Millisecond)
+	before := arrivals()
+	time.Sleep(pause - time.Second)
+	during := arrivals() - before
+	for _, target := range targets {
+		target.SetBehavior(users.Behavior{})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	load.stop(t)
+	t.Logf("%d requests in the pause, %d after it", during, arrivals()-before-during)
+	require.LessOrEqual(t, during, 2*len(d.VMs)*len(targets))
+	require.Greater(t, arrivals()-before-during, 10, "the targets are used again")
+}
+
 // mostInWindow returns the largest number of times in any window that begins at or after from.
 func mostInWindow(times []time.Time, from time.Time, window time.Duration) int {
 	most := 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,6 +137,7 @@
 	g.settings.Store(options.Settings.GetRoutes())
 	options.Metrics.NewGauge("carawayreel_route_requests_running", func() float64 { return float64(g.running.Load()) })
 	options.Metrics.NewGauge("carawayreel_route_targets_leaving", func() float64 { return float64(options.Advice.Counts(time.Now()).Leaving) })
+	options.Metrics.NewGauge("carawayreel_route_targets_paused", func() float64 { return float64(options.Advice.Counts(time.Now()).Paused) })
 	options.Metrics.NewGauge("carawayreel_route_targets_limited", func() float64 { return float64(options.Advice.Counts(time.Now()).Limited) })
 	return g
 }
