registry: list anew when the changes of the store are too long to read

An answer of more than 4 MiB was cut, did not decode, and the same changes were asked for again for ever; a few large entries of another writer within one watch suffice.

Cause: a bound on an answer without a way on when it is reached.

Change: the answer is recognised as too long, and all entries are listed, whose pages are bounded by the store.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -25,6 +25,8 @@
 	// ErrCompacted means that the store has compacted the changes after the
 	// requested revision.
 	ErrCompacted = errors.New("the store dropped the history after this revision")
+	// ErrTooLong means that the answer of the store is longer than this VM reads.
+	ErrTooLong = errors.New("the answer of the store is too long")
 	// ErrLeaseExpired means that a lease has expired and its keys were deleted.
 	ErrLeaseExpired = errors.New("the lease has ended")
 	// ErrUnavailable means that the store did not respond or rejected the request.
@@ -119,6 +121,10 @@
 		return s.listInitial(ctx)
 	}
 	changes, err := s.store.Changes(ctx, s.state.revision, wait)
+	if errors.Is(err, ErrTooLong) {
+		s.logger.Warn().Err(err).Uint64("after_revision", s.state.revision).Msg("changes not read; listing all entries")
+		return s.listAll(ctx, false)
+	}
 	if errors.Is(err, ErrCompacted) {
 		s.logger.Info().Uint64("after_revision", s.state.revision).Msg("store history dropped; listing all entries")
 		return s.listAll(ctx, false)
@@ -150,7 +156,7 @@
 // since the stale listing can't be had: the stale one may hold targets that have left.
 func (s *Source) listInitial(ctx context.Context) (configstore.WatchResult, error) {
 	result, err := s.listAll(ctx, true)
-	if errors.Is(err, ErrCompacted) || errors.Is(err, errChangesOmitted) {
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLong) || errors.Is(err, errChangesOmitted) {
 		s.logger.Info().Err(err).Msg("changes since the first listing are not known; listing all entries anew")
 		return s.listAll(ctx, false)
 	}
