daemon: leave running requests half of the time limit of a planned stop

With a grace of 3 s, requests that arrived late in it were passed on, and cut off at its end; a request whose time was over on arrival was sent to targets all the same, by any VM.

Cause: the time in which new requests are taken was fixed at 2.5 s, whatever the grace; the first attempt asked neither for the time left nor for the end of the VM; servers were shut down one after the other, each with pauses of its own.

Change: new requests are taken for at most half of the time limit; a request with no time left, or, at a VM that stops, with less than one and a half tail reply times, is rejected at once; the servers are shut down together, the peers' one after the callers' one.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -19,6 +19,9 @@
 	callerDrainDelay = 500 * time.Millisecond
 	// handOverTimeout is the timeout of one hand-over call.
 	handOverTimeout = 2 * time.Second
+	// drainDivisor bounds the time in which new requests are still taken to 1/drainDivisor of
+	// the time limit: the rest is for running requests.
+	drainDivisor = 2
 	// leaveDivisor and handOverDivisor limit the phases of a planned stop to a
 	// fraction of its time limit: 1/leaveDivisor for telling the other VMs and
 	// 1/handOverDivisor for the hand-over.
@@ -56,7 +59,7 @@
 		d.leave(ctx, limit/leaveDivisor)
 		d.handOver(ctx, limit/handOverDivisor)
 	})
-	sleep(ctx, d.drainDelay())
+	sleep(ctx, min(d.drainDelay(), limit/drainDivisor))
 	handedOver.Wait()
 	err := d.shutdownServers(ctx)
 	d.logger.Info().Err(err).Dur("took", time.Since(began)).Msg("planned stop ends")
@@ -214,21 +217,29 @@
 	return callerDrainDelay
 }
 
+// shutdownServers waits for the running requests of all servers. Peers are served until the
+// callers' requests have ended, which may need them; those of routes do not.
 func (d *Daemon) shutdownServers(ctx context.Context) error {
+	var routes, delegated, others error
+	var ended sync.WaitGroup
 	if d.routeServer != nil {
-		if err := d.routeServer.Shutdown(ctx); err != nil {
-			return errors.Wrap(err, "requests of routes were cut short")
-		}
+		ended.Go(func() { routes = errors.Wrap(d.routeServer.Shutdown(ctx), "requests of routes were cut short") })
 	}
 	if d.gatherServer != nil {
-		if err := d.gatherServer.Shutdown(ctx); err != nil {
-			return errors.Wrap(err, "delegated requests were cut short")
-		}
+		ended.Go(func() { delegated = errors.Wrap(d.gatherServer.Shutdown(ctx), "delegated requests were cut short") })
 	}
-	if err := d.callerServer.Shutdown(ctx); err != nil {
-		return errors.Wrap(err, "callers' requests were cut short")
+	ended.Go(func() {
+		if others = errors.Wrap(d.callerServer.Shutdown(ctx), "callers' requests were cut short"); others == nil {
+			others = errors.Wrap(d.peerServer.Shutdown(ctx), "peers' requests were cut short")
+		}
+	})
+	ended.Wait()
+	for _, err := range []error{routes, delegated, others} {
+		if err != nil {
+			return err
+		}
 	}
-	return errors.Wrap(d.peerServer.Shutdown(ctx), "peers' requests were cut short")
+	return nil
 }
 
 // sleep waits for the duration or until the context ends.
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -34,6 +34,9 @@
 	// busyRetryDivisor limits retries at targets that rejected the request to the first
 	// 1/busyRetryDivisor of its time limit. The rest is left for the reply.
 	busyRetryDivisor = 4
+	// stopReserve is the time that must be left, in tail reply times, for a request to be sent
+	// by a VM that stops. Its caller has time for another VM.
+	stopReserve = 1.5
 	// extraAttemptCapacity is the initial capacity for attempts beyond the first of
 	// each leg.
 	extraAttemptCapacity = 8
@@ -99,6 +102,13 @@
 // reachable.
 func (m *Machine) Start(now time.Time) Actions {
 	m.startEvent(now)
+	if left := m.in.Deadline.Sub(now); left <= minTimeLeft {
+		m.reject("no time is left for an attempt")
+		return m.actions
+	} else if m.in.Stopping && float64(left) < stopReserve*float64(m.latencies.tail) {
+		m.reject("this VM stops before a reply can be expected")
+		return m.actions
+	}
 	admission, until := m.content.check(now)
 	if admission == quarantine.Refused || admission == quarantine.OnTrial && !m.content.beginTrial(now) {
 		m.refuseContent(admission, until)
--- a/internal/fanout/machine_test.go
+++ b/internal/fanout/machine_test.go
@@ -262,3 +262,23 @@
 	require.Equal(t, fanout.NotRun, actions.Answer.Outcome)
 	require.Empty(t, actions.Sends)
 }
+
+// A VM that stops must not pass on what it would have to cut off.
+func TestStoppingVMRejectsWhatItCannotFinish(t *testing.T) {
+	route := singleRoute(services(1)[0], false)
+	startWith := func(left time.Duration, stopping bool) fanout.Actions {
+		m := fanout.New(newSharedState(), 1, fanout.Input{
+			Route: route, Legs: []*routing.Service{route.WeightedServices[0].Service},
+			Received: start, Deadline: start.Add(left), Stopping: stopping,
+		})
+		return m.Start(start)
+	}
+	require.Len(t, startWith(50*time.Millisecond, false).Sends, 1)
+	require.Len(t, startWith(500*time.Millisecond, true).Sends, 1)
+	for _, left := range []time.Duration{50 * time.Millisecond, 0, -time.Second} {
+		actions := startWith(left, true)
+		require.Empty(t, actions.Sends)
+		require.Equal(t, fanout.NotRun, actions.Answer.Outcome)
+	}
+	require.Equal(t, fanout.NotRun, startWith(0, false).Answer.Outcome)
+}
--- a/internal/fanout/types.go
+++ b/internal/fanout/types.go
@@ -29,6 +29,8 @@
 	// Content identifies what the request asks, apart from its ID: repeats of a request have
 	// the same content.
 	Content uint64
+	// Stopping is true if this VM stops at the deadline, or before: the request is cut off then.
+	Stopping bool
 	// Relays holds the VMs that may relay the first attempts of a gathered answer, by their
 	// failure domain.
 	Relays map[string][]*routing.Target
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -64,7 +64,7 @@
 		client: c.gateway.options.Client, state: c.gateway.fanoutState, request: c.request,
 		input: fanout.Input{
 			Route: c.route, Legs: legs, Received: c.received, Deadline: c.gateway.deadline(c.arrived, c.timeLimit()),
-			Sharers: c.compiled.sharersOf(c.route), Content: c.content, Relays: c.compiled.relays,
+			Stopping: c.gateway.stopBy.Load() != 0, Sharers: c.compiled.sharersOf(c.route), Content: c.content, Relays: c.compiled.relays,
 		},
 	})
 	r.conclude(r.runMachine())
