--- a/internal/e2e/advice_test.go
+++ b/internal/e2e/advice_test.go
@@ -94,16 +94,17 @@
 	require.Greater(t, arrivals()-before-during, 10, "the targets are used again")
 }
 
-// mostInWindow returns the largest number of times in any window that begins at or after from.
-func mostInWindow(times []time.Time, from time.Time, window time.Duration) int {
+// mostInWindow returns the largest number of arrivals in any window that begins at or after
+// from.
+func mostInWindow(arrivals []users.Arrival, from time.Time, window time.Duration) int {
 	most := 0
-	for i, first := range times {
-		if first.Before(from) {
+	for i, first := range arrivals {
+		if first.At.Before(from) {
 			continue
 		}
 		count := 0
-		for _, at := range times[i:] {
-			if at.Sub(first) < window {
+		for _, arrival := range arrivals[i:] {
+			if arrival.At.Sub(first.At) < window {
 				count++
 			}
 		}
--- a/internal/e2e/crashing_request_test.go
+++ b/internal/e2e/crashing_request_test.go
@@ -59,7 +59,7 @@
 	for _, target := range d.Targets {
 		crashes = append(crashes, target.Crashes()...)
 	}
-	slices.SortFunc(crashes, time.Time.Compare)
+	sortTimes(crashes)
 	t.Logf("%d crashes", len(crashes))
 	if len(crashes) < 3 {
 		return
@@ -75,6 +75,8 @@
 	require.LessOrEqual(t, len(late), maxSendsAfterCrashes, "sends after the third crash: %v", late)
 }
 
+func sortTimes(times []time.Time) { slices.SortFunc(times, time.Time.Compare) }
+
 // cleanLoad sends requests that crash no target.
 type cleanLoad struct {
 	cancel         context.CancelFunc
--- a/internal/e2e/late_request_test.go
+++ b/internal/e2e/late_request_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -107,7 +108,12 @@
 }
 
 func sendNamed(vm *testkit.UsersVM, client *http.Client, id string) callerResult {
-	request, err := http.NewRequest(http.MethodPost, "http://"+vm.RouteAddress+"/e/"+id, http.NoBody)
+	return sendTo(vm, client, id, "/e/"+id)
+}
+
+// sendTo sends one request with the given ID and reads the whole answer.
+func sendTo(vm *testkit.UsersVM, client *http.Client, id, uri string) callerResult {
+	request, err := http.NewRequest(http.MethodPost, "http://"+vm.RouteAddress+uri, http.NoBody)
 	if err != nil {
 		return callerResult{id: id}
 	}
@@ -118,7 +124,10 @@
 	if err != nil {
 		return callerResult{id: id}
 	}
-	_ = response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return callerResult{id: id}
+	}
 	return callerResult{id: id, status: response.StatusCode}
 }
 
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -47,7 +47,7 @@
 	behavior  Behavior
 	runs      []Run
 	abandoned int
-	arrivals  []time.Time
+	arrivals  []Arrival
 	crashes   []time.Time
 	boots     int
 	onRestart func()
@@ -131,11 +131,17 @@
 	return append([]Run(nil), t.runs...)
 }
 
-// Arrivals returns the times at which requests reached the target, in order.
-func (t *Target) Arrivals() []time.Time {
+// Arrival is a request that reached a target, whether it ran it or not.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
+// Arrivals returns the requests that reached the target, in order.
+func (t *Target) Arrivals() []Arrival {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return append([]time.Time(nil), t.arrivals...)
+	return append([]Arrival(nil), t.arrivals...)
 }
 
 // Abandoned returns the number of requests that clients abandoned before the response.
@@ -157,7 +163,7 @@
 		w.Header()[name] = values
 	}
 	t.mu.Lock()
-	t.arrivals = append(t.arrivals, time.Now())
+	t.arrivals = append(t.arrivals, Arrival{ID: id, At: time.Now()})
 	t.mu.Unlock()
 	switch {
 	case r.Header.Get("X-Target-Instance") != t.ID:
