gateway: do not send a request whose content a gatherer refuses

A gatherer that refused a content as crashing answered 503; the VM that had delegated the request took that for 'no gatherer ran it' and sent it to the targets itself, until heartbeats had told it.

Cause: a refusal of a content looked like any other 'not run'.

Change: the gatherer states the refusal and its length in a header between VMs; the delegating VM then refuses the content for so long itself.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -49,6 +49,9 @@
 	OtherTarget bool
 	// Delegated is true if the reply is a gathered answer from another VM.
 	Delegated bool
+	// ContentRefusedFor is how long the VM that replied refuses requests with this content
+	// because it may crash targets; zero if it does not.
+	ContentRefusedFor time.Duration
 	// Advice is what the target asks of its callers.
 	Advice advisory.Advice
 	// ColdFor is how long the target stays cold; zero if it is not stated.
--- a/internal/delegation/dialect.go
+++ b/internal/delegation/dialect.go
@@ -25,6 +25,9 @@
 	// stragglerHeader is the time in microseconds after which a relay returns without the
 	// last few replies.
 	stragglerHeader = "Carawayreel-Straggler-Us"
+	// contentRefusedHeader is the time in microseconds for which a gatherer refuses the content
+	// of the request.
+	contentRefusedHeader = "Carawayreel-Content-Refused-Us"
 	// answerToHeader is the ID of the request that an answer belongs to.
 	answerToHeader = "Carawayreel-Answer-To"
 )
@@ -89,6 +92,12 @@
 	h.Set("Keep-Alive", keepAlive)
 }
 
+// SetContentRefused states in the answer to a delegated request that its content is refused
+// for so long.
+func SetContentRefused(h http.Header, length time.Duration) {
+	h.Set(contentRefusedHeader, strconv.FormatInt(length.Microseconds(), 10))
+}
+
 // Dialect is the dialect between a delegating VM and a gatherer: requests carry the headers
 // of the embedded platform's dialect, and answers those of a gathered answer. The answer of
 // a relay is a RelayedReplies message.
@@ -100,6 +109,11 @@
 	id := h.Get(answerToHeader)
 	h.Del(answerToHeader)
 	metadata := backend.ReplyMetadata{RequestID: id, Delegated: true}
+	if refused := take(h, contentRefusedHeader); refused != "" {
+		// A gatherer of another version may write what this one cannot read; its own list
+		// arrives by heartbeats.
+		metadata.ContentRefusedFor, _ = microseconds(refused)
+	}
 	metadata.NotRun = status == http.StatusServiceUnavailable || status >= 400 && status < 500
 	if status == http.StatusOK {
 		metadata.Receipt = id
--- a/internal/fanout/content.go
+++ b/internal/fanout/content.go
@@ -94,7 +94,7 @@
 		cause, wait = "targets crashed while they ran requests with this content", until.Sub(m.now)
 	}
 	m.answered = true
-	m.actions.Answer = &Answer{Outcome: NotRun, Missing: len(m.legs), RetryAfter: wait, Cause: cause}
+	m.actions.Answer = &Answer{Outcome: NotRun, Missing: len(m.legs), RetryAfter: wait, ContentRefused: true, Cause: cause}
 }
 
 // startTrial sends the request to the first of the chosen targets only. The other legs are
--- a/internal/fanout/types.go
+++ b/internal/fanout/types.go
@@ -111,6 +111,8 @@
 	Missing int
 	// RetryAfter is the delay after which a retry may succeed; set only for NotRun.
 	RetryAfter time.Duration
+	// ContentRefused is true if the content may crash targets; set only for NotRun.
+	ContentRefused bool
 	// Cause is why the answer is not complete, for the log.
 	Cause string
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -18,6 +18,9 @@
 func (c *call) write(answer *fanout.Answer) {
 	switch {
 	case answer.Outcome == fanout.NotRun:
+		if answer.ContentRefused {
+			c.stateContentRefused(answer.RetryAfter)
+		}
 		c.writeNotRun(answer.RetryAfter)
 	case answer.Outcome == fanout.TimedOut:
 		c.writer.WriteHeader(http.StatusGatewayTimeout)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -85,6 +85,7 @@
 	g.options.Dialect.RemoveAttemptHeaders(c.request.Header)
 	c.content = contentDigest(c.request)
 	if admission, until := g.options.Guard.Check(c.content, c.arrived); admission == quarantine.Refused {
+		c.stateContentRefused(until.Sub(c.arrived))
 		c.notRun("targets crashed while they ran requests with this content", until.Sub(c.arrived))
 		return
 	}
@@ -144,6 +145,14 @@
 	c.writeNotRun(retryAfter)
 }
 
+// stateContentRefused tells a VM that delegated the request that its content is refused, so
+// that it does not send the request itself.
+func (c *call) stateContentRefused(length time.Duration) {
+	if c.delegated {
+		delegation.SetContentRefused(c.writer.Header(), length)
+	}
+}
+
 func (c *call) writeNotRun(retryAfter time.Duration) {
 	seconds := strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)
 	c.writer.Header().Set("Retry-After", seconds)
--- a/internal/gateway/delegate_test.go
+++ b/internal/gateway/delegate_test.go
@@ -245,3 +245,26 @@
 	_ = response.Body.Close()
 	require.Equal(t, 400, response.StatusCode)
 }
+
+// Guards against a VM that sends a request to targets itself because the gatherer refuses it:
+// its content has crashed targets there.
+func TestContentThatAGathererRefusesIsNotSent(t *testing.T) {
+	f := newDelegationFixture(t)
+	for _, target := range f.gatherer.targets {
+		target.SetBehavior(users.Behavior{CrashOn: "poison", Down: 100 * time.Millisecond})
+	}
+	response, _ := f.small.do(t, "GET", "/g/poison", "")
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	crashed := runs(f.gatherer)
+	time.Sleep(200 * time.Millisecond)
+	for range 3 {
+		response, _ = f.small.do(t, "GET", "/g/poison", "")
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.NotEmpty(t, response.Header.Get("Retry-After"))
+		require.Empty(t, response.Header.Get("Carawayreel-Content-Refused-Us"))
+	}
+	require.Zero(t, runs(f.small))
+	require.Equal(t, crashed, runs(f.gatherer))
+	response, _ = f.small.do(t, "GET", "/g/clean", "")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -180,6 +180,9 @@
 		return r.endedBatch(res)
 	}
 	r.trace.ended(res.attempt, res.reply, res.err, time.Since(r.call.received))
+	if res.reply != nil && res.reply.ContentRefusedFor > 0 {
+		r.call.gateway.options.Guard.RefuseFor(r.call.content, res.reply.ContentRefusedFor, time.Now())
+	}
 	defer r.call.gateway.reportFindings()
 	return r.machine.Ended(time.Now(), res.attempt, res.reply, res.err)
 }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -62,7 +62,7 @@
 // A Guard reads no clock and does no I/O. It is safe for concurrent use.
 type Guard struct {
 	list *List
-	// tracked is the number of losses, so that the usual case of none needs no lock.
+	// tracked is the number of losses, sends and refusals, so that the usual case of none needs no lock.
 	tracked atomic.Int64
 	// found is true while there are findings.
 	found atomic.Bool
@@ -71,7 +71,9 @@
 	losses     []loss
 	unanswered []unansweredSend
 	trials     map[uint64]time.Time
-	findings   []Finding
+	// refusals holds the contents that another VM has refused, with the end of the refusal.
+	refusals map[uint64]time.Time
+	findings []Finding
 }
 
 // loss is a reply that was lost while the target ran the content.
@@ -93,7 +95,7 @@
 
 // NewGuard returns a guard that shares what it finds through the list.
 func NewGuard(list *List) *Guard {
-	return &Guard{list: list, trials: map[uint64]time.Time{}}
+	return &Guard{list: list, trials: map[uint64]time.Time{}, refusals: map[uint64]time.Time{}}
 }
 
 // Check returns how a request with the content may be sent, and for Refused when it may be
@@ -103,6 +105,9 @@
 	if verdict.Quarantined && verdict.Crashes >= minCrashes {
 		return Refused, now.Add(g.refusal(verdict))
 	}
+	if until := g.refusedUntil(digest); now.Before(until) {
+		return Refused, until
+	}
 	if len(verdict.Crashed) > 0 || g.hasLoss(digest) {
 		return OnTrial, time.Time{}
 	}
@@ -118,6 +123,31 @@
 	return g.list.limits.Lifetime - verdict.SinceLastCrash
 }
 
+// RefuseFor records that another VM, to which this one passed a request with the content,
+// refuses it for so long. What that VM knows of it arrives later, by heartbeats.
+func (g *Guard) RefuseFor(digest uint64, length time.Duration, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.refusals) < maxLosses {
+		g.refusals[digest] = now.Add(length)
+		g.countLocked()
+	}
+}
+
+func (g *Guard) refusedUntil(digest uint64) time.Time {
+	if g.tracked.Load() == 0 {
+		return time.Time{}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refusals[digest]
+}
+
+// countLocked updates the number of what is tracked. g.mu must be held.
+func (g *Guard) countLocked() {
+	g.tracked.Store(int64(len(g.losses) + len(g.unanswered) + len(g.refusals)))
+}
+
 func (g *Guard) hasLoss(digest uint64) bool {
 	if g.tracked.Load() == 0 {
 		return false
@@ -164,7 +194,7 @@
 		g.losses = slices.Delete(g.losses, 0, 1)
 	}
 	g.losses = append(g.losses, loss{digest: digest, ref: ref, at: now, listed: onTrial})
-	g.tracked.Store(int64(len(g.losses) + len(g.unanswered)))
+	g.countLocked()
 }
 
 // Unanswered records that a send of the content to the target was given up.
@@ -175,7 +205,7 @@
 		g.unanswered = slices.Delete(g.unanswered, 0, 1)
 	}
 	g.unanswered = append(g.unanswered, unansweredSend{digest: digest, ref: ref, onTrial: onTrial, at: now})
-	g.tracked.Store(int64(len(g.losses) + len(g.unanswered)))
+	g.countLocked()
 }
 
 // Unreachable records that the target refused a connection. The contents whose replies it
@@ -257,6 +287,12 @@
 			delete(g.trials, digest)
 		}
 	}
+	for digest, until := range g.refusals {
+		if !now.Before(until) {
+			delete(g.refusals, digest)
+		}
+	}
+	g.countLocked()
 }
 
 // TakeFindings returns the findings since the last call.
@@ -293,5 +329,5 @@
 // dropLocked drops the losses that match. g.mu must be held.
 func (g *Guard) dropLocked(matches func(loss) bool) {
 	g.losses = slices.DeleteFunc(g.losses, matches)
-	g.tracked.Store(int64(len(g.losses) + len(g.unanswered)))
+	g.countLocked()
 }
