gateway: bound the body of a request where the configuration does not

Where the configuration states no max_body_bytes, one caller's endless body filled the memory of a VM, and its chunks took processor time without end.

Cause: the bound was optional. Change: 4 MiB unless the configuration states one. Chunks of one byte within the bound still cost six bytes each; net/http does not show the bytes of the connection.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -100,16 +100,18 @@
 // overloadRetryAfter is the retry delay told to callers of an overloaded VM.
 const overloadRetryAfter = 200 * time.Millisecond
 
+// defaultMaxBodyBytes bounds a body, which is held in memory, if the configuration does not.
+const defaultMaxBodyBytes = 4 << 20
+
 // readBody reads the whole body. On an error it has already answered the caller.
 func (c *call) readBody(limit uint32) ([]byte, error) {
 	if c.http.Body == nil || c.http.Body == http.NoBody {
 		return nil, nil
 	}
-	reader := io.Reader(c.http.Body)
-	if limit > 0 {
-		reader = http.MaxBytesReader(c.writer, c.http.Body, int64(limit))
+	if limit == 0 {
+		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(reader)
+	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.http.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -384,3 +384,16 @@
 	response, _ = f.do(t, "GET", "/f/x", "")
 	require.Equal(t, 200, response.StatusCode)
 }
+
+// Guards against a caller that fills the memory with one body where the configuration has no
+// bound.
+func TestBodyIsBoundedWithoutAConfiguredBound(t *testing.T) {
+	f := newFixture(t)
+	c, _ := proto.Clone(f.views.Current().Configuration).(*pb.Configuration)
+	c.Revision, c.RouteTable.Limits = 2, &pb.CallerLimits{}
+	f.views.set(c)
+	response, _ := f.do(t, "POST", "/f/x", strings.Repeat("a", 1<<20))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	response, _ = f.do(t, "POST", "/f/x", strings.Repeat("a", 5<<20))
+	require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+}
