--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -62,7 +62,8 @@
 // A Guard reads no clock and does no I/O. It is safe for concurrent use.
 type Guard struct {
 	list *List
-	// tracked is the number of losses, sends and refusals, so that the usual case of none needs no lock.
+	// tracked is the number of losses, sends and refusals, so that the usual case of none
+	// needs no lock.
 	tracked atomic.Int64
 	// found is true while there are findings.
 	found atomic.Bool
