--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -135,6 +135,8 @@
 type Arrival struct {
 	ID string
 	At time.Time
+	// Leaving is true if the reply says that the target leaves.
+	Leaving bool
 }
 
 // Arrivals returns the requests that reached the target, in order.
@@ -163,7 +165,7 @@
 		w.Header()[name] = values
 	}
 	t.mu.Lock()
-	t.arrivals = append(t.arrivals, Arrival{ID: id, At: time.Now()})
+	t.arrivals = append(t.arrivals, Arrival{ID: id, At: time.Now(), Leaving: b.Header.Get("Server-Leaving") != ""})
 	t.mu.Unlock()
 	switch {
 	case r.Header.Get("X-Target-Instance") != t.ID:
