fanout: the retry delay of a leg without targets is the default

What callers would see: since the limits of targets are kept, a request rejected because a service had no target, or only ones that leave, was told to come back after 5 s; targets may come at any moment. Found when reading the diff.

Cause: the greatest delay stood for 'not known'.

Measured: TestRetryAfterStatesLimitsOnly: 5 s before, 300 ms now; a target that asked for a pause of 2 s gives the rest of it.

--- a/internal/fanout/choose.go
+++ b/internal/fanout/choose.go
@@ -146,7 +146,7 @@
 func (m *Machine) retryAfter() time.Duration {
 	wait, limited := defaultRetryAfter, time.Duration(0)
 	for i := range m.legs {
-		soonest := maxRetryAfter
+		soonest := time.Duration(math.MaxInt64)
 		for _, target := range m.legs[i].service.Targets {
 			if end := target.Health.EjectedUntil(); end.After(m.now) {
 				wait = min(wait, end.Sub(m.now))
@@ -155,7 +155,10 @@
 				soonest = min(soonest, at.Sub(m.now))
 			}
 		}
-		limited = max(limited, soonest)
+		// A leg without a target that will be available says nothing.
+		if soonest != math.MaxInt64 {
+			limited = max(limited, soonest)
+		}
 	}
 	return min(max(wait, limited, minRetryAfter), maxRetryAfter)
 }
--- a/internal/fanout/machine_test.go
+++ b/internal/fanout/machine_test.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawayreel/carawayreel/internal/advisory"
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 	"github.com/carawayreel/carawayreel/internal/health"
@@ -282,3 +283,22 @@
 	}
 	require.Equal(t, fanout.NotRun, startWith(0, false).Answer.Outcome)
 }
+
+// Guards against callers being kept away for long because a service has no target yet, or
+// only targets that leave: others may come at any moment.
+func TestRetryAfterStatesLimitsOnly(t *testing.T) {
+	shared := fanout.NewSharedState(nil, advisory.NewBoard())
+	none := singleRoute(&routing.Service{Name: "s"}, true)
+	require.Equal(t, 300*time.Millisecond, newMachine(shared, none, start).Start(start).Answer.RetryAfter)
+
+	service := services(1)[0]
+	service.Targets = service.Targets[:1]
+	reply := notRunReply()
+	reply.Advice.Pause = 2 * time.Second
+	m := newMachine(shared, singleRoute(service, true), start)
+	require.Len(t, m.Start(start).Sends, 1)
+	m.Ended(start, 0, reply, nil)
+	answer := newMachine(shared, singleRoute(service, true), at(500*time.Millisecond)).Start(at(500 * time.Millisecond)).Answer
+	require.Equal(t, fanout.NotRun, answer.Outcome)
+	require.Equal(t, 1500*time.Millisecond, answer.RetryAfter)
+}
