--- a/review/standin/wire.go
+++ b/review/standin/wire.go
@@ -27,7 +27,7 @@
 	ServersPrefix string `json:"servers_prefix"`
 	ColdLeft      string `json:"cold_left"`
 	TargetLatency string `json:"target_latency"`
-	RouteType     string `json:"route_type"`
+	RouteType     string `json:"route_kind"`
 }
 
 func init() {
