backend: a request is not sent twice on one connection

Cause: a reply is matched by the ID that it states. The ID is the caller's and the same for each send. After a rejection, the request was sent to the same target on the same connection again, where a late copy of the rejection was taken for the reply.

Ruled out: a second send while the first was in flight (the record shows three rejections before it) and a reply of another connection (each has its own reader).

Change: connections remember the IDs of their last requests; the pool gives a request a connection that has not carried its ID, or a new one.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -123,7 +123,7 @@
 	p := c.pool(t)
 	a := &attempt{request: r, idleLimit: t.IdleLimit, end: end}
 	for {
-		conn := p.takeIdle(time.Now())
+		conn := p.takeIdle(time.Now(), r.ID)
 		if conn == nil {
 			break
 		}
@@ -148,7 +148,7 @@
 
 func (c *Client) connectAndStart(ctx context.Context, p *pool, t *Target, a *attempt, message []byte) {
 	for {
-		conn, err := c.connect(ctx, p, t)
+		conn, err := c.connect(ctx, p, t, a.request.ID)
 		if err != nil {
 			a.end(nil, err)
 			return
@@ -159,8 +159,8 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context, p *pool, t *Target) (*conn, error) {
-	conn, err := p.acquire(ctx, t.Connections)
+func (c *Client) connect(ctx context.Context, p *pool, t *Target, requestID string) (*conn, error) {
+	conn, err := p.acquire(ctx, t.Connections, requestID)
 	if err != nil {
 		return nil, errors.Wrap(err, t.ID)
 	}
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -76,6 +77,10 @@
 	}
 }
 
+func rejection(id string) string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+}
+
 func okReply(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: x\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
@@ -371,3 +376,59 @@
 	require.NoError(t, err)
 	require.Empty(t, reply.Body)
 }
+
+// Guards against a request that runs twice: a target sends a second copy of its rejection
+// when the same request arrives again on that connection, and runs the request.
+func TestRequestIsNotSentTwiceOnOneConnection(t *testing.T) {
+	var rejections sync.Map
+	s := startServer(t, func(_ int, c net.Conn, r *http.Request) {
+		id := r.Header.Get("Id")
+		if rejected, again := rejections.LoadOrStore(c, id); !again {
+			_, _ = io.WriteString(c, rejection(id))
+			return
+		} else if rejected == id {
+			_, _ = io.WriteString(c, rejection(id))
+		}
+		_, _ = io.WriteString(c, okReply(id, "run"))
+	})
+	for _, connections := range []int{1, 2} {
+		c := newClient()
+		target := *s.target()
+		target.Connections = connections
+		for range 3 {
+			reply, err := c.Send(context.Background(), &target, newRequest("1"), time.Second)
+			require.NoError(t, err)
+			require.True(t, reply.NotRun, "a target has no other connection with this request")
+		}
+		reply, err := c.Send(context.Background(), &target, newRequest("2"), time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "run", string(reply.Body), "other requests still use the connections")
+	}
+	require.EqualValues(t, 6, s.connections.Load())
+}
+
+// Guards against a waiting request that gets the connection on which it was rejected.
+func TestWaitingRequestDoesNotGetAConnectionThatCarriedIt(t *testing.T) {
+	s := startServer(t, func(n int, c net.Conn, r *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		_, _ = io.WriteString(c, okReply(r.Header.Get("Id"), c.RemoteAddr().String()))
+	})
+	c := newClient()
+	one := *s.target()
+	one.Connections = 1
+	var bodies [3]string
+	var all sync.WaitGroup
+	for i := range bodies {
+		all.Go(func() {
+			reply, err := c.Send(context.Background(), &one, newRequest("1"), time.Second)
+			if err == nil {
+				bodies[i] = string(reply.Body)
+			}
+		})
+	}
+	all.Wait()
+	for i, body := range bodies {
+		require.NotEmpty(t, body)
+		require.NotContains(t, bodies[:i], body)
+	}
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -29,6 +29,9 @@
 	// that does so states it in each reply, and a reply without it can't be trusted. Only
 	// the goroutine that reads uses it.
 	statesRequestID bool
+	// carried holds the IDs of the last requests on this connection. It is guarded by the
+	// pool's mutex while the connection is idle, and otherwise used by its user only.
+	carried carriedIDs
 	// sent is the number of bytes written for the current attempt.
 	sent atomic.Int64
 
@@ -76,6 +79,7 @@
 		return false
 	}
 	c.sent.Store(0)
+	c.carried.add(a.request.ID)
 	c.attempt = a
 	a.written = make(chan error, 1)
 	a.stop = context.AfterFunc(ctx, c.abort)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -18,49 +18,60 @@
 	mu sync.Mutex
 	// idle holds the idle connections; the most recently used one is last.
 	idle []*conn
-	// waiters holds a channel for each request that waits for a connection or a slot
-	// for one.
-	waiters []chan *conn
+	// waiters holds the requests that wait for a connection or a slot for one.
+	waiters []waiter
 	// open counts the connections, including those in use and being set up.
 	open   int
 	closed bool
 }
 
-// acquire returns the most recently used idle connection. If there is none but a slot is
-// free, it reserves the slot and returns nil: a new connection must be set up. Otherwise
-// it waits for up to connectionWait for either, and then returns ErrBusy.
-func (p *pool) acquire(ctx context.Context, limit int) (*conn, error) {
-	c, waiter := p.tryAcquire(time.Now(), limit)
-	if waiter == nil {
+// waiter is a request that waits for a connection. It receives one, or nil when a slot has
+// been reserved for it.
+type waiter struct {
+	requestID string
+	ready     chan *conn
+}
+
+// acquire returns the most recently used idle connection that has not carried the request
+// ID. If there is none but a slot is free, it reserves the slot and returns nil: a new
+// connection must be set up. Otherwise it waits for up to connectionWait for either, and
+// then returns ErrBusy.
+func (p *pool) acquire(ctx context.Context, limit int, requestID string) (*conn, error) {
+	c, ready := p.tryAcquire(time.Now(), limit, requestID)
+	if ready == nil {
 		return c, nil
 	}
 	timer := time.NewTimer(connectionWait)
 	defer timer.Stop()
 	select {
-	case c = <-waiter:
+	case c = <-ready:
 		return c, nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if p.leaveQueue(waiter) {
+	if p.leaveQueue(ready) {
 		return nil, ErrBusy
 	}
-	return <-waiter, nil
+	return <-ready, nil
 }
 
-// takeIdle returns the most recently used idle connection, or nil if there is none.
-func (p *pool) takeIdle(now time.Time) *conn {
+// takeIdle returns the most recently used idle connection that has not carried the request
+// ID, or nil if there is none.
+func (p *pool) takeIdle(now time.Time, requestID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.popIdle(now)
+	return p.popIdle(now, requestID)
 }
 
-func (p *pool) popIdle(now time.Time) *conn {
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle = p.idle[:last]
-		if now.Sub(c.idleSince) < c.idleFor {
+func (p *pool) popIdle(now time.Time, requestID string) *conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		expired := now.Sub(c.idleSince) >= c.idleFor
+		if !expired && c.carried.has(requestID) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if !expired {
 			return c
 		}
 		p.discard(c)
@@ -75,29 +86,35 @@
 	_ = c.Close()
 }
 
-// tryAcquire returns an idle connection if there is one. Otherwise it reserves a free
-// slot and returns nil for both results. If no slot is free, it returns a channel that
-// will receive a connection, or nil when a slot has been reserved for the request.
-func (p *pool) tryAcquire(now time.Time, limit int) (*conn, chan *conn) {
+// tryAcquire returns an idle connection that has not carried the request ID if there is
+// one. Otherwise it reserves a free slot, closing an unsuitable idle connection if
+// necessary, and returns nil for both results. If all connections are in use, it returns
+// a channel that will receive a connection, or nil when a slot has been reserved for the
+// request.
+func (p *pool) tryAcquire(now time.Time, limit int, requestID string) (*conn, chan *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c := p.popIdle(now); c != nil {
+	if c := p.popIdle(now, requestID); c != nil {
 		return c, nil
 	}
+	if p.open >= limit && len(p.idle) > 0 {
+		p.discard(p.idle[0])
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
 	if p.open < limit {
 		p.open++
 		return nil, nil
 	}
-	waiter := make(chan *conn, 1)
-	p.waiters = append(p.waiters, waiter)
-	return nil, waiter
+	ready := make(chan *conn, 1)
+	p.waiters = append(p.waiters, waiter{requestID: requestID, ready: ready})
+	return nil, ready
 }
 
 // leaveQueue removes a waiter. It returns false if the waiter has already been served.
-func (p *pool) leaveQueue(waiter chan *conn) bool {
+func (p *pool) leaveQueue(ready chan *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	i := slices.Index(p.waiters, waiter)
+	i := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.ready == ready })
 	if i < 0 {
 		return false
 	}
@@ -125,7 +142,7 @@
 	if len(p.waiters) == 0 {
 		return false
 	}
-	p.waiters[0] <- c
+	p.waiters[0].ready <- c
 	p.waiters = p.waiters[1:]
 	return true
 }
@@ -138,6 +155,10 @@
 	if p.closed {
 		return false
 	}
+	if len(p.waiters) > 0 && c.carried.has(p.waiters[0].requestID) {
+		// The waiter gets the slot of the connection, which the caller closes.
+		return false
+	}
 	if p.serveWaiter(c) {
 		return true
 	}
