backend: a connection is not reused after a reply without an ID

What callers could see: the answer to another request, if a target that states no IDs sends a second copy of a reply.

Cause: a reply without an ID was taken for the current request unless the connection had carried replies with IDs.

Change: only a new connection proves that a reply without an ID belongs to its request; afterwards the connection is closed. Targets state IDs, so this costs nothing.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -200,12 +200,15 @@
 	}
 	_ = response.Body.Close()
 	metadata := c.dialect.ParseReply(response.StatusCode, response.Header)
-	if metadata.RequestID != r.ID && (metadata.RequestID != "" || cn.statesRequestID) {
+	if metadata.RequestID != r.ID && (metadata.RequestID != "" || cn.carried.count > 1) {
 		c.strayReplies.Inc()
 		return nil, 0, errors.Wrapf(ErrLost, "reply to another request, %q", metadata.RequestID)
 	}
-	cn.statesRequestID = metadata.RequestID != ""
 	idleFor := idleTimeout(response.Header)
+	if metadata.RequestID == "" {
+		// A copy of this reply could not be told from the reply to the next request.
+		idleFor = 0
+	}
 	if cn.reader.Buffered() > 0 {
 		c.strayReplies.Inc()
 		idleFor = 0
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -432,3 +432,20 @@
 		require.NotContains(t, bodies[:i], body)
 	}
 }
+
+// Guards against the reply to another request: a target that states no IDs sends a second
+// copy of a reply when the next request has arrived.
+func TestConnectionIsNotReusedAfterAReplyWithoutID(t *testing.T) {
+	s := startServer(t, func(n int, c net.Conn, _ *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nReceipt: x\r\nContent-Length: 1\r\n\r\n%d", 1)
+		if n > 1 {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nReceipt: x\r\nContent-Length: 1\r\n\r\n%d", n)
+		}
+	})
+	c := newClient()
+	for _, id := range []string{"1", "2"} {
+		_, err := c.Send(context.Background(), s.target(), newRequest(id), time.Second)
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 2, s.connections.Load())
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -25,10 +25,6 @@
 	// bound limits the bytes that reader may take from the connection. The goroutine that
 	// reads sets it before each part of a reply.
 	bound *boundedReader
-	// statesRequestID is true if the last reply stated the ID of its request. A target
-	// that does so states it in each reply, and a reply without it can't be trusted. Only
-	// the goroutine that reads uses it.
-	statesRequestID bool
 	// carried holds the IDs of the last requests on this connection. It is guarded by the
 	// pool's mutex while the connection is idle, and otherwise used by its user only.
 	carried carriedIDs
