control: standbys watch the store while the watchers get no answers

Cause: two VMs of each failure domain watch the store, chosen by membership alone. Both were alive for their peers and cut off from the store, and the third VM reads by itself only when its configuration is 10 s old. The record shows no call of it.

On looking for the class: VMs of different domains confirmed to one another what operators write to the store; a VM that became a watcher kept a schedule of 10 s; in an outage of the store VMs that don't watch read each 0.5 s.

Ruled out: failed or late reads by the third VM (it made none).

Change: heartbeat responses state when the VM last got an answer of the store. The VMs after the watchers judge by that and watch in their place; an answer is due each 2 s, or each two thirds of routes.drain_ms.

Calls to the store of 3 domains of 3, 30 and 100 VMs at rest, in virtual time: at most 6 watches each 2 s.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -409,7 +409,7 @@
 
 // Guards against a waiting request that gets the connection on which it was rejected.
 func TestWaitingRequestDoesNotGetAConnectionThatCarriedIt(t *testing.T) {
-	s := startServer(t, func(n int, c net.Conn, r *http.Request) {
+	s := startServer(t, func(_ int, c net.Conn, r *http.Request) {
 		time.Sleep(5 * time.Millisecond)
 		_, _ = io.WriteString(c, okReply(r.Header.Get("Id"), c.RemoteAddr().String()))
 	})
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -189,6 +189,7 @@
 		Platform:    options.Settings.GetPlatform(),
 		Peers:       options.Settings.GetPeers(),
 		Limits:      options.Settings.GetLimits(),
+		Routes:      options.Settings.GetRoutes(),
 		Seed:        options.Self.Incarnation,
 		StartUnixUs: startedAt.UnixMicro(),
 	}
@@ -218,7 +219,7 @@
 	return s.readyForRoutes, s.routesReason
 }
 
-// WatchesStore reports whether this VM is one of the store watchers of its failure domain.
+// WatchesStore reports whether this VM watches the store for its failure domain.
 func (c *Control) WatchesStore() bool { return c.status.Load().isWatcher }
 
 // Members returns the known state of every VM. The caller must not modify the result.
@@ -310,7 +311,7 @@
 }
 
 func (c *Control) setStatus() {
-	next := &status{leaveAcknowledged: c.machine.leaveAcknowledged, isWatcher: c.machine.isWatcher()}
+	next := &status{leaveAcknowledged: c.machine.leaveAcknowledged, isWatcher: c.machine.watches()}
 	next.ready, next.reason = c.machine.ready()
 	next.readyForRoutes, next.routesReason = c.machine.readyForRoutes()
 	next.counts = counts{machine: c.machine.stats, table: c.machine.table.Stats()}
--- a/internal/control/distribute.go
+++ b/internal/control/distribute.go
@@ -51,11 +51,13 @@
 		m.list.sentAt = m.now
 		m.decide(&pb.ControlDecision{Kind: &pb.ControlDecision_ReadList{ReadList: &pb.ReadVmList{}}})
 	}
+	m.checkOrder()
+	m.checkStandby()
 	if m.watch.running || m.now.Before(m.watch.nextAt) {
 		return
 	}
-	if m.isWatcher() {
-		m.watchStore(m.config.watchWait)
+	if m.watches() {
+		m.watchStore(m.nextWatchWait())
 		return
 	}
 	if m.configuration == nil || m.configurationAge() > staleAfter {
@@ -84,26 +86,6 @@
 	}}})
 }
 
-// isWatcher reports whether this VM is one of the watchers of its failure domain, which are chosen by
-// rendezvous hashing from the VMs that may own targets. A leaving VM watches only if no such VM exists.
-func (m *machine) isWatcher() bool {
-	if version := m.table.Version(); m.watcherVersion != version {
-		m.watcherVersion = version
-		m.watcher = m.selectedAsWatcher()
-	}
-	return m.watcher
-}
-
-func (m *machine) selectedAsWatcher() bool {
-	vms := m.table.OwnerCandidates()
-	if len(vms) == 0 {
-		return true
-	}
-	sortByHash(vms, "watch")
-	position := slices.Index(vms, m.vm)
-	return position >= 0 && position < m.config.watchers
-}
-
 // sortByHash sorts VMs by a hash of key and VM name.
 func sortByHash(vms []string, key string) {
 	hash := func(i int) uint64 { return xxhash.Sum64String(key + "\x00" + vms[i]) }
@@ -148,12 +130,13 @@
 	sentAt := m.timeAt(read.SentOffsetUs)
 	if read.Failed {
 		m.stats.storeFailures++
-		m.watch.nextAt = m.now.Add(platformRetryDelay)
+		m.watch.nextAt = m.now.Add(m.readRetryDelay())
 		return
 	}
 	m.watch.succeededAt = sentAt
+	m.watch.answeredAt = m.now
 	m.watch.nextAt = sentAt.Add(m.watchInterval())
-	if !m.isWatcher() {
+	if !m.watches() {
 		m.watch.nextAt = m.now.Add(m.readInterval())
 	}
 	if read.Configuration != nil {
@@ -164,7 +147,24 @@
 		}
 		m.storeVersion = read.Version
 	}
-	m.confirm(sentAt)
+	confirmedAt := sentAt
+	if read.ConfirmedOffsetUs > read.SentOffsetUs {
+		confirmedAt = m.timeAt(read.ConfirmedOffsetUs)
+	}
+	m.confirm(confirmedAt)
+}
+
+// readRetryDelay returns the time until a store read that failed is repeated. A VM on which nothing depends
+// does not add to the load of a store that is down.
+func (m *machine) readRetryDelay() time.Duration {
+	switch {
+	case m.isWatcher() || m.configuration == nil || m.config.standbys == 0:
+		return platformRetryDelay
+	case m.watches():
+		return m.config.watchWait
+	default:
+		return staleAfter
+	}
 }
 
 // watchInterval returns the time between the starts of two watches. If watches may wait for longer than
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -75,8 +75,12 @@
 	wait := time.Duration(watch.WaitMs) * time.Millisecond
 	result, err := c.source.Watch(ctx, watch.AfterVersion, wait, known)
 	read := &pb.StoreRead{SentOffsetUs: sent, Version: result.Version, Configuration: result.Configuration}
-	if err != nil {
+	switch {
+	case err != nil:
 		read = &pb.StoreRead{SentOffsetUs: sent, Failed: true, Error: err.Error()}
+	case result.Configuration == nil && c.offset()-sent >= wait.Microseconds():
+		// The store answers a watch without changes at the end of its wait.
+		read.ConfirmedOffsetUs = sent + wait.Microseconds()
 	}
 	c.logStoreAvailability(err)
 	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_StoreRead{StoreRead: read}})
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -134,6 +134,7 @@
 		Members:               m.table.Updates(sender.GetVm()),
 		MembersDigest:         m.table.Digest(),
 		Paused:                m.pause.active,
+		StoreAnswerAgeMs:      m.storeAnswerAge(),
 	}
 	switch {
 	case request.Full && request.MembersDigest == 0:
@@ -160,6 +161,9 @@
 	m.table.ReceiveResponse(answered.Vm, responder, response.Members, m.now)
 	m.recordRevision(responder.Vm, response.ConfigurationRevision)
 	m.recordConfirmation(responder, response, sentAt)
+	if age := response.StoreAnswerAgeMs; age > 0 {
+		m.recordStoreAnswer(responder.Vm, sentAt.Add(-milliseconds(age)))
+	}
 	m.recordDigest(responder.FailureDomain, response.MembersDigest)
 	m.endPauseIfConfirmed(answered, sentAt)
 	m.recordLeaveAcknowledgement(responder, sentAt)
@@ -197,17 +201,21 @@
 		m.confirmByDomains()
 	}
 	if response.ConfigurationRevision == m.revision() && m.revision() > 0 {
-		age := time.Duration(min(response.ConfigurationAgeMs, uint64(neverConfirmed.Milliseconds()))) * time.Millisecond
-		m.confirm(sentAt.Add(-age))
+		m.confirm(sentAt.Add(-milliseconds(response.ConfigurationAgeMs)))
 	}
 }
 
+// milliseconds returns a duration that another VM stated, at most neverConfirmed.
+func milliseconds(n uint64) time.Duration {
+	return time.Duration(min(n, uint64(neverConfirmed.Milliseconds()))) * time.Millisecond
+}
+
 // confirmByDomains confirms the revision when VMs of every other failure domain responded and none reported
 // a newer one. A VM that accepts a revision pushes it to every failure domain it can reach before it
 // responds to the operator, so one of the responses would have shown a newer revision. This keeps the
-// configuration confirmed while the store is down.
+// configuration confirmed while the store is down. It does not hold where VMs don't accept revisions.
 func (m *machine) confirmByDomains() {
-	if m.revision() == 0 {
+	if m.revision() == 0 || m.config.operatorsWrite {
 		return
 	}
 	oldest := m.now
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -1,12 +1,14 @@
 package control
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/pkg/errors"
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/membership"
+	"github.com/carawayreel/carawayreel/internal/settings"
 )
 
 const (
@@ -36,9 +38,14 @@
 	listInterval time.Duration
 	watchWait    time.Duration
 	watchers     int
-	seeds        []string
-	monitored    int
-	callTimeout  time.Duration
+	// standbys is the number of VMs after the watchers that watch the store while no VM before them does.
+	standbys int
+	// operatorsWrite is true if operators write configurations to the platform themselves. VMs then don't
+	// accept any, so that what other VMs know does not show that there is nothing newer.
+	operatorsWrite bool
+	seeds          []string
+	monitored      int
+	callTimeout    time.Duration
 }
 
 // checkSettings returns ErrSettings if one of two requirements is not met. A VM must detect the clock gap of
@@ -64,21 +71,28 @@
 		clockGap:          ms(h.GetLimits().GetClockGapMs()),
 		guard:             ms(h.GetLimits().GetGuardMs()),
 		listInterval:      ms(h.GetPlatform().GetListIntervalMs()),
-		watchWait:         min(ms(h.GetPlatform().GetWatchWaitMs()), confirmIntervalOf(h.GetPlatform())),
+		watchWait:         watchWaitOf(h),
 		watchers:          int(h.GetPlatform().GetWatchersPerFailureDomain()),
+		standbys:          int(h.GetPlatform().GetStandbysPerFailureDomain()),
+		operatorsWrite:    h.GetPlatform().GetProtocol() == settings.ProtocolUsers,
 		seeds:             splitAddresses(h.GetPeers().GetSeeds()),
 		monitored:         int(h.GetPeers().GetMonitoredVms()),
 		callTimeout:       ms(h.GetPlatform().GetCallTimeoutMs()),
 	}
 }
 
-// confirmIntervalOf returns the longest wait of one watch. Traces recorded before this setting existed do
-// not contain it and use the default.
-func confirmIntervalOf(settings *pb.PlatformSettings) time.Duration {
-	if settings.GetConfirmIntervalMs() == 0 {
-		return confirmInterval
+// watchShare is the share of the time to stop using a target that leaves which one watch may take. The rest is
+// left for noticing that the watch gets no answer, for another VM to read the store, and for the way to all VMs.
+const watchShare = 2.0 / 3
+
+// watchWaitOf returns the longest wait of one watch. Traces recorded before a setting existed do not contain it.
+func watchWaitOf(h *pb.ControlTraceHeader) time.Duration {
+	ms := func(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+	wait := min(ms(h.GetPlatform().GetWatchWaitMs()), cmp.Or(ms(h.GetPlatform().GetConfirmIntervalMs()), confirmInterval))
+	if drain := ms(h.GetRoutes().GetDrainMs()); drain > 0 {
+		wait = min(wait, time.Duration(watchShare*float64(drain)))
 	}
-	return time.Duration(settings.GetConfirmIntervalMs()) * time.Millisecond
+	return wait
 }
 
 // machine is the control state of one VM. It is a pure state machine: it takes timestamped events and
@@ -110,9 +124,9 @@
 	leaveAcknowledged bool
 	round             int
 
-	// watcher caches whether this VM watches the store, as of watcherVersion of the table.
-	watcher        bool
-	watcherVersion uint64
+	// order caches this VM's place among the VMs that watch the store.
+	order   watchOrder
+	standby standby
 
 	watch platformCall
 	list  platformCall
@@ -136,8 +150,9 @@
 	running bool
 	sentAt  time.Time
 	nextAt  time.Time
-	// succeededAt is the send time of the last successful call.
+	// succeededAt is the send time of the last successful call, and answeredAt the time of its answer.
 	succeededAt time.Time
+	answeredAt  time.Time
 }
 
 func newMachine(h *pb.ControlTraceHeader) *machine {
@@ -162,6 +177,7 @@
 		UpdatesPerMessage: updatesPerMessage,
 	}, h.Self, h.Seed, start)
 	m.pause = pause{active: true, since: start}
+	m.standby.since = start
 	m.tableSync = tableSync{needsFullTable: true, differsSince: map[string]time.Time{}}
 	return m
 }
--- a/internal/control/pause.go
+++ b/internal/control/pause.go
@@ -31,6 +31,7 @@
 	m.tableSync.differsSince = map[string]time.Time{}
 	// These confirmations predate the gap.
 	m.domainConfirmedAt = map[string]time.Time{}
+	m.standby.since = m.now
 	m.table.Resume(m.now)
 	if gap+m.config.heartbeatInterval >= m.config.suspectAfter+m.config.deadAfter {
 		m.releaseTargets()
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -25,6 +25,8 @@
 	// domain "platform".
 	partitioned func(a, b string) bool
 	storeDown   bool
+	// cutOff holds the VMs whose calls to the store get no answer.
+	cutOff map[string]bool
 	// dropHeartbeat reports whether the next heartbeat is lost.
 	dropHeartbeat    func() bool
 	store            *pb.Configuration
@@ -32,7 +34,9 @@
 	calls, listReads int
 	vmList           []*pb.ListedVm
 	pendingWatches   map[int]func()
-	latency          time.Duration
+	// adjust changes the settings of a VM before it starts; may be nil.
+	adjust  func(*simulatedVM)
+	latency time.Duration
 }
 
 type simulatedVM struct {
@@ -75,7 +79,11 @@
 	return last
 }
 
-const simulatedTimeout = 500 * time.Millisecond
+const (
+	// simulatedTimeout is the time limit of a heartbeat, and simulatedCallTimeout that of a call to the store.
+	simulatedTimeout     = 500 * time.Millisecond
+	simulatedCallTimeout = time.Second
+)
 
 var simulationStart = time.UnixMicro(1_800_000_000_000_000)
 
@@ -86,6 +94,7 @@
 		partitioned:    func(_, _ string) bool { return false },
 		dropHeartbeat:  func() bool { return false },
 		pendingWatches: map[int]func(){},
+		cutOff:         map[string]bool{},
 		latency:        500 * time.Microsecond,
 	}
 }
@@ -107,6 +116,11 @@
 // newDeployment starts perDomain VMs in each of the given number of failure domains.
 func newDeployment(domains, perDomain int) *simulation {
 	s := newSimulation()
+	s.addDomains(domains, perDomain)
+	return s
+}
+
+func (s *simulation) addDomains(domains, perDomain int) {
 	for d := range domains {
 		for i := range perDomain {
 			s.listVM(fmt.Sprintf("vm-%d-%03d", d, i), fmt.Sprintf("domain-%d", d))
@@ -115,7 +129,6 @@
 	for i, vm := range s.vmList {
 		s.startVM(vm.Vm, vm.FailureDomain, uint64(i+1))
 	}
-	return s
 }
 
 func (s *simulation) listVM(name, domain string) {
@@ -125,7 +138,11 @@
 func (s *simulation) startVM(name, domain string, seed uint64) *simulatedVM {
 	// The seed staggers the ticks of the VMs.
 	header := simulatedHeader(name, domain, s.now, seed)
-	vm := &simulatedVM{name: name, domain: domain, header: header, machine: newMachine(header), up: true, startedAt: s.now, adoptedAt: map[uint64]time.Duration{}}
+	vm := &simulatedVM{name: name, domain: domain, header: header, up: true, startedAt: s.now, adoptedAt: map[uint64]time.Duration{}}
+	if s.adjust != nil {
+		s.adjust(vm)
+	}
+	vm.machine = newMachine(header)
 	if s.vms[name] == nil {
 		s.names = append(s.names, name)
 	}
@@ -305,8 +322,16 @@
 	sent := s.offset(vm)
 	ended := false
 	id := s.sequence
+	fail := func() {
+		if !ended {
+			ended = true
+			delete(s.pendingWatches, id)
+			s.deliver(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_StoreRead{StoreRead: &pb.StoreRead{SentOffsetUs: sent, Failed: true, Error: "timeout"}}}, nil)
+		}
+	}
+	s.schedule(time.Duration(watch.WaitMs)*time.Millisecond+simulatedCallTimeout, fail)
 	end := func() {
-		if ended {
+		if ended || s.cutOff[vm.name] {
 			return
 		}
 		ended = true
@@ -317,6 +342,8 @@
 			read.Failed, read.Error = true, "down"
 		case s.version > watch.AfterVersion:
 			read.Version, read.Configuration = s.version, s.store
+		case watch.WaitMs > 0:
+			read.ConfirmedOffsetUs = sent + int64(watch.WaitMs)*time.Millisecond.Microseconds()
 		}
 		s.schedule(s.latency, func() { s.deliver(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_StoreRead{StoreRead: read}}, nil) })
 	}
--- /dev/null
+++ b/internal/control/standby_test.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/settings"
+)
+
+// newUsersDeployment starts a deployment with the settings of deploy/vm.ini.tmpl, in which operators write the
+// configuration to the store themselves.
+func newUsersDeployment(domains, perDomain int) *simulation {
+	s := newSimulation()
+	s.adjust = func(vm *simulatedVM) {
+		platform := vm.header.Platform
+		platform.Protocol = settings.ProtocolUsers
+		platform.ConfirmIntervalMs, platform.ListIntervalMs = 2000, 30000
+		platform.StandbysPerFailureDomain = 3
+		vm.header.Routes = &pb.RouteSettings{DrainMs: 3000}
+		vm.header.Peers.HeartbeatIntervalMs = 500
+	}
+	s.addDomains(domains, perDomain)
+	s.makeAllKnown()
+	return s
+}
+
+// domainVMs returns the VMs of a failure domain that watch the store, and the others.
+func (s *simulation) domainVMs(domain string) (watching, others []string) {
+	for _, name := range s.names {
+		switch vm := s.vms[name]; {
+		case vm.domain != domain:
+		case vm.machine.isWatcher():
+			watching = append(watching, name)
+		default:
+			others = append(others, name)
+		}
+	}
+	return watching, others
+}
+
+// Guards against VMs that keep an old configuration although they reach the store: the watchers of their failure
+// domain don't bring the news, and no other failure domain does.
+func TestRevisionArrivesWithoutTheWatchers(t *testing.T) {
+	const applyWithin = 3 * time.Second
+	faults := map[string]func(s *simulation, vm string){
+		"alive, but cut off from the store": func(s *simulation, vm string) { s.cutOff[vm] = true },
+		"killed":                            (*simulation).kill,
+		"frozen":                            (*simulation).freeze,
+	}
+	// Phases of the watches, and fewer of them in large domains.
+	for perDomain, phases := range map[int]int{3: 12, 30: 4, 100: 1} {
+		for fault, apply := range faults {
+			for phase := range phases {
+				t.Run(fmt.Sprintf("%d VMs, watchers %s, phase %d", perDomain, fault, phase), func(t *testing.T) {
+					s := newUsersDeployment(2, perDomain)
+					s.write(testConfiguration(2, "first"))
+					s.run(12*time.Second + time.Duration(phase)*170*time.Millisecond)
+					watching, others := s.domainVMs("domain-0")
+					require.Len(t, watching, 2)
+					for _, name := range watching {
+						apply(s, name)
+					}
+					for _, name := range s.names {
+						if s.vms[name].domain != "domain-0" {
+							s.kill(name)
+						}
+					}
+					for revision := uint64(2); revision <= 4; revision++ {
+						written := s.now
+						s.write(testConfiguration(2, fmt.Sprint(revision)))
+						s.run(applyWithin)
+						for _, name := range others {
+							adopted, ok := s.vms[name].adoptedAt[revision]
+							require.True(t, ok, "%s has revision %d, want %d", name, s.vms[name].machine.revision(), revision)
+							require.Less(t, adopted-written, applyWithin, name)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against VMs of several failure domains that confirm an old configuration to one another while none of
+// them reads the store.
+func TestVMsDoNotConfirmWhatOperatorsWrite(t *testing.T) {
+	s := newUsersDeployment(3, 3)
+	s.write(testConfiguration(3, "first"))
+	s.run(12 * time.Second)
+	for d := range 3 {
+		watching, _ := s.domainVMs(fmt.Sprintf("domain-%d", d))
+		for _, name := range watching {
+			s.cutOff[name] = true
+		}
+	}
+	written := s.now
+	s.write(testConfiguration(3, "second"))
+	s.run(3 * time.Second)
+	for _, name := range s.names {
+		require.Contains(t, s.vms[name].adoptedAt, uint64(2), name)
+		require.Less(t, s.vms[name].adoptedAt[2]-written, 3*time.Second, name)
+	}
+	s.storeDown = true
+	s.run(10 * time.Second)
+	for _, name := range s.names {
+		require.Greater(t, s.vms[name].machine.configurationAge(), 9*time.Second, name)
+	}
+}
+
+// Guards against standbys that watch although the watchers do, which would cost calls to the store on quiet days.
+func TestStandbysDoNotCallTheStoreOnQuietDays(t *testing.T) {
+	for _, perDomain := range []int{3, 30, 100} {
+		s := newUsersDeployment(3, perDomain)
+		s.write(testConfiguration(3, "first"))
+		s.run(12 * time.Second)
+		s.calls = 0
+		const minute = 60 * time.Second
+		s.run(minute)
+		const watchers, wait = 3 * 2, 2 * time.Second
+		require.LessOrEqual(t, s.calls-s.listReads, int(watchers*minute/wait), "%d VMs", perDomain)
+	}
+}
+
+// Guards against a VM that becomes a watcher and keeps the schedule of a VM on which nothing depends.
+func TestVMThatBecomesAWatcherReadsTheStoreAtOnce(t *testing.T) {
+	s := newUsersDeployment(1, 6)
+	s.write(testConfiguration(1, "first"))
+	s.run(12 * time.Second)
+	watching, others := s.domainVMs("domain-0")
+	for _, name := range others {
+		m := s.vms[name].machine
+		m.config.standbys = 0
+		m.watch.nextAt = m.now.Add(staleAfter)
+	}
+	for _, name := range watching {
+		s.kill(name)
+	}
+	s.run(3 * time.Second)
+	for _, name := range others {
+		m := s.vms[name].machine
+		require.Equal(t, m.isWatcher(), m.watch.running, name)
+	}
+}
+
+// Standbys stop watching once a watcher gets answers again.
+func TestStandbyStopsWatchingWhenAWatcherReturns(t *testing.T) {
+	s := newUsersDeployment(1, 4)
+	s.write(testConfiguration(1, "first"))
+	s.run(12 * time.Second)
+	watching, others := s.domainVMs("domain-0")
+	for _, name := range watching {
+		s.cutOff[name] = true
+	}
+	acting := func() (n int) {
+		for _, name := range others {
+			if s.vms[name].machine.standby.acting {
+				n++
+			}
+		}
+		return n
+	}
+	s.run(6 * time.Second)
+	require.Equal(t, 1, acting(), "the second standby relies on the first")
+	delete(s.cutOff, watching[0])
+	s.run(6 * time.Second)
+	require.Zero(t, acting())
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/registry"
 	"github.com/carawayreel/carawayreel/internal/server"
+	"github.com/carawayreel/carawayreel/internal/settings"
 	"github.com/carawayreel/carawayreel/internal/statement"
 	"github.com/carawayreel/carawayreel/internal/transport"
 	"github.com/carawayreel/carawayreel/internal/view"
@@ -155,13 +156,13 @@
 // is nil for the product's own platform, where control reads the configuration from the
 // returned store.
 func (d *Daemon) newPlatform(client *http.Client) (platformclient.Store, platformclient.VMList, control.Source) {
-	settings := d.settings.Platform
-	if settings.Protocol == protocolUsers {
+	configured := d.settings.Platform
+	if configured.Protocol == settings.ProtocolUsers {
 		store := d.newUserPlatform(client)
 		return operatorManagedStore{}, store, store
 	}
-	timeout := time.Duration(settings.CallTimeoutMs) * time.Millisecond
-	store := platformclient.NewClient(client, "http://"+settings.Address, timeout)
+	timeout := time.Duration(configured.CallTimeoutMs) * time.Millisecond
+	store := platformclient.NewClient(client, "http://"+configured.Address, timeout)
 	return store, store, nil
 }
 
@@ -234,7 +235,7 @@
 	for _, service := range []suture.Service{d.control, d.callerServer, d.peerServer} {
 		supervisor.Add(service)
 	}
-	if d.settings.Platform.Protocol != protocolUsers {
+	if d.settings.Platform.Protocol != settings.ProtocolUsers {
 		// On the users' platform this VM owns no targets, and the owner's frequent checks
 		// of the clock would only cost processor time.
 		supervisor.Add(d.owner)
--- a/internal/daemon/userplatform.go
+++ b/internal/daemon/userplatform.go
@@ -14,9 +14,6 @@
 	"github.com/carawayreel/carawayreel/platform"
 )
 
-// protocolUsers is the value of the protocol setting that selects the users' platform.
-const protocolUsers = "users"
-
 // errOperatorManaged is the cause of all errors of operatorManagedStore: on the users'
 // platform, only operators write the configuration.
 var errOperatorManaged = errors.New("operators write the configuration to the platform themselves")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,10 @@
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
+// ProtocolUsers is the value of the setting platform.protocol that selects the users'
+// platform, to whose store operators write configurations themselves.
+const ProtocolUsers = "users"
+
 // Error is an error in the content of a settings file.
 type Error struct {
 	// File is the path passed to Load.
