routing: the grace period of a lapsed target begins when it was last known

Cause: a target without a registration remains a last resort for 0.6 of drain_ms. That time began when the VM learned of the removal, 2.1 s late in the record.

Ruled out: requests that began with an older table (they take 100 ms in the record), and news later than 3 s (the sends fall at 2.1 s).

Change: control records when each replaced revision was last known to be in force, and VMs pass that on with each change. The grace period, 0.9 of drain_ms, begins then, and its end is checked at each send. While the store gives no answers, the time runs on until its return: registrations that it lost come back within seconds.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -334,7 +334,7 @@
 func (c *Control) rebuild() {
 	m := c.machine
 	published := m.published
-	confirmedAt := c.startedAt.Add(m.confirmedAt.Sub(m.start))
+	confirmedAt := c.clock(m.confirmedAt)
 	before := c.current.Load()
 	unchanged := before != nil && c.builtFrom.configuration == published.configuration &&
 		c.builtFrom.membersVersion == published.membersVersion && c.builtFrom.ownsNothing == published.ownsNothing
@@ -347,7 +347,11 @@
 		next = &copied
 	} else {
 		direct := c.options.Settings.GetExperiment().GetDirectTargets()
-		next = view.Build(m.viewInput(confirmedAt, direct), before)
+		input := m.viewInput(confirmedAt, direct)
+		for _, r := range m.replaced {
+			input.Replaced = append(input.Replaced, view.Replaced{Revision: r.Revision, InForceAt: c.clock(r.InForceAt)})
+		}
+		next = view.Build(input, before)
 		c.viewsBuilt.Add(1)
 	}
 	c.rebuildDue = false
--- a/internal/control/distribute.go
+++ b/internal/control/distribute.go
@@ -10,6 +10,7 @@
 
 	"github.com/carawayreel/carawayreel/internal/configuration"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/view"
 )
 
 const (
@@ -130,6 +131,7 @@
 	sentAt := m.timeAt(read.SentOffsetUs)
 	if read.Failed {
 		m.stats.storeFailures++
+		m.watch.failedAt = m.now
 		m.watch.nextAt = m.now.Add(m.readRetryDelay())
 		return
 	}
@@ -140,7 +142,7 @@
 		m.watch.nextAt = m.now.Add(m.readInterval())
 	}
 	if read.Configuration != nil {
-		m.adopt(read.Configuration, "", 0)
+		m.adopt(read.Configuration, "", 0, time.Time{})
 		if read.Configuration.Revision < m.revision() {
 			// A store that reverted to an older revision must not confirm the configuration in force.
 			return
@@ -203,17 +205,23 @@
 	}
 	m.fetchFull = false
 	if newer {
-		m.adopt(next, received.From, received.HopsLeft)
+		var inForceAt time.Time
+		if known := received.Delta.ReplacedRevision; known > 0 && known <= m.revision() {
+			inForceAt = m.timeAt(received.ReplacedOffsetUs)
+		}
+		m.adopt(next, received.From, received.HopsLeft, inForceAt)
 	}
 }
 
 // adopt puts a newer revision in force and forwards it. from is the sending VM, or empty if the revision
-// does not come from a peer. A revision that is not newer is ignored.
-func (m *machine) adopt(next *pb.Configuration, from string, hopsLeft uint32) {
+// does not come from a peer. inForceAt is when the sender last knew the replaced revision to be in force; it may
+// be zero. A revision that is not newer is ignored.
+func (m *machine) adopt(next *pb.Configuration, from string, hopsLeft uint32, inForceAt time.Time) {
 	if next.GetRevision() <= m.revision() {
 		return
 	}
 	base := m.revision()
+	m.recordReplaced(inForceAt)
 	m.configuration = next
 	m.stats.adopted++
 	self := m.table.Self()
@@ -227,6 +235,21 @@
 	}
 }
 
+// maxReplaced is the number of replaced revisions that are remembered. It exceeds those that a VM adopts before
+// its routes are compiled.
+const maxReplaced = 64
+
+// recordReplaced records when the revision that is being replaced was last in force, as far as is known. While
+// this VM did not reach the store, the store may have been down, and what it dropped then counts from its return.
+func (m *machine) recordReplaced(inForceAt time.Time) {
+	if m.revision() == 0 {
+		return
+	}
+	at := earlier(later(later(m.confirmedAt, m.watch.failedAt), inForceAt), m.now)
+	replaced := append(slices.Clone(m.replaced), view.Replaced{Revision: m.revision(), InForceAt: at})
+	m.replaced = replaced[max(len(replaced)-maxReplaced, 0):]
+}
+
 // forward offers the revision along a tree over the VMs of this VM's failure domain that may own targets. The
 // tree is the same on all of them and differs by revision. A VM that did not receive the revision from its
 // own failure domain also offers it to the root of the tree.
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -9,6 +9,7 @@
 
 	"github.com/carawayreel/carawayreel/internal/configuration"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/view"
 )
 
 // execute carries out a decision of the machine. Calls run in their own goroutines, and their results are
@@ -26,7 +27,8 @@
 	case *pb.ControlDecision_Fetch:
 		go c.fetch(ctx, kind.Fetch)
 	case *pb.ControlDecision_Offer:
-		go c.offer(ctx, kind.Offer, c.machine.configuration)
+		inForceAt := view.LastInForce(c.machine.replaced, kind.Offer.BaseRevision)
+		go c.offer(ctx, kind.Offer, c.machine.configuration, c.clock(inForceAt))
 	case *pb.ControlDecision_Publish:
 		c.rebuildDue = true
 	}
@@ -35,6 +37,39 @@
 
 func (c *Control) offset() int64 { return time.Since(c.startedAt).Microseconds() }
 
+// clock converts a time of the machine, zero excepted, to the process's clock.
+func (c *Control) clock(at time.Time) time.Time {
+	if at.IsZero() {
+		return at
+	}
+	return c.startedAt.Add(at.Sub(c.machine.start))
+}
+
+// makeDelta returns the delta to send to a VM with the given revision, which was last known to be in force at
+// inForceAt. That time may be zero.
+func makeDelta(c *pb.Configuration, revision uint64, inForceAt time.Time) *pb.ConfigurationDelta {
+	delta := configuration.MakeDelta(c, revision)
+	if !inForceAt.IsZero() {
+		stateReplaced(delta, revision, time.Since(inForceAt))
+	}
+	return delta
+}
+
+// stateReplaced states in a delta how long ago the revision that it replaces at the receiver was last known to be
+// in force. It rounds up.
+func stateReplaced(delta *pb.ConfigurationDelta, revision uint64, age time.Duration) {
+	if delta != nil {
+		delta.ReplacedRevision = revision
+		delta.ReplacedAgeMs = uint64(max(age.Milliseconds(), 0)) + 1
+	}
+}
+
+// replacedOffset returns when the revision that the delta replaces was last in force. at is the offset of a
+// time before the delta was sent, or of its receipt if no such time is known.
+func replacedOffset(delta *pb.ConfigurationDelta, at int64) int64 {
+	return at - milliseconds(delta.GetReplacedAgeMs()).Microseconds()
+}
+
 func (c *Control) sendHeartbeat(ctx context.Context, send *pb.SendHeartbeat) {
 	sent := c.offset()
 	timeout := max(c.config.heartbeatInterval, c.config.suspectAfter/2)
@@ -102,6 +137,7 @@
 func (c *Control) fetch(ctx context.Context, from *pb.FetchFrom) {
 	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	sent := c.offset()
 	request := &pb.FetchConfigurationRequest{SinceRevision: from.SinceRevision}
 	response, err := c.options.Peers.FetchConfiguration(callCtx, from.Address, request)
 	if err != nil || !c.wellFormed(from.Vm, response.GetDelta()) {
@@ -110,7 +146,9 @@
 		return
 	}
 	c.traffic.count(request, response)
-	received := &pb.DeltaReceived{From: from.Vm, Delta: response.Delta, Fetched: true, HopsLeft: maxHops}
+	received := &pb.DeltaReceived{
+		From: from.Vm, Delta: response.Delta, Fetched: true, HopsLeft: maxHops, ReplacedOffsetUs: replacedOffset(response.Delta, sent),
+	}
 	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_DeltaReceived{DeltaReceived: received}})
 }
 
@@ -125,11 +163,11 @@
 
 // offer sends a revision to another VM as a delta. A VM that lacks the delta's base fetches the
 // configuration itself.
-func (c *Control) offer(ctx context.Context, to *pb.OfferTo, offered *pb.Configuration) {
+func (c *Control) offer(ctx context.Context, to *pb.OfferTo, offered *pb.Configuration, inForceAt time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	request := &pb.OfferConfigurationRequest{
-		Delta:    configuration.MakeDelta(offered, to.BaseRevision),
+		Delta:    makeDelta(offered, to.BaseRevision, inForceAt),
 		HopsLeft: to.HopsLeft,
 		From:     c.options.Self.ID,
 	}
@@ -143,18 +181,21 @@
 // FetchConfiguration returns the changes since a revision. The response is empty if this VM has no newer
 // revision.
 func (c *Control) FetchConfiguration(_ context.Context, r *pb.FetchConfigurationRequest) *pb.FetchConfigurationResponse {
-	current := c.Current().Configuration
-	if current.GetRevision() <= r.GetSinceRevision() {
+	current := c.Current()
+	since := r.GetSinceRevision()
+	if current.Revision() <= since {
 		return &pb.FetchConfigurationResponse{}
 	}
-	return &pb.FetchConfigurationResponse{Delta: configuration.MakeDelta(current, r.GetSinceRevision())}
+	return &pb.FetchConfigurationResponse{Delta: makeDelta(current.Configuration, since, current.LastInForce(since))}
 }
 
 // OfferConfiguration accepts a revision that another VM forwards and returns the revision in force
 // afterwards. A malformed delta is ignored.
 func (c *Control) OfferConfiguration(ctx context.Context, r *pb.OfferConfigurationRequest) *pb.OfferConfigurationResponse {
 	if c.wellFormed("offer", r.GetDelta()) {
-		received := &pb.DeltaReceived{From: r.GetFrom(), Delta: r.Delta, HopsLeft: min(r.GetHopsLeft(), maxHops)}
+		received := &pb.DeltaReceived{
+			From: r.GetFrom(), Delta: r.Delta, HopsLeft: min(r.GetHopsLeft(), maxHops), ReplacedOffsetUs: replacedOffset(r.Delta, c.offset()),
+		}
 		c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_DeltaReceived{DeltaReceived: received}})
 	}
 	return &pb.OfferConfigurationResponse{Revision: c.Current().Revision()}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -9,6 +9,7 @@
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/membership"
 	"github.com/carawayreel/carawayreel/internal/settings"
+	"github.com/carawayreel/carawayreel/internal/view"
 )
 
 const (
@@ -107,7 +108,9 @@
 
 	configuration *pb.Configuration
 	confirmedAt   time.Time
-	storeVersion  uint64
+	// replaced holds the last revisions before the one in force.
+	replaced     []view.Replaced
+	storeVersion uint64
 	// revisions is the last known revision of each other VM.
 	revisions map[string]uint64
 	// domainConfirmedAt is, by other failure domain, the send time of the last heartbeat whose response
@@ -153,6 +156,8 @@
 	// succeededAt is the send time of the last successful call, and answeredAt the time of its answer.
 	succeededAt time.Time
 	answeredAt  time.Time
+	// failedAt is when the last call failed.
+	failedAt time.Time
 }
 
 func newMachine(h *pb.ControlTraceHeader) *machine {
@@ -206,7 +211,7 @@
 	case *pb.ControlEvent_FetchFailed:
 		m.fetchingFrom = ""
 	case *pb.ControlEvent_Accepted:
-		m.adopt(kind.Accepted.Configuration, "", 0)
+		m.adopt(kind.Accepted.Configuration, "", 0, time.Time{})
 	case *pb.ControlEvent_Leave:
 		m.leave()
 	}
--- a/internal/control/standby_test.go
+++ b/internal/control/standby_test.go
@@ -9,6 +9,7 @@
 
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/settings"
+	"github.com/carawayreel/carawayreel/internal/view"
 )
 
 // newUsersDeployment starts a deployment with the settings of deploy/vm.ini.tmpl, in which operators write the
@@ -77,6 +78,7 @@
 							adopted, ok := s.vms[name].adoptedAt[revision]
 							require.True(t, ok, "%s has revision %d, want %d", name, s.vms[name].machine.revision(), revision)
 							require.Less(t, adopted-written, applyWithin, name)
+							require.LessOrEqual(t, s.lastInForce(name, revision-1), written, name)
 						}
 					}
 				})
@@ -169,3 +171,46 @@
 	s.run(6 * time.Second)
 	require.Zero(t, acting())
 }
+
+// lastInForce returns when a VM last knew a replaced revision to be in force.
+func (s *simulation) lastInForce(name string, revision uint64) time.Duration {
+	vm := s.vms[name]
+	return view.LastInForce(vm.machine.replaced, revision).Sub(vm.machine.start) + vm.startedAt
+}
+
+// Guards against a time that makes the grace period of targets without a registration useless: on quiet days a VM
+// must have known the replaced revision to be in force not long before the change.
+func TestReplacedRevisionWasKnownToBeInForceShortlyBefore(t *testing.T) {
+	const watchWait, propagation = 2 * time.Second, 700 * time.Millisecond
+	for _, perDomain := range []int{2, 3, 30} {
+		s := newUsersDeployment(3, perDomain)
+		s.write(testConfiguration(3, "first"))
+		s.run(12 * time.Second)
+		for revision := uint64(2); revision < 30; revision++ {
+			written := s.now
+			s.write(testConfiguration(3, fmt.Sprint(revision)))
+			s.run(3310 * time.Millisecond)
+			for _, name := range s.names {
+				at := s.lastInForce(name, revision-1)
+				require.LessOrEqual(t, at, written, name)
+				require.Greater(t, at, written-watchWait-propagation, "%s of %d", name, perDomain)
+			}
+		}
+	}
+}
+
+// What a store dropped while it was down counts from its return, at all VMs: the targets register again soon.
+func TestReplacedRevisionIsInForceUntilTheStoreReturns(t *testing.T) {
+	s := newUsersDeployment(3, 6)
+	s.write(testConfiguration(3, "first"))
+	s.run(12 * time.Second)
+	s.storeDown = true
+	s.run(8 * time.Second)
+	s.storeDown = false
+	returned := s.now
+	s.write(testConfiguration(3, "second"))
+	s.run(3 * time.Second)
+	for _, name := range s.names {
+		require.Greater(t, s.lastInForce(name, 1), returned-platformRetryDelay-100*time.Millisecond, name)
+	}
+}
--- a/internal/fanout/choose.go
+++ b/internal/fanout/choose.go
@@ -88,7 +88,7 @@
 // for targets that must not be used.
 func (m *Machine) cost(t *routing.Target) float64 {
 	ejected, down := t.Health.Ejected(m.now)
-	if down {
+	if down || !t.Usable(m.now) {
 		return math.Inf(1)
 	}
 	cost := t.Health.Cost(m.now, m.latencies.typical, t.Slots)
@@ -119,7 +119,7 @@
 	if m.now.Before(t.ColdUntil) {
 		cost *= coldPenalty
 	}
-	if t.Lapsed {
+	if t.Lapsed() {
 		cost *= lapsedPenalty
 	}
 	if ejected && m.in.Route.HasFallback {
--- a/internal/fanout/relay.go
+++ b/internal/fanout/relay.go
@@ -64,7 +64,7 @@
 // repliesSoon reports whether the target is expected to reply in the usual time.
 func (m *Machine) repliesSoon(t *routing.Target) bool {
 	ejected, _ := t.Health.Ejected(m.now)
-	return !ejected && m.shared.advice.Use(adviceKey(t), m.now) == advisory.Usable && !t.Lapsed && !m.now.Before(t.ColdUntil) && !t.Health.Failing(m.now) &&
+	return !ejected && m.shared.advice.Use(adviceKey(t), m.now) == advisory.Usable && !t.Lapsed() && !m.now.Before(t.ColdUntil) && !t.Health.Failing(m.now) &&
 		t.Health.Speed(m.now) == health.Normal && t.Health.RejectionRate(m.now) <= maxRelayedRejectionRate
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,10 +30,14 @@
 )
 
 const (
-	// gracePeriodShare is the grace period of lapsed targets as a part of the drain
-	// time. A target that is gone must get no requests after the drain time; the rest
-	// of it is left for the end of the registration to propagate to all VMs.
-	gracePeriodShare = 0.6
+	// lapsedShare is the part of the drain time for which a lapsed target is a last resort,
+	// counted from when its registration was last known. The rest is left for requests that
+	// are on their way.
+	lapsedShare = 0.9
+	// leavingShare is the part of the drain time for which a target that says that it leaves
+	// is a last resort, counted from the first reply that said so. The rest is left for
+	// other VMs to learn of it.
+	leavingShare = 0.6
 	// idleSweepInterval is the interval between sweeps that close expired idle
 	// connections.
 	idleSweepInterval = 500 * time.Millisecond
@@ -129,10 +133,11 @@
 	if g.pauses == nil {
 		g.pauses = pause.NewDetector(pauseThreshold)
 	}
-	gracePeriod := time.Duration(float64(options.Settings.GetRoutes().GetDrainMs())*gracePeriodShare) * time.Millisecond
-	options.Advice.SetGrace(gracePeriod)
+	drain := time.Duration(options.Settings.GetRoutes().GetDrainMs()) * time.Millisecond
+	options.Advice.SetGrace(time.Duration(leavingShare * float64(drain)))
 	self := options.Views.Current().Self
-	g.compiler = routing.NewCompiler(options.Targets, routing.Location{VM: self.ID, FailureDomain: self.FailureDomain}, gracePeriod)
+	location := routing.Location{VM: self.ID, FailureDomain: self.FailureDomain}
+	g.compiler = routing.NewCompiler(options.Targets, location, time.Duration(lapsedShare*float64(drain)))
 	options.Targets.Observe(g.log)
 	g.settings.Store(options.Settings.GetRoutes())
 	options.Metrics.NewGauge("carawayreel_route_requests_running", func() float64 { return float64(g.running.Load()) })
@@ -151,9 +156,9 @@
 }
 
 // Serve compiles each configuration as soon as it is in effect, until the context ends.
-// Requests compile it, too, but the grace period of a lapsed target begins with the
-// compilation, which must not wait for the next request. Serve also closes connections
-// whose idle timeout has expired.
+// Requests compile it, too, but the connections to targets that have left must not stay
+// open until the next request. Serve also closes connections whose idle timeout has
+// expired.
 func (g *Gateway) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(idleSweepInterval)
 	defer ticker.Stop()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -109,7 +109,7 @@
 // send to it.
 func (c *call) relayTarget(id string, now time.Time) *routing.Target {
 	target := c.compiled.table.Target(id)
-	if target == nil {
+	if target == nil || !target.Usable(now) {
 		return nil
 	}
 	key := advisory.Target{ID: target.ID, Started: target.Started}
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -110,7 +110,8 @@
 	if next.gathers {
 		g.compiler.SetGatherers(next.gatherers)
 	}
-	next.table = g.compiler.Compile(current.Configuration, next.vms, now)
+	replacedAt := current.LastInForce(g.compiledFrom.GetRevision())
+	next.table = g.compiler.Compile(current.Configuration, next.vms, replacedAt, now)
 	next.validUntil = g.compiler.NextChange()
 	g.compiledFrom = current.Configuration
 	g.fanoutState.SetLimits(next.limits(g.settings.Load()))
--- a/internal/routing/compiler.go
+++ b/internal/routing/compiler.go
@@ -32,12 +32,14 @@
 	registration *pb.Registration
 	health       *health.State
 	coldUntil    time.Time
-	lapsedAt     time.Time
+	// lapsedUntil is when the target must not be used any more; zero while it is registered.
+	lapsedUntil time.Time
 }
 
 // NewCompiler returns a Compiler without any targets. A target whose registration ends
-// although it was not draining is kept as a last resort for the grace period: it may
-// still be alive, since a store that was unavailable loses registrations.
+// although it was not draining is kept as a last resort until the grace period has passed
+// since the registration was last known: the target may still be alive, since a store that
+// was unavailable loses registrations.
 func NewCompiler(tracker *health.Tracker, location Location, gracePeriod time.Duration) *Compiler {
 	return &Compiler{tracker: tracker, location: location, gracePeriod: gracePeriod, entries: map[string]*entry{}}
 }
@@ -52,8 +54,9 @@
 func (c *Compiler) SetGatherers(n int) { c.gatherers = n }
 
 // Compile returns the table of a configuration. The connections that each target
-// allows are shared by vms VMs.
-func (c *Compiler) Compile(configuration *pb.Configuration, vms int, now time.Time) *Table {
+// allows are shared by vms VMs. replacedAt is the latest time at which the configuration of
+// the previous table was known to be in force; zero if that is not known.
+func (c *Compiler) Compile(configuration *pb.Configuration, vms int, replacedAt, now time.Time) *Table {
 	routes := configuration.GetRouteTable()
 	table := &Table{
 		Revision: configuration.GetRevision(),
@@ -63,7 +66,7 @@
 		targets:  map[string]*Target{},
 	}
 	table.addRoutes(routes)
-	c.updateEntries(configuration.GetRegistrations(), now)
+	c.updateEntries(configuration.GetRegistrations(), replacedAt, now)
 	takenOut := takenOutDomains(configuration)
 	declared := servicesByName(routes)
 	for id, e := range c.entries {
@@ -87,7 +90,7 @@
 
 // updateEntries adds and updates the entries of registered targets and expires the
 // others.
-func (c *Compiler) updateEntries(registrations []*pb.Registration, now time.Time) {
+func (c *Compiler) updateEntries(registrations []*pb.Registration, replacedAt, now time.Time) {
 	present := make(map[string]bool, len(registrations))
 	for _, registration := range registrations {
 		present[registration.Id] = true
@@ -96,20 +99,20 @@
 	c.nextChange = time.Time{}
 	for id, e := range c.entries {
 		if present[id] {
-			e.lapsedAt = time.Time{}
+			e.lapsedUntil = time.Time{}
 			continue
 		}
-		if e.lapsedAt.IsZero() {
-			e.lapsedAt = now
+		if e.lapsedUntil.IsZero() {
+			// The registration may have ended at any time since the previous configuration was last in force.
+			e.lapsedUntil = replacedAt.Add(c.gracePeriod)
 		}
-		end := e.lapsedAt.Add(c.gracePeriod)
-		if !now.Before(end) || !ready(e.registration) {
+		if !now.Before(e.lapsedUntil) || !ready(e.registration) {
 			delete(c.entries, id)
 			c.tracker.Forget(id)
 			continue
 		}
-		if c.nextChange.IsZero() || end.Before(c.nextChange) {
-			c.nextChange = end
+		if c.nextChange.IsZero() || e.lapsedUntil.Before(c.nextChange) {
+			c.nextChange = e.lapsedUntil
 		}
 	}
 }
@@ -140,7 +143,7 @@
 		},
 		Service: r.Service, FailureDomain: r.FailureDomain, Slots: r.Slots,
 		ColdPerSecond: service.GetColdRequestsPerS(),
-		Lapsed:        !e.lapsedAt.IsZero(), Health: e.health,
+		LapsedUntil:   e.lapsedUntil, Health: e.health,
 	}
 	if e.coldUntil.After(now) {
 		target.ColdUntil = e.coldUntil
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -67,12 +67,18 @@
 	// ColdPerSecond bounds the requests per second from all VMs to the target while it
 	// is cold; zero means no limit.
 	ColdPerSecond float64
-	// Lapsed is true if the target's registration has ended although the target did
-	// not announce that it stops, by draining.
-	Lapsed bool
-	Health *health.State
+	// LapsedUntil is set if the target's registration has ended although the target did
+	// not announce that it stops, by draining. It must not be used from then on.
+	LapsedUntil time.Time
+	Health      *health.State
 }
 
+// Lapsed reports whether the target's registration has ended, so that it is a last resort.
+func (t *Target) Lapsed() bool { return !t.LapsedUntil.IsZero() }
+
+// Usable reports whether requests may be sent to the target.
+func (t *Target) Usable(now time.Time) bool { return !t.Lapsed() || now.Before(t.LapsedUntil) }
+
 // Distance is the distance class of a target as seen from this VM.
 type Distance int
 
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -16,6 +16,7 @@
 	VMs           []VM
 	Configuration *pb.Configuration
 	ConfirmedAt   time.Time
+	Replaced      []Replaced
 	Paused        bool
 	Stopping      bool
 	Direct        bool
@@ -32,6 +33,7 @@
 		Self:          input.Self,
 		Configuration: input.Configuration,
 		ConfirmedAt:   input.ConfirmedAt,
+		replaced:      input.Replaced,
 		Paused:        input.Paused,
 		Stopping:      input.Stopping,
 		Direct:        input.Direct,
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -88,6 +88,8 @@
 	// measurements of target ownership.
 	Direct bool
 
+	// replaced holds the last revisions before the one in force, in ascending order.
+	replaced    []Replaced
 	vms         map[string]VM
 	domainState map[string]pb.ServingState
 	domainVMs   map[string][]VM
@@ -111,6 +113,34 @@
 	return max(now.Sub(v.ConfirmedAt), 0)
 }
 
+// Replaced is a revision that is no longer in force. What it does not hold any more changed
+// after InForceAt.
+type Replaced struct {
+	Revision uint64
+	// InForceAt is the latest time at which the revision was known to be in force.
+	InForceAt time.Time
+}
+
+// LastInForce returns the latest time at which the given revision was known to be in
+// force, or zero if that is not known.
+func (v *View) LastInForce(revision uint64) time.Time {
+	if revision == v.Revision() {
+		return v.ConfirmedAt
+	}
+	return LastInForce(v.replaced, revision)
+}
+
+// LastInForce returns the latest time at which a replaced revision was known to be in
+// force, or zero if it is not among them.
+func LastInForce(replaced []Replaced, revision uint64) time.Time {
+	for _, r := range replaced {
+		if r.Revision == revision {
+			return r.InForceAt
+		}
+	}
+	return time.Time{}
+}
+
 // Front returns the front with the given name.
 func (v *View) Front(name string) (*Front, bool) {
 	front, ok := v.fronts[name]
