routing: tables share which targets have been withdrawn

Change: the route is looked up again after the body has arrived. Targets of all tables share a flag that is set when the target drains, restarts, loses its registration or its failure domain is taken out, and each send checks it.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -75,7 +75,7 @@
 		return
 	}
 	body, err := c.readBody(table.Limits.GetMaxBodyBytes())
-	if err != nil {
+	if err != nil || !c.renewRoute() {
 		return
 	}
 	c.request = &backend.Request{
@@ -97,6 +97,22 @@
 	}
 }
 
+// renewRoute replaces the route if the configuration has changed while the body arrived. It
+// reports false if there is none any more and the caller has been answered.
+func (c *call) renewRoute() bool {
+	current := c.gateway.table(time.Now())
+	if c.delegated || current.table == c.compiled.table {
+		return true
+	}
+	c.compiled = current
+	c.route = current.table.Match(hostOf(c.http.Host), pathOf(c.http.RequestURI))
+	if c.route == nil {
+		c.refuse(http.StatusNotFound, "no route for the host and path any more")
+		return false
+	}
+	return true
+}
+
 // overloadRetryAfter is the retry delay told to callers of an overloaded VM.
 const overloadRetryAfter = 200 * time.Millisecond
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -274,6 +274,37 @@
 	require.Equal(t, 404, response.StatusCode)
 }
 
+// Guards against requests with a slow body that reach a target long after it has begun to leave.
+func TestRequestWithASlowBodyUsesTheConfigurationOfItsEnd(t *testing.T) {
+	f := newFixture(t)
+	c := f.views.Current().Configuration
+	next := proto.CloneOf(c)
+	next.Revision = 2
+	for _, r := range next.Registrations {
+		if r.Id == "ua" {
+			r.State, r.Revision = pb.RegistrationState_REGISTRATION_STATE_DRAINING, 2
+		}
+	}
+	reader, writer := io.Pipe()
+	r, err := http.NewRequest(http.MethodPost, f.server.URL+"/e/x", reader)
+	require.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("X-Attempt-Id", "r1")
+	go func() {
+		_, _ = writer.Write([]byte("first"))
+		time.Sleep(50 * time.Millisecond)
+		f.views.set(next)
+		_, _ = writer.Write([]byte("rest"))
+		_ = writer.Close()
+	}()
+	response, err := f.server.Client().Do(r)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	require.Equal(t, 200, response.StatusCode)
+	require.Empty(t, f.targets["ua"].Runs())
+	require.Len(t, f.targets["ub"].Runs(), 1)
+}
+
 func TestAnswersCloseConnectionsDuringPlannedStop(t *testing.T) {
 	f := newFixture(t)
 	f.gateway.Stop(time.Now().Add(200 * time.Millisecond))
--- a/internal/routing/compiler.go
+++ b/internal/routing/compiler.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
@@ -34,6 +35,8 @@
 	coldUntil    time.Time
 	// lapsedUntil is when the target must not be used any more; zero while it is registered.
 	lapsedUntil time.Time
+	// withdrawn is shared with the targets of all tables.
+	withdrawn *atomic.Bool
 }
 
 // NewCompiler returns a Compiler without any targets. A target whose registration ends
@@ -70,8 +73,10 @@
 	takenOut := takenOutDomains(configuration)
 	declared := servicesByName(routes)
 	for id, e := range c.entries {
+		withdrawn := !ready(e.registration) || takenOut[e.registration.FailureDomain]
+		e.withdrawn.Store(withdrawn)
 		service, used := table.services[e.registration.Service]
-		if !used || !ready(e.registration) || takenOut[e.registration.FailureDomain] {
+		if !used || withdrawn {
 			continue
 		}
 		target := c.target(e, declared[e.registration.Service], vms, now)
@@ -107,6 +112,7 @@
 			e.lapsedUntil = replacedAt.Add(c.gracePeriod)
 		}
 		if !now.Before(e.lapsedUntil) || !ready(e.registration) {
+			e.withdrawn.Store(true)
 			delete(c.entries, id)
 			c.tracker.Forget(id)
 			continue
@@ -122,7 +128,10 @@
 	same := ok && e.registration.StartedUnixMs == registration.StartedUnixMs &&
 		e.registration.Address == registration.Address
 	if !same {
-		e = &entry{health: c.tracker.Start(registration.Id, registration.FailureDomain)}
+		if ok {
+			e.withdrawn.Store(true)
+		}
+		e = &entry{withdrawn: &atomic.Bool{}, health: c.tracker.Start(registration.Id, registration.FailureDomain)}
 		c.entries[registration.Id] = e
 	}
 	if cold := milliseconds(registration.ColdForMs); !same || e.registration.ColdForMs != registration.ColdForMs {
@@ -143,7 +152,7 @@
 		},
 		Service: r.Service, FailureDomain: r.FailureDomain, Slots: r.Slots,
 		ColdPerSecond: service.GetColdRequestsPerS(),
-		LapsedUntil:   e.lapsedUntil, Health: e.health,
+		LapsedUntil:   e.lapsedUntil, withdrawn: e.withdrawn, Health: e.health,
 	}
 	if e.coldUntil.After(now) {
 		target.ColdUntil = e.coldUntil
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -111,6 +111,36 @@
 	}
 }
 
+// Guards against sends to a target that leaves by requests that began before: they keep the table of their arrival.
+func TestTargetOfAnOlderTableIsNotUsableOnceItLeaves(t *testing.T) {
+	draining, restarted, elsewhere := registration("x"), registration("x"), registration("x")
+	draining.State = pb.RegistrationState_REGISTRATION_STATE_DRAINING
+	restarted.StartedUnixMs = 2
+	elsewhere.FailureDomain = "b"
+	takenOut := configuration(elsewhere)
+	takenOut.FailureDomains = []*pb.FailureDomain{{Name: "b", State: pb.ServingState_SERVING_STATE_TAKEN_OUT}}
+	for name, next := range map[string]*pb.Configuration{
+		"draining": configuration(draining), "removed": configuration(), "restarted": configuration(restarted), "taken out": takenOut,
+	} {
+		t.Run(name, func(t *testing.T) {
+			compiler := routing.NewCompiler(health.NewTracker(), localVM, time.Second)
+			first := configuration(registration("x"))
+			if name == "taken out" {
+				first = configuration(elsewhere)
+			}
+			target := compiler.Compile(first, 1, start, start).Match("h", "/a/x").WeightedServices[0].Service.Targets[0]
+			require.True(t, target.Usable(start))
+			later := start.Add(2 * time.Second)
+			compiler.Compile(next, 1, start, later)
+			require.False(t, target.Usable(later))
+			if name == "taken out" {
+				compiler.Compile(first, 1, later, later)
+				require.True(t, target.Usable(later), "taken back")
+			}
+		})
+	}
+}
+
 func TestDrainingTargetIsRemovedWhenItsRegistrationEnds(t *testing.T) {
 	compiler := routing.NewCompiler(health.NewTracker(), localVM, time.Second)
 	draining := registration("x")
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -5,6 +5,7 @@
 import (
 	"sort"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
@@ -70,14 +71,23 @@
 	// LapsedUntil is set if the target's registration has ended although the target did
 	// not announce that it stops, by draining. It must not be used from then on.
 	LapsedUntil time.Time
-	Health      *health.State
+	// withdrawn is true once a later table leaves the target out; nil if no table does. The
+	// tables share it, since a request goes on with the table of its arrival.
+	withdrawn *atomic.Bool
+	Health    *health.State
 }
 
 // Lapsed reports whether the target's registration has ended, so that it is a last resort.
 func (t *Target) Lapsed() bool { return !t.LapsedUntil.IsZero() }
 
-// Usable reports whether requests may be sent to the target.
-func (t *Target) Usable(now time.Time) bool { return !t.Lapsed() || now.Before(t.LapsedUntil) }
+// Usable reports whether requests may be sent to the target now. It also knows what has
+// changed since the target's table was compiled.
+func (t *Target) Usable(now time.Time) bool {
+	if t.withdrawn != nil && t.withdrawn.Load() {
+		return false
+	}
+	return !t.Lapsed() || now.Before(t.LapsedUntil)
+}
 
 // Distance is the distance class of a target as seen from this VM.
 type Distance int
