backend: replies without end take a bounded part of the memory

Cause: heads and small bodies were not counted; bodies grew by doubling, which leaves garbage of their size, and the runtime lets garbage grow to the size of the memory in use. Seen in a heap profile at the peak.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -193,8 +193,8 @@
 	if err != nil {
 		return nil, 0, errors.Wrap(ErrLost, err.Error())
 	}
-	cn.bound.left = maxReplyBytes * encodingFactor
-	body, err := c.readBody(cn, response)
+	cn.bound.beginBody()
+	body, err := readBody(cn, response)
 	if err != nil {
 		return nil, 0, errors.Wrap(ErrLost, err.Error())
 	}
@@ -232,18 +232,15 @@
 }
 
 // readBody reads the whole body of a response without closing it.
-func (c *Client) readBody(cn *conn, response *http.Response) ([]byte, error) {
+func readBody(cn *conn, response *http.Response) ([]byte, error) {
 	if response.Body == http.NoBody {
 		// The reply to a HEAD request has a length but no body.
 		return nil, nil
 	}
-	if length := response.ContentLength; length > 0 {
-		return c.replyMemory.readFull(response.Body, int(min(length, maxReplyBytes+1)))
-	}
 	if len(response.TransferEncoding) > 0 {
-		return c.replyMemory.readAll(newFramingLimiter(response.Body, cn))
+		return readBytes(newFramingLimiter(response.Body, cn), -1, cn.bound)
 	}
-	return c.replyMemory.readAll(response.Body)
+	return readBytes(response.Body, response.ContentLength, cn.bound)
 }
 
 // endsWithConnection reports whether the reply has neither a length nor chunked
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -60,7 +60,7 @@
 }
 
 func newConn(inner net.Conn, client *Client, p *pool) *conn {
-	bound := &boundedReader{inner: inner}
+	bound := &boundedReader{inner: inner, memory: &client.replyMemory}
 	c := &conn{Conn: inner, connectedAt: time.Now(), client: client, pool: p, bound: bound, reader: bufio.NewReaderSize(bound, bufferSize)}
 	go c.serve()
 	return c
@@ -108,10 +108,11 @@
 func (c *conn) serve() {
 	defer func() {
 		_ = c.Close()
+		c.bound.endReply()
 		c.pool.remove(c)
 	}()
 	for {
-		c.bound.left = maxHeadBytes
+		c.bound.beginReply()
 		_, err := c.reader.Peek(1)
 		a := c.takeAttempt(err)
 		if a == nil {
@@ -149,6 +150,7 @@
 // connection was returned to the pool.
 func (c *conn) handleReply(a *attempt) bool {
 	reply, idleFor, err := c.client.read(c, a.request)
+	c.bound.endReply()
 	if err != nil {
 		c.markBroken()
 		a.stop()
--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"slices"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -21,23 +23,60 @@
 	// time, however few bytes of the body it carries.
 	maxFramingBytes = 512 << 10
 	maxFramingShare = 0.25
-	// maxLargeReplyBytes bounds the memory that all replies larger than largeReplyBytes
-	// take while they are read. VMs have as little as 184 MB.
-	maxLargeReplyBytes = 32 << 20
-	largeReplyBytes    = 64 << 10
+	// maxReplyMemory bounds the memory that all replies together take while they are read,
+	// beyond freeReplyBytes of each. VMs have as little as 184 MB.
+	maxReplyMemory = 32 << 20
+	freeReplyBytes = bufferSize
+	// headMemoryFactor is the memory that a byte of a head, which is split into its fields,
+	// takes at most.
+	headMemoryFactor = 4
+	// reserveBlockBytes is the granularity of reservations.
+	reserveBlockBytes = 16 << 10
+	// firstBlockBytes is the size of the first block of a body, which most bodies fit into, and
+	// blockBytes that of the others.
+	firstBlockBytes = bufferSize
+	blockBytes      = 64 << 10
 )
 
-// errTooLong means that a target sent more bytes than a reply may have.
-var errTooLong = errors.New("reply is too long")
+// Errors of a boundedReader.
+var (
+	// errTooLong means that a target sent more bytes than a reply may have.
+	errTooLong = errors.New("reply is too long")
+	// errNoMemory means that the replies that are being read take all the memory for them.
+	errNoMemory = errors.Wrap(errTooLong, "memory for large replies is in use")
+)
 
-// boundedReader reads from a connection and fails after a number of bytes that the user
-// sets before each part of a reply. Without it, a target that sends bytes without end
-// would fill the memory with a single head.
+// boundedReader reads from a connection. It fails when a part of a reply exceeds its bound,
+// and when the memory for replies is in use. Without it, targets that send bytes without end
+// would fill the memory.
 type boundedReader struct {
-	inner io.Reader
-	left  int
-	// total is the number of bytes read so far.
-	total int
+	inner  io.Reader
+	memory *replyMemory
+	// left is the number of bytes that the current part of a reply may still have, and
+	// factor the memory that each takes.
+	left, factor int
+	// total is the number of bytes read so far, and replyStart its value at the start of the
+	// reply.
+	total, replyStart int
+	// used is the memory that the reply takes, and reserved what has been reserved for it.
+	used, reserved int
+}
+
+// beginReply starts the head of a reply. Bytes that are buffered already belong to it.
+func (r *boundedReader) beginReply() {
+	r.replyStart, r.used = r.total, 0
+	r.left, r.factor = maxHeadBytes, headMemoryFactor
+}
+
+// beginBody starts the body of a reply.
+func (r *boundedReader) beginBody() {
+	r.left, r.factor = maxReplyBytes*encodingFactor, 1
+}
+
+// endReply releases the memory that was reserved for a reply.
+func (r *boundedReader) endReply() {
+	r.memory.release(r.reserved)
+	r.reserved = 0
 }
 
 // Read implements io.Reader. It returns errTooLong when the bound is reached.
@@ -48,9 +87,27 @@
 	n, err := r.inner.Read(p[:min(len(p), r.left)])
 	r.left -= n
 	r.total += n
+	if r.total-r.replyStart > freeReplyBytes && !r.reserve(n*r.factor) {
+		return 0, errNoMemory
+	}
 	return n, err
 }
 
+// reserve adds to the memory of the reply and reports whether it was available.
+func (r *boundedReader) reserve(n int) bool {
+	r.used += n
+	missing := r.used - r.reserved
+	if missing <= 0 {
+		return true
+	}
+	blocks := (missing + reserveBlockBytes - 1) / reserveBlockBytes * reserveBlockBytes
+	if !r.memory.reserve(blocks) {
+		return false
+	}
+	r.reserved += blocks
+	return true
+}
+
 // framingLimiter reads a chunked body and fails when its encoding takes too many bytes of
 // the connection.
 type framingLimiter struct {
@@ -79,12 +136,12 @@
 	return n, err
 }
 
-// replyMemory counts the bytes of large replies that are being read.
+// replyMemory counts the memory of the replies that are being read.
 type replyMemory struct{ used atomic.Int64 }
 
 // reserve takes n bytes and reports whether they were available.
 func (m *replyMemory) reserve(n int) bool {
-	if m.used.Add(int64(n)) <= maxLargeReplyBytes {
+	if m.used.Add(int64(n)) <= maxReplyMemory {
 		return true
 	}
 	m.release(n)
@@ -93,47 +150,93 @@
 
 func (m *replyMemory) release(n int) { m.used.Add(-int64(n)) }
 
-// readAll reads a body of unknown length, of at most maxReplyBytes.
-func (m *replyMemory) readAll(body io.Reader) ([]byte, error) {
-	reserved := 0
-	defer func() { m.release(reserved) }()
-	data := make([]byte, 0, bufferSize)
+// readBytes reads a body, of at most maxReplyBytes. Its length is negative if it is not
+// known. Memory is taken as the body arrives, whatever its length is said to be.
+func readBytes(body io.Reader, length int64, bound *boundedReader) ([]byte, error) {
+	if length > maxReplyBytes {
+		return nil, errTooLong
+	}
+	first := make([]byte, firstBlockBytes)
+	if length >= 0 {
+		first = first[:min(length, firstBlockBytes)]
+	}
+	n, err := fill(body, first)
+	if n < len(first) || int64(n) == length {
+		return first[:n], endOfBody(err, int64(n), length)
+	}
+	rest := blockList{}
+	defer rest.free()
+	if err := rest.readFrom(body, length-int64(n)); err != nil {
+		return nil, err
+	}
+	size := n + rest.size
+	if err := endOfBody(nil, int64(size), length); err != nil {
+		return nil, err
+	}
+	if size > freeReplyBytes && !bound.reserve(size) {
+		return nil, errNoMemory
+	}
+	return slices.Concat(append([][]byte{first}, rest.blocks...)...), nil
+}
+
+// endOfBody returns the error of a body of which size bytes were read before err.
+func endOfBody(err error, size, length int64) error {
+	switch {
+	case err != nil && err != io.EOF:
+		return err
+	case length >= 0 && size < length:
+		return io.ErrUnexpectedEOF
+	default:
+		return nil
+	}
+}
+
+// fill reads until the block is full or reading fails. Unlike io.ReadFull, it returns the
+// error of the reader, which tells the end of a body from a body that was cut off.
+func fill(r io.Reader, block []byte) (int, error) {
+	for n := 0; ; {
+		if n == len(block) {
+			return n, nil
+		}
+		read, err := r.Read(block[n:])
+		if n += read; err != nil {
+			return n, err
+		}
+	}
+}
+
+// blockList holds bytes in blocks that are used again. Bodies without end, which are never
+// complete, would otherwise leave large buffers to the garbage collector.
+type blockList struct {
+	blocks [][]byte
+	size   int
+}
+
+var blockPool = sync.Pool{New: func() any { return new([blockBytes]byte) }}
+
+// readFrom reads to the end of the body, or up to length bytes if it is not negative.
+func (l *blockList) readFrom(body io.Reader, length int64) error {
 	for {
-		n, err := body.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
+		block := blockPool.Get().(*[blockBytes]byte)[:]
+		if left := length - int64(l.size); length >= 0 && left < blockBytes {
+			block = block[:left]
+		}
+		n, err := fill(body, block)
+		l.blocks = append(l.blocks, block[:n])
+		l.size += n
 		switch {
-		case err == io.EOF:
-			return data, nil
+		case err == io.EOF, int64(l.size) == length:
+			return nil
 		case err != nil:
-			return nil, err
-		case len(data) > maxReplyBytes:
-			return nil, errTooLong
-		}
-		if len(data) < cap(data) {
-			continue
+			return err
+		case l.size > maxReplyBytes:
+			return errTooLong
 		}
-		if cap(data) >= largeReplyBytes {
-			if !m.reserve(cap(data)) {
-				return nil, errors.Wrap(errTooLong, "memory for large replies is in use")
-			}
-			reserved += cap(data)
-		}
-		data = append(make([]byte, 0, 2*cap(data)), data...)
 	}
 }
 
-// readFull reads a body of a known length.
-func (m *replyMemory) readFull(body io.Reader, length int) ([]byte, error) {
-	if length > maxReplyBytes {
-		return nil, errTooLong
-	}
-	if length >= largeReplyBytes {
-		if !m.reserve(length) {
-			return nil, errors.Wrap(errTooLong, "memory for large replies is in use")
-		}
-		defer m.release(length)
+func (l *blockList) free() {
+	for _, block := range l.blocks {
+		blockPool.Put((*[blockBytes]byte)(block[:blockBytes]))
 	}
-	data := make([]byte, length)
-	_, err := io.ReadFull(body, data)
-	return data, err
 }
--- a/internal/testkit/users.go
+++ b/internal/testkit/users.go
@@ -16,6 +16,9 @@
 	"github.com/carawayreel/carawayreel/platform"
 )
 
+// SmallestVMMegabytes is the memory of the smallest VMs of the users' sites.
+const SmallestVMMegabytes = 184
+
 // UsersVM is a VM process that uses the fake of the users' platform in package users.
 // ProcessorCores is what the VM advertises, and SettingsPath the path of its settings file.
 type UsersVM struct {
@@ -83,6 +86,7 @@
 id = %s
 failure_domain = %s
 processor_cores = %g
+memory_mb = %d
 [listen]
 caller_address = %s
 peer_address = %s
@@ -99,7 +103,7 @@
 [log]
 decision_sample = 1
 %s
-`, vm.ID, vm.Domain, vm.ProcessorCores, vm.CallerAddress, vm.PeerAddress, vm.RouteAddress, vm.ReadyAddress, vm.GatherAddress,
+`, vm.ID, vm.Domain, vm.ProcessorCores, SmallestVMMegabytes, vm.CallerAddress, vm.PeerAddress, vm.RouteAddress, vm.ReadyAddress, vm.GatherAddress,
 		strings.TrimPrefix(d.server.URL, "http://"), d.VMs[0].PeerAddress, extra)
 	return errors.Wrap(os.WriteFile(vm.SettingsPath, []byte(text), 0o600), "write settings file")
 }
