--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -182,7 +182,7 @@
 // endOfBody returns the error of a body of which size bytes were read before err.
 func endOfBody(err error, size, length int64) error {
 	switch {
-	case err != nil && err != io.EOF:
+	case err != nil && !errors.Is(err, io.EOF):
 		return err
 	case length >= 0 && size < length:
 		return io.ErrUnexpectedEOF
@@ -225,7 +225,7 @@
 		l.blocks = append(l.blocks, block[:n])
 		l.size += n
 		switch {
-		case err == io.EOF, int64(l.size) == length:
+		case errors.Is(err, io.EOF), int64(l.size) == length:
 			return nil
 		case err != nil:
 			return err
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -22,7 +22,7 @@
 		if err := unix.Sysinfo(&info); err != nil {
 			return errors.Wrap(err, "memory of the VM")
 		}
-		total = uint64(info.Totalram) * uint64(info.Unit)
+		total = info.Totalram * uint64(info.Unit)
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(total)))
 	return nil
--- a/internal/e2e/endless_test.go
+++ b/internal/e2e/endless_test.go
@@ -78,7 +78,7 @@
 // sends one of the endless replies.
 func addEndlessShards(t *testing.T, d *testkit.UsersDeployment) {
 	t.Helper()
-	var addresses []string
+	addresses := make([]string, 0, len(testkit.EndlessReplies()))
 	for _, reply := range testkit.EndlessReplies() {
 		s, err := testkit.StartEndlessServer(reply)
 		require.NoError(t, err)
@@ -96,7 +96,7 @@
 }
 
 func endlessRoutes() string {
-	var shards, services []string
+	shards, services := make([]string, 0, endlessShards), make([]string, 0, endlessShards)
 	for shard := range endlessShards {
 		shards = append(shards, fmt.Sprintf("%q", fmt.Sprintf("s%d", shard)))
 		services = append(services, fmt.Sprintf(`{"name":"s%d","max_conns":195}`, shard))
