control: a fetch that hangs does not keep the news of other VMs away

What callers could see: an old configuration for 2 s more than necessary.

Cause: while a configuration is fetched from one VM, newer revisions that others name are ignored; the fetch of a VM that is frozen or cut off ends after 2 s.

Change: after 0.5 s the configuration is fetched from another VM too.

Measured: TestRevisionIsFetchedFromAnotherVMWhileAFetchHangs fails before, passes after.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -169,6 +169,10 @@
 	m.recordLeaveAcknowledgement(responder, sentAt)
 }
 
+// fetchPatience is how long a fetch may take before the configuration is fetched from another VM too. The VM that
+// was asked may be frozen or cut off by now.
+const fetchPatience = 500 * time.Millisecond
+
 // recordRevision records the revision that another VM reports and fetches it if it is newer than this VM's.
 func (m *machine) recordRevision(vm string, revision uint64) {
 	if vm == "" {
@@ -176,10 +180,11 @@
 	}
 	m.revisions[vm] = revision
 	address := m.table.Address(vm)
-	if revision <= m.revision() || m.fetchingFrom != "" || address == "" {
+	fetching := m.fetchingFrom != "" && m.now.Sub(m.fetchingSince) < fetchPatience
+	if revision <= m.revision() || fetching || address == "" {
 		return
 	}
-	m.fetchingFrom = vm
+	m.fetchingFrom, m.fetchingSince = vm, m.now
 	since := m.revision()
 	if m.fetchFull {
 		since = 0
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -133,8 +133,9 @@
 
 	watch platformCall
 	list  platformCall
-	// fetchingFrom is the VM from which a configuration is being fetched, or empty.
-	fetchingFrom string
+	// fetchingFrom is the VM from which a configuration is being fetched since fetchingSince, or empty.
+	fetchingFrom  string
+	fetchingSince time.Time
 	// fetchFull is true after a fetched delta could not be applied: the next fetch requests the full
 	// configuration.
 	fetchFull bool
@@ -209,7 +210,9 @@
 	case *pb.ControlEvent_DeltaReceived:
 		m.handleDeltaReceived(kind.DeltaReceived)
 	case *pb.ControlEvent_FetchFailed:
-		m.fetchingFrom = ""
+		if kind.FetchFailed.Vm == m.fetchingFrom {
+			m.fetchingFrom = ""
+		}
 	case *pb.ControlEvent_Accepted:
 		m.adopt(kind.Accepted.Configuration, "", 0, time.Time{})
 	case *pb.ControlEvent_Leave:
--- a/internal/control/standby_test.go
+++ b/internal/control/standby_test.go
@@ -214,3 +214,26 @@
 		require.Greater(t, s.lastInForce(name, 1), returned-platformRetryDelay-100*time.Millisecond, name)
 	}
 }
+
+// Guards against news that wait for a VM which was asked for them and has been frozen or cut off since.
+func TestRevisionIsFetchedFromAnotherVMWhileAFetchHangs(t *testing.T) {
+	m := newMachine(simulatedHeader("vm-0", "domain-0", 0, 1))
+	answer := func(vm string, at time.Duration) []*pb.ControlDecision {
+		responder := simulatedHeader(vm, "domain-0", 0, 1).Self
+		answered := &pb.HeartbeatAnswered{
+			Vm: vm, Response: &pb.HeartbeatResponse{Responder: responder, ConfigurationRevision: 2}, SentOffsetUs: at.Microseconds(),
+		}
+		return m.step(&pb.ControlEvent{OffsetUs: at.Microseconds(), Kind: &pb.ControlEvent_HeartbeatAnswered{HeartbeatAnswered: answered}})
+	}
+	fetchedFrom := func(decisions []*pb.ControlDecision) string {
+		for _, decision := range decisions {
+			if fetch := decision.GetFetch(); fetch != nil {
+				return fetch.Vm
+			}
+		}
+		return ""
+	}
+	require.Equal(t, "vm-1", fetchedFrom(answer("vm-1", 100*time.Millisecond)))
+	require.Empty(t, fetchedFrom(answer("vm-2", 300*time.Millisecond)))
+	require.Equal(t, "vm-2", fetchedFrom(answer("vm-2", 700*time.Millisecond)))
+}
