--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -143,7 +143,7 @@
 	routesReason      string
 	reason            string
 	leaveAcknowledged bool
-	isWatcher         bool
+	watchesStore      bool
 	members           []*pb.Member
 	counts            counts
 }
@@ -220,7 +220,7 @@
 }
 
 // WatchesStore reports whether this VM watches the store for its failure domain.
-func (c *Control) WatchesStore() bool { return c.status.Load().isWatcher }
+func (c *Control) WatchesStore() bool { return c.status.Load().watchesStore }
 
 // Members returns the known state of every VM. The caller must not modify the result.
 func (c *Control) Members() []*pb.Member { return c.status.Load().members }
@@ -311,7 +311,7 @@
 }
 
 func (c *Control) setStatus() {
-	next := &status{leaveAcknowledged: c.machine.leaveAcknowledged, isWatcher: c.machine.watches()}
+	next := &status{leaveAcknowledged: c.machine.leaveAcknowledged, watchesStore: c.machine.watches()}
 	next.ready, next.reason = c.machine.ready()
 	next.readyForRoutes, next.routesReason = c.machine.readyForRoutes()
 	next.counts = counts{machine: c.machine.stats, table: c.machine.table.Stats()}
