backend: large replies leave memory to smaller ones

What callers could see: since heads and small bodies count towards the memory for replies, honest replies of some KiB cut off while other targets send without end.

Cause: found when reading the diff: one bound for all, and a body of 3 KB took a block of 64 KiB although 16 KiB were counted.

Change: replies that take more than 64 KiB may use 32 of the 40 MB; blocks have the size that is counted. A read error at the end of the first block is returned.

Measured: TestLargeRepliesLeaveMemoryToSmallerOnes fails with one bound, passes with two.

--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -24,18 +24,19 @@
 	maxFramingBytes = 512 << 10
 	maxFramingShare = 0.25
 	// maxReplyMemory bounds the memory that all replies together take while they are read,
-	// beyond freeReplyBytes of each. VMs have as little as 184 MB.
-	maxReplyMemory = 32 << 20
-	freeReplyBytes = bufferSize
+	// beyond freeReplyBytes of each. VMs have as little as 184 MB. Replies that take more
+	// than largeReplyBytes leave a part of it to the others.
+	maxReplyMemory      = 40 << 20
+	maxLargeReplyMemory = 32 << 20
+	freeReplyBytes      = bufferSize
+	largeReplyBytes     = 64 << 10
 	// headMemoryFactor is the memory that a byte of a head, which is split into its fields,
 	// takes at most.
 	headMemoryFactor = 4
-	// reserveBlockBytes is the granularity of reservations.
-	reserveBlockBytes = 16 << 10
-	// firstBlockBytes is the size of the first block of a body, which most bodies fit into, and
-	// blockBytes that of the others.
+	// firstBlockBytes is the size of the first block of a body, which most bodies fit into.
 	firstBlockBytes = bufferSize
-	blockBytes      = 64 << 10
+	// blockBytes is the size of the other blocks, and the granularity of reservations.
+	blockBytes = 16 << 10
 )
 
 // Errors of a boundedReader.
@@ -100,11 +101,15 @@
 	if missing <= 0 {
 		return true
 	}
-	blocks := (missing + reserveBlockBytes - 1) / reserveBlockBytes * reserveBlockBytes
-	if !r.memory.reserve(blocks) {
+	limit := maxReplyMemory
+	if r.used > largeReplyBytes {
+		limit = maxLargeReplyMemory
+	}
+	rounded := (missing + blockBytes - 1) / blockBytes * blockBytes
+	if !r.memory.reserve(rounded, limit) {
 		return false
 	}
-	r.reserved += blocks
+	r.reserved += rounded
 	return true
 }
 
@@ -139,9 +144,9 @@
 // replyMemory counts the memory of the replies that are being read.
 type replyMemory struct{ used atomic.Int64 }
 
-// reserve takes n bytes and reports whether they were available.
-func (m *replyMemory) reserve(n int) bool {
-	if m.used.Add(int64(n)) <= maxReplyMemory {
+// reserve takes n bytes and reports whether they were available below the limit.
+func (m *replyMemory) reserve(n, limit int) bool {
+	if m.used.Add(int64(n)) <= int64(limit) {
 		return true
 	}
 	m.release(n)
@@ -161,7 +166,7 @@
 		first = first[:min(length, firstBlockBytes)]
 	}
 	n, err := fill(body, first)
-	if n < len(first) || int64(n) == length {
+	if err != nil || int64(n) == length {
 		return first[:n], endOfBody(err, int64(n), length)
 	}
 	rest := blockList{}
--- a/internal/backend/limit_test.go
+++ b/internal/backend/limit_test.go
@@ -96,3 +96,35 @@
 	reply.WriteString("0\r\n\r\n")
 	return reply.String()
 }
+
+// Guards against honest replies that are cut off because other targets send large bodies without end.
+func TestLargeRepliesLeaveMemoryToSmallerOnes(t *testing.T) {
+	endless, err := testkit.StartEndlessServer(testkit.EndlessReplies()["body without length"])
+	require.NoError(t, err)
+	defer endless.Close()
+	body := strings.Repeat("a", 16<<10)
+	honest := startServer(t, func(_ int, c net.Conn, r *http.Request) { _, _ = io.WriteString(c, okReply(r.Header.Get("Id"), body)) })
+	c := newClient()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	ended := make(chan struct{})
+	const targets = 24
+	for i := range targets {
+		go func() {
+			target := &backend.Target{ID: strconv.Itoa(i), Address: endless.Address(), Connections: 1}
+			for n := 0; ctx.Err() == nil; n++ {
+				_, _ = c.Send(ctx, target, newRequest(strconv.Itoa(n)), time.Second)
+			}
+			ended <- struct{}{}
+		}()
+	}
+	for n := range 200 {
+		reply, err := c.Send(ctx, honest.target(), newRequest(strconv.Itoa(n)), 10*time.Second)
+		require.NoError(t, err)
+		require.Len(t, reply.Body, len(body))
+	}
+	cancel()
+	for range targets {
+		<-ended
+	}
+}
