e2e: reproduce a crashing request whose query changes

Cause: the identity of a content includes the query, so that a repeat with another one is a new content, at each VM. Change: the test of crashing requests takes the URI of each repeat; a new test changes its query, on the gathering, the non-idempotent and a new idempotent route. Half of the clean requests share one path.

--- a/internal/e2e/crashing_request_test.go
+++ b/internal/e2e/crashing_request_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,34 +27,49 @@
 // Guards against a request that crashes each target that runs it being sent to further
 // targets without end, at all VMs, while its caller repeats it.
 func TestCrashingRequestIsNotSentWithoutEnd(t *testing.T) {
-	for _, uri := range []string{"/g/poison", "/e/poison"} {
-		t.Run(uri, func(t *testing.T) {
-			d := startUsers(t)
-			crashOn(d, "poison")
-			load := startCleanLoad(d)
-			random := rand.New(rand.NewPCG(1, 2))
-			for range 60 {
-				vm := d.VMs[random.IntN(len(d.VMs))]
-				sendRequest(vm, newClient(), "POST", uri)
-				time.Sleep(150 * time.Millisecond)
-			}
-			load.stop(t)
-			requireFewSends(t, d, uri)
+	for _, path := range []string{"/g/poison", "/e/poison"} {
+		t.Run(path, func(t *testing.T) {
+			repeatCrashing(t, path, func(int) string { return path }, crashingBehavior)
+		})
+	}
+}
+
+// Guards against a request that crashes its targets being taken for a new one at each
+// repeat because its query changes.
+func TestCrashingRequestWithOtherQueriesIsNotSentWithoutEnd(t *testing.T) {
+	for _, path := range []string{"/g/poison", "/e/poison", "/i/poison"} {
+		t.Run(path, func(t *testing.T) {
+			repeatCrashing(t, path, func(n int) string { return fmt.Sprintf("%s?page=%d&sort=new", path, n) }, crashingBehavior)
 		})
 	}
 }
 
-// crashOn makes all targets crash on requests whose URI contains the text, and register
-// anew after each restart.
-func crashOn(d *testkit.UsersDeployment, text string) {
+// crashingBehavior is that of a target which crashes on the repeated request.
+var crashingBehavior = users.Behavior{Delay: 5 * time.Millisecond, CrashOn: "poison", Down: crashedTargetDown}
+
+// repeatCrashing repeats a request at any VM, beside requests that crash no target, and
+// checks the rule BUDGET for its path. uri returns the URI of the n-th repeat.
+func repeatCrashing(t *testing.T, path string, uri func(n int) string, behavior users.Behavior) {
+	t.Helper()
+	d := startUsers(t)
 	for _, target := range d.Targets {
-		target.SetBehavior(users.Behavior{Delay: 5 * time.Millisecond, CrashOn: text, Down: crashedTargetDown})
+		target.SetBehavior(behavior)
 		target.OnRestart(func() { d.Store.Register(target, users.Ready, 1) })
 	}
+	load := startCleanLoad(d)
+	random := rand.New(rand.NewPCG(1, 2))
+	for n := range 60 {
+		vm := d.VMs[random.IntN(len(d.VMs))]
+		sendRequest(vm, newClient(), "POST", uri(n))
+		time.Sleep(150 * time.Millisecond)
+	}
+	load.stop(t)
+	requireFewSends(t, d, path)
 }
 
-// requireFewSends checks the rule BUDGET for a request that crashes its targets.
-func requireFewSends(t *testing.T, d *testkit.UsersDeployment, uri string) {
+// requireFewSends checks the rule BUDGET for a request that crashes its targets, whatever
+// its query.
+func requireFewSends(t *testing.T, d *testkit.UsersDeployment, path string) {
 	t.Helper()
 	var crashes []time.Time
 	for _, target := range d.Targets {
@@ -67,7 +83,7 @@
 	late := map[string]bool{}
 	for _, target := range d.Targets {
 		for _, run := range target.Runs() {
-			if run.URI == uri && run.At.After(crashes[2].Add(crashStableWindow)) {
+			if pathOf(run.URI) == path && run.At.After(crashes[2].Add(crashStableWindow)) {
 				late[fmt.Sprintf("%s at %s", run.ID, target.ID)] = true
 			}
 		}
@@ -75,9 +91,15 @@
 	require.LessOrEqual(t, len(late), maxSendsAfterCrashes, "sends after the third crash: %v", late)
 }
 
+// pathOf returns the URI without its query.
+func pathOf(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
+	return path
+}
+
 func sortTimes(times []time.Time) { slices.SortFunc(times, time.Time.Compare) }
 
-// cleanLoad sends requests that crash no target.
+// cleanLoad sends requests that crash no target, half of them under one path.
 type cleanLoad struct {
 	cancel         context.CancelFunc
 	done           sync.WaitGroup
@@ -92,7 +114,11 @@
 		l.done.Go(func() {
 			client := newClient()
 			for n := 0; ctx.Err() == nil; n++ {
-				status, _, _ := sendRequest(vm, client, "GET", fmt.Sprintf("/g/clean-%d-%d", i, n))
+				uri := fmt.Sprintf("/g/clean-%d-%d", i, n)
+				if n%2 == 1 {
+					uri = fmt.Sprintf("/g/search?q=%d-%d", i, n)
+				}
+				status, _, _ := sendRequest(vm, client, "GET", uri)
 				l.record(status)
 				time.Sleep(10 * time.Millisecond)
 			}
--- a/internal/e2e/users_test.go
+++ b/internal/e2e/users_test.go
@@ -22,7 +22,8 @@
 const shardCount = 4
 
 // routesDocument returns the operator's configuration as JSON: a scatter-gather
-// route under /g/ and a non-idempotent route under /e/ to editService.
+// route under /g/, a non-idempotent route under /e/ to editService and an idempotent one
+// under /i/ to the service old.
 func routesDocument(version int, editService string) string {
 	shards := make([]string, 0, shardCount)
 	services := make([]string, 0, shardCount)
@@ -32,7 +33,8 @@
 	}
 	return fmt.Sprintf(`{"version":%d,"routes":[
 	  {"name":"g","host":"h","prefix":"/g/","route_type":"idempotent","timeout_ms":800,"target_latency_ms":200,"gather":[%s],"max_attempts":2,"top_k":4,"min_coverage":0.5},
-	  {"name":"e","host":"h","prefix":"/e/","route_type":"non_idempotent","timeout_ms":2500,"target_latency_ms":500,"service":"%s","max_attempts":2}],
+	  {"name":"e","host":"h","prefix":"/e/","route_type":"non_idempotent","timeout_ms":2500,"target_latency_ms":500,"service":"%s","max_attempts":2},
+	  {"name":"i","host":"h","prefix":"/i/","route_type":"idempotent","timeout_ms":500,"target_latency_ms":120,"service":"old","max_attempts":2}],
 	  "services":[%s],"limits":{"max_header_bytes":16384,"max_body_bytes":262144}}`,
 		version, strings.Join(shards, ","), editService, strings.Join(services, ","))
 }
