fanout: a reply that breaks off may be a crash

Cause: only connections that ended before the first byte of a reply were held to be crashes. Change: backend.ErrIncomplete tells a connection that ended within a reply from other lost replies, relays pass it on, and the guard takes it as a loss.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -25,6 +25,9 @@
 	// ErrNoReply is the ErrLost of a target that closed or reset the connection before it sent
 	// any byte of a reply. Its process may have crashed.
 	ErrNoReply = errors.Wrap(ErrLost, "no reply")
+	// ErrIncomplete is the ErrLost of a target that closed or reset the connection within a
+	// reply. Its process may have crashed.
+	ErrIncomplete = errors.Wrap(ErrLost, "incomplete reply")
 	// ErrBusy means that the request was not sent because no connection was free.
 	ErrBusy = errors.New("all connections to the target are in use")
 	// ErrConnectTimeout means that the request was not sent because the connection was
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -191,12 +191,12 @@
 func (c *Client) read(cn *conn, r *Request) (*Reply, time.Duration, error) {
 	response, err := readHead(cn.reader, r.Method)
 	if err != nil {
-		return nil, 0, errors.Wrap(ErrLost, err.Error())
+		return nil, 0, cn.readError(err)
 	}
 	cn.bound.beginBody()
 	body, err := readBody(cn, response)
 	if err != nil {
-		return nil, 0, errors.Wrap(ErrLost, err.Error())
+		return nil, 0, cn.readError(err)
 	}
 	_ = response.Body.Close()
 	metadata := c.dialect.ParseReply(response.StatusCode, response.Header)
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -188,6 +188,20 @@
 	c.broken = true
 }
 
+// readError returns the error of a reply of which a part could not be read.
+func (c *conn) readError(cause error) error {
+	if c.bound.ended {
+		return errors.Wrap(ErrIncomplete, cause.Error())
+	}
+	return errors.Wrap(ErrLost, cause.Error())
+}
+
+// endedByTarget reports whether the error of a read means that the target closed or reset
+// the connection.
+func endedByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // attemptError returns the error of an attempt whose connection ended; written is nil
 // if writing succeeded.
 func (c *conn) attemptError(read, written error) error {
@@ -198,7 +212,7 @@
 	switch {
 	case c.sent.Load() == 0:
 		return errors.Wrap(ErrNotSent, cause)
-	case errors.Is(read, io.EOF) || errors.Is(read, syscall.ECONNRESET) || errors.Is(read, syscall.EPIPE):
+	case c.bound.ended:
 		return errors.Wrap(ErrNoReply, cause)
 	default:
 		return errors.Wrap(ErrLost, cause)
--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -50,6 +50,7 @@
 				_, err := client.Send(context.Background(), s.target(), request, time.Second)
 				require.ErrorIs(t, err, backend.ErrLost, "after %q", strings.ReplaceAll(reply.text[:cut], head, "..."))
 				require.Equal(t, cut == 0, errors.Is(err, backend.ErrNoReply), "cut at %d", cut)
+				require.Equal(t, cut > 0, errors.Is(err, backend.ErrIncomplete), "cut at %d", cut)
 			}
 		})
 	}
--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -61,6 +61,8 @@
 	total, replyStart int
 	// used is the memory that the reply takes, and reserved what has been reserved for it.
 	used, reserved int
+	// ended is true once the target has closed or reset the connection.
+	ended bool
 }
 
 // beginReply starts the head of a reply. Bytes that are buffered already belong to it.
@@ -88,6 +90,7 @@
 	n, err := r.inner.Read(p[:min(len(p), r.left)])
 	r.left -= n
 	r.total += n
+	r.ended = r.ended || endedByTarget(err)
 	if r.total-r.replyStart > freeReplyBytes && !r.reserve(n*r.factor) {
 		return 0, errNoMemory
 	}
--- a/internal/delegation/relayed.go
+++ b/internal/delegation/relayed.go
@@ -53,6 +53,7 @@
 	{backend.ErrUnfinished, pb.RelayedResult_RELAYED_RESULT_UNFINISHED},
 	{fanout.ErrNotRelayed, pb.RelayedResult_RELAYED_RESULT_NOT_RELAYED},
 	{backend.ErrNoReply, pb.RelayedResult_RELAYED_RESULT_NO_REPLY},
+	{backend.ErrIncomplete, pb.RelayedResult_RELAYED_RESULT_INCOMPLETE},
 	{backend.ErrLost, pb.RelayedResult_RELAYED_RESULT_LOST},
 }
 
--- a/internal/e2e/crashing_request_test.go
+++ b/internal/e2e/crashing_request_test.go
@@ -44,6 +44,18 @@
 	}
 }
 
+// Guards against a crash being overlooked because the target has sent the head of its reply
+// before it crashed.
+func TestRequestThatCrashesTargetsAfterTheHeadIsNotSentWithoutEnd(t *testing.T) {
+	for _, path := range []string{"/g/poison", "/e/poison", "/i/poison"} {
+		t.Run(path, func(t *testing.T) {
+			behavior := crashingBehavior
+			behavior.EarlyHead = true
+			repeatCrashing(t, path, func(int) string { return path }, behavior)
+		})
+	}
+}
+
 // crashingBehavior is that of a target which crashes on the repeated request.
 var crashingBehavior = users.Behavior{Delay: 5 * time.Millisecond, CrashOn: "poison", Down: crashedTargetDown}
 
--- a/internal/fanout/content.go
+++ b/internal/fanout/content.go
@@ -66,7 +66,7 @@
 		c.guard.Replied(ref, reply.ConnectedAt)
 		c.proven = true
 		c.guard.Proved(c.identity)
-	case errors.Is(err, backend.ErrNoReply) && !c.proven:
+	case (errors.Is(err, backend.ErrNoReply) || errors.Is(err, backend.ErrIncomplete)) && !c.proven:
 		c.guard.Lost(c.identity, ref, a.trial, now)
 	case errors.Is(err, backend.ErrNotSent):
 		c.guard.Unreachable(ref, now)
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -33,6 +33,8 @@
 	// text; empty for none. It restarts after Down.
 	CrashOn string
 	Down    time.Duration
+	// EarlyHead sends the head of the reply before such a crash.
+	EarlyHead bool
 }
 
 // Target is one fake target. It is safe for concurrent use.
@@ -191,6 +193,9 @@
 	n := len(t.runs)
 	t.mu.Unlock()
 	if b.CrashOn != "" && strings.Contains(r.RequestURI, b.CrashOn) {
+		if b.EarlyHead {
+			sendHead(w, b.Delay)
+		}
 		t.Crash(b.Down)
 		return
 	}
@@ -213,6 +218,15 @@
 	_, _ = w.Write(t.Records)
 }
 
+// sendHead sends the head of the reply, and waits until it has arrived.
+func sendHead(w http.ResponseWriter, way time.Duration) {
+	w.WriteHeader(http.StatusOK)
+	if flusher, ok := w.(http.Flusher); ok {
+		flusher.Flush()
+	}
+	time.Sleep(way)
+}
+
 // resetConnection closes the connection of a request with a TCP reset.
 func resetConnection(w http.ResponseWriter) {
 	hijacker, ok := w.(http.Hijacker)
