quarantine: a reply from before a crash does not withdraw the loss

What callers saw: nothing yet; a suspicion against a content that crashes targets could be withdrawn while it went on crashing them. Cause: a reply on an older connection was taken to show that the target is up, also if it had been sent before the crash and was read after the reset of another connection. Class of fault: evidence dated by its arrival. Change: only the reply to a request that was sent after the loss withdraws it. In the simulation replies and resets take a way back of their own. Evidence: TestLossIsNotWithdrawnByAReplyToAnEarlierRequest failed before.

--- a/internal/fanout/content.go
+++ b/internal/fanout/content.go
@@ -61,9 +61,9 @@
 	ref := quarantine.TargetRef{Service: a.target.Service, Target: a.target.ID}
 	switch {
 	case reply != nil && reply.NotRun:
-		c.guard.Replied(ref, reply.ConnectedAt)
+		c.guard.Replied(ref, reply.ConnectedAt, a.sentAt)
 	case reply != nil:
-		c.guard.Replied(ref, reply.ConnectedAt)
+		c.guard.Replied(ref, reply.ConnectedAt, a.sentAt)
 		c.proven = true
 		c.guard.Proved(c.identity)
 	case (errors.Is(err, backend.ErrNoReply) || errors.Is(err, backend.ErrIncomplete)) && !c.proven:
--- a/internal/fanout/crashing_content_test.go
+++ b/internal/fanout/crashing_content_test.go
@@ -28,6 +28,8 @@
 	// gossipInterval is the time between two exchanges of quarantine lists in the simulation.
 	gossipInterval = 500 * time.Millisecond
 	simulatedTime  = 30 * time.Second
+	// wayBack is how long a reply, or the reset of a connection, is on its way.
+	wayBack = 500 * time.Microsecond
 	// stableWindow and maxLateSends are the bounds of the users' rule BUDGET.
 	stableWindow = 4 * time.Second
 	maxLateSends = 3
@@ -143,7 +145,7 @@
 	flights := t.flights
 	t.flights = nil
 	for _, f := range flights {
-		f.finish(nil, errors.Wrap(backend.ErrNoReply, "connection reset"))
+		c.after(wayBack, func() { f.finish(nil, errors.Wrap(backend.ErrNoReply, "connection reset")) })
 	}
 }
 
@@ -180,7 +182,8 @@
 				if t.boots > 0 {
 					reply.ConnectedAt = t.downUntil
 				}
-				f.finish(reply, nil)
+				// A reply may arrive after the reset of another connection that was sent later.
+				c.after(wayBack+time.Duration(c.random.IntN(2000))*time.Microsecond, func() { f.finish(reply, nil) })
 			}
 		})
 	})
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -283,15 +283,17 @@
 }
 
 // Replied records that the target replied, to any content, on a connection that was set up
-// at the given time.
-func (g *Guard) Replied(ref TargetRef, connectedAt time.Time) {
+// at the given time, to a request that was sent at the other one. The reply to a request
+// from before a loss shows nothing about it: it may have been on its way when the target
+// crashed.
+func (g *Guard) Replied(ref TargetRef, connectedAt, sentAt time.Time) {
 	if g.tracked.Load() == 0 || connectedAt.IsZero() {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dropLocked(func(l loss) bool {
-		if l.ref != ref || !connectedAt.Before(l.at.Add(minRestart)) {
+		if l.ref != ref || !sentAt.After(l.at) || !connectedAt.Before(l.at.Add(minRestart)) {
 			return false
 		}
 		if l.listed {
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -56,30 +56,46 @@
 	require.Equal(t, quarantine.Admitted, admission(g, 61*time.Second), "a quarantine ages")
 }
 
+// replied records a reply to a request that was sent after the given time, on a connection
+// that was set up after the other one.
+func replied(g *quarantine.Guard, ref quarantine.TargetRef, connected, sent time.Duration) {
+	g.Replied(ref, start.Add(connected), start.Add(sent))
+}
+
 // A target that loses a reply but serves other connections has not crashed.
 func TestLossIsWithdrawnByAReplyOnAnOlderConnection(t *testing.T) {
 	g, list := newGuard()
 	g.Lost(request, targetA, noTrial, start)
-	g.Replied(targetB, start.Add(-time.Second))
-	g.Replied(targetA, time.Time{})
+	replied(g, targetB, -time.Second, time.Millisecond)
+	g.Replied(targetA, time.Time{}, start.Add(time.Millisecond))
 	require.Equal(t, quarantine.OnTrial, admission(g, 0))
-	g.Replied(targetA, start.Add(-time.Second))
+	replied(g, targetA, -time.Second, time.Millisecond)
 	require.Equal(t, quarantine.Admitted, admission(g, 0))
 
 	g.Lost(request, targetA, noTrial, start)
 	g.Lost(request, targetB, beginTrial(t, g, request, 0), start)
-	g.Replied(targetB, start.Add(-time.Second))
+	replied(g, targetB, -time.Second, time.Millisecond)
 	require.Equal(t, quarantine.OnTrial, admission(g, 0), "one crash is left")
-	g.Replied(targetA, start.Add(-time.Second))
+	replied(g, targetA, -time.Second, time.Millisecond)
 	require.Equal(t, quarantine.Admitted, admission(g, 0))
 	require.Empty(t, list.Quarantined(start))
 }
 
+// Guards against a reply that was on its way when its target crashed withdrawing the loss.
+func TestLossIsNotWithdrawnByAReplyToAnEarlierRequest(t *testing.T) {
+	g, _ := newGuard()
+	g.Lost(request, targetA, noTrial, start)
+	replied(g, targetA, -time.Second, -10*time.Millisecond)
+	require.Equal(t, quarantine.OnTrial, admission(g, 0))
+	replied(g, targetA, -time.Second, 10*time.Millisecond)
+	require.Equal(t, quarantine.Admitted, admission(g, 0))
+}
+
 // A target that has restarted replies on new connections only.
 func TestLossIsNotWithdrawnByAReplyAfterARestart(t *testing.T) {
 	g, _ := newGuard()
 	g.Lost(request, targetA, noTrial, start)
-	g.Replied(targetA, start.Add(800*time.Millisecond))
+	replied(g, targetA, 800*time.Millisecond, 900*time.Millisecond)
 	require.Equal(t, quarantine.OnTrial, admission(g, time.Second))
 }
 
