fanout: only a reply with a receipt proves a content

What callers saw: nothing yet; a suspicion against a content that crashes targets could be withdrawn, or a crash overlooked. Cause: any reply was taken to show that the content crashes no target, also a failure at the time limit, one of a faulty target and a head without a length that ended with the connection. Change: a reply proves a content if it has a receipt and is no failure of the target. One without a receipt that ends with its connection counts as a loss. A reply from another target at the address shows nothing about the target.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -86,6 +86,9 @@
 	Body   []byte
 	// ConnectedAt is when the connection to the target was set up; zero if a relay has it.
 	ConnectedAt time.Time
+	// EndsWithConnection is true if the reply had no length, so that the end of the
+	// connection ended it.
+	EndsWithConnection bool
 	// Took is the reply time that a relay measured; zero if the target replied to this VM.
 	Took time.Duration
 	ReplyMetadata
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -213,11 +213,13 @@
 		c.strayReplies.Inc()
 		idleFor = 0
 	}
-	if response.Close || endsWithConnection(response) {
+	ends := endsWithConnection(response)
+	if response.Close || ends {
 		idleFor = 0
 	}
 	return &Reply{
-		Status: response.StatusCode, Header: response.Header, Body: body, ConnectedAt: cn.connectedAt, ReplyMetadata: metadata,
+		Status: response.StatusCode, Header: response.Header, Body: body, ConnectedAt: cn.connectedAt, EndsWithConnection: ends,
+		ReplyMetadata: metadata,
 	}, idleFor, nil
 }
 
--- a/internal/fanout/content.go
+++ b/internal/fanout/content.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,15 +59,15 @@
 	if c.guard == nil {
 		return
 	}
-	ref := quarantine.TargetRef{Service: a.target.Service, Target: a.target.ID}
-	switch {
-	case reply != nil && reply.NotRun:
-		c.guard.Replied(ref, reply.ConnectedAt, a.sentAt)
-	case reply != nil:
+	ref := a.ref()
+	if reply != nil && !reply.OtherTarget {
 		c.guard.Replied(ref, reply.ConnectedAt, a.sentAt)
+	}
+	switch {
+	case reply != nil && proves(reply):
 		c.proven = true
 		c.guard.Proved(c.identity)
-	case (errors.Is(err, backend.ErrNoReply) || errors.Is(err, backend.ErrIncomplete)) && !c.proven:
+	case !c.proven && mayBeCrash(reply, err):
 		c.guard.Lost(c.identity, ref, a.trial, now)
 	case errors.Is(err, backend.ErrNotSent):
 		c.guard.Unreachable(ref, now)
@@ -76,12 +77,26 @@
 	}
 }
 
+// proves reports whether the reply shows that the target has run the content without
+// crashing. A failure may come from a target that gave up before it would have crashed.
+func proves(r *backend.Reply) bool {
+	return !r.NotRun && r.Receipt != "" && r.Status < http.StatusInternalServerError
+}
+
+// mayBeCrash reports whether the target ended the connection before a whole reply.
+func mayBeCrash(reply *backend.Reply, err error) bool {
+	if reply != nil {
+		return reply.EndsWithConnection && reply.Receipt == "" && !reply.NotRun
+	}
+	return errors.Is(err, backend.ErrNoReply) || errors.Is(err, backend.ErrIncomplete)
+}
+
 // abandoned records that an attempt was given up.
 func (c *content) abandoned(a *attempt, now time.Time) {
 	if c.guard == nil || c.proven {
 		return
 	}
-	c.guard.Unanswered(c.identity, quarantine.TargetRef{Service: a.target.Service, Target: a.target.ID}, a.trial, now)
+	c.guard.Unanswered(c.identity, a.ref(), a.trial, now)
 	if a.trial.Scope != quarantine.NoScope {
 		c.endTrial()
 	}
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -54,6 +54,11 @@
 	trial quarantine.Trial
 }
 
+// ref identifies the target of the attempt.
+func (a *attempt) ref() quarantine.TargetRef {
+	return quarantine.TargetRef{Service: a.target.Service, Target: a.target.ID}
+}
+
 // Machine is the state machine of one request. It is not safe for concurrent use.
 type Machine struct {
 	in        Input
