fanout: hedge a gathered request only after a reply to it

Cause: a target needs some 70 ms until it crashes, and a silent shard is hedged after 20 to 60 ms, so that one request crashes two targets of each shard before the first loss is known. Class of fault: the absence of a reply is taken to be the fault of each target, though all of them are silent on one request. Change: while no target has replied to a gathered request, it is not hedged. Evidence: TestGatheredRequestIsHedgedOnlyAfterAReply failed before (four hedges at 36 ms).

--- a/internal/fanout/content.go
+++ b/internal/fanout/content.go
@@ -41,6 +41,9 @@
 	return admission != quarantine.Admitted
 }
 
+// unproven reports whether no target has shown yet that it survives this request.
+func (c *content) unproven() bool { return c.guard != nil && !c.proven }
+
 func (c *content) beginTrial(now time.Time) bool {
 	trial, ok := c.guard.BeginTrial(c.identity, now)
 	c.trial = trial
--- a/internal/fanout/evidence_test.go
+++ b/internal/fanout/evidence_test.go
@@ -59,3 +59,27 @@
 	reply.Receipt = "r"
 	require.Equal(t, quarantine.Admitted, admissionAfter(reply, nil))
 }
+
+// Guards against a gathered request that crashes its targets taking two of each shard: while
+// no target has replied, no other one may get it.
+func TestGatheredRequestIsHedgedOnlyAfterAReply(t *testing.T) {
+	guard := quarantine.NewGuard(quarantine.New(quarantine.DefaultLimits()))
+	shared := fanout.NewSharedState(guard, advisory.NewBoard())
+	shared.SetLimits(fanout.Limits{Share: 0.2, Slack: 100, Window: 10 * time.Second})
+	route := gatheringRoute(services(4))
+	m := newMachine(shared, route, start)
+	first := m.Start(start)
+	require.Len(t, first.Sends, 4)
+	now := start
+	for wakeAt := first.WakeAt; wakeAt.Before(start.Add(route.TimeLimit / 2)); {
+		now = wakeAt
+		actions := m.Tick(now)
+		require.Empty(t, actions.Sends, "at %s", now.Sub(start))
+		wakeAt = actions.WakeAt
+	}
+	require.Greater(t, now.Sub(start), 50*time.Millisecond)
+	m.Ended(now, first.Sends[0].Attempt, goodReply("r"), nil)
+	hedges := m.Tick(now.Add(50 * time.Millisecond)).Sends
+	require.NotEmpty(t, hedges)
+	require.Equal(t, fanout.Hedge, hedges[0].Reason)
+}
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -26,7 +26,7 @@
 	// maxHedgeGoalShare bounds the hedge delay to a part of the response-time goal.
 	maxHedgeGoalShare = 0.5
 	// hedgeRetryFactor is the delay, in typical reply times, until the next try of a
-	// hedge that could not be sent because there was no budget or no target.
+	// hedge that could not be sent because there was no budget, no target or no reply yet.
 	hedgeRetryFactor = 0.5
 	// minTimeLeft is the time that must be left for an attempt: no target replies
 	// faster.
@@ -339,14 +339,18 @@
 	return !l.done && l.sends < maxSendsPerLeg && m.in.Deadline.Sub(m.now) > minTimeLeft
 }
 
-// hedge sends another attempt while one is in flight.
+// hedge sends another attempt while one is in flight. A gathered request is hedged only
+// after a target has replied to it: if none does, it may be about to crash all of them.
 func (m *Machine) hedge(index int) {
 	l := &m.legs[index]
 	l.hedgeAt = time.Time{}
 	if l.running == 0 || !m.in.Route.Idempotent || !m.maySend(l) || m.content.restricted(m.now) {
 		return
 	}
-	target := m.chooseTarget(l)
+	var target *routing.Target
+	if !m.in.Route.Gathers() || !m.content.unproven() {
+		target = m.chooseTarget(l)
+	}
 	if target != nil && !m.shared.withdraw(l.service.Name, optionalPriority, m.now) {
 		m.shared.refund(target)
 		target = nil
