fanout: a relay keeps what lost replies show about a content

What callers saw: nothing yet; a crash under a relayed request could be overlooked. Cause: a relay returns a batch without its stragglers and recorded nothing of the replies that it lost after that, while the VM that gathers is told that the relay did not wait. Change: a relay records the ends of its sends in its own guard, as the VM that gathers does in its own. Evidence: TestRelayKeepsWhatTheLossOfAStragglerShows fails without the call.

--- a/internal/fanout/evidence_test.go
+++ b/internal/fanout/evidence_test.go
@@ -83,3 +83,16 @@
 	require.NotEmpty(t, hedges)
 	require.Equal(t, fanout.Hedge, hedges[0].Reason)
 }
+
+// Guards against a crash being overlooked that only the relay of a batch sees, because it
+// has returned the batch without that target.
+func TestRelayKeepsWhatTheLossOfAStragglerShows(t *testing.T) {
+	guard := quarantine.NewGuard(quarantine.New(quarantine.DefaultLimits()))
+	shared := fanout.NewSharedState(guard, advisory.NewBoard())
+	route, content := gatheringRoute(services(8)), quarantine.Content{Exact: crashingContent}
+	r := fanout.NewRelaying(shared, route, content, firstTargets(route), start, 30*time.Millisecond)
+	require.ErrorIs(t, r.Results()[0].Err, backend.ErrUnfinished)
+	r.Ended(start.Add(70*time.Millisecond), 0, fanout.Result{Err: errors.Wrap(backend.ErrNoReply, "connection reset")})
+	admission, _ := guard.Check(content, start.Add(80*time.Millisecond))
+	require.Equal(t, quarantine.OnTrial, admission)
+}
--- a/internal/fanout/relaying.go
+++ b/internal/fanout/relaying.go
@@ -8,6 +8,7 @@
 
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
@@ -20,6 +21,7 @@
 type Relaying struct {
 	route   *routing.Route
 	shared  *SharedState
+	content content
 	targets []*routing.Target
 	sentAt  time.Time
 	// stragglersAt is when the relay stops to wait for the last few replies.
@@ -29,11 +31,15 @@
 	pending      int
 }
 
-// NewRelaying returns the state of a batch that is sent now. Targets that the relay does not
+// NewRelaying returns the state of a batch that is sent now. The identity is that of the
+// request, for what the results show about its content. Targets that the relay does not
 // know, or that want no requests, are nil; they must not be sent to.
-func NewRelaying(shared *SharedState, route *routing.Route, targets []*routing.Target, now time.Time, stragglerDelay time.Duration) *Relaying {
+func NewRelaying(
+	shared *SharedState, route *routing.Route, identity quarantine.Content, targets []*routing.Target, now time.Time, stragglerDelay time.Duration,
+) *Relaying {
 	r := &Relaying{
-		route: route, shared: shared, targets: targets, sentAt: now, stragglersAt: now.Add(stragglerDelay),
+		route: route, shared: shared, content: content{guard: shared.guard, identity: identity}, targets: targets,
+		sentAt: now, stragglersAt: now.Add(stragglerDelay),
 		typical: shared.latencies(route).typical, results: make([]Result, len(targets)),
 	}
 	for i, target := range targets {
@@ -63,12 +69,18 @@
 	if outcome == health.Succeeded {
 		r.shared.recordReply(r.route, now.Sub(r.sentAt))
 	}
+	r.content.ended(r.attempt(index), result.Reply, result.Err, now)
+}
+
+func (r *Relaying) attempt(index int) *attempt {
+	return &attempt{target: r.targets[index], sentAt: r.sentAt}
 }
 
 // Abandon handles the end of a send that was given up.
 func (r *Relaying) Abandon(now time.Time, index int, outcome health.Outcome) {
 	r.pending--
 	r.targets[index].Health.End(r.sentAt, now, outcome, r.typical)
+	r.content.abandoned(r.attempt(index), now)
 }
 
 // Pending returns the number of sends in flight.
--- a/internal/fanout/relaying_test.go
+++ b/internal/fanout/relaying_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/fanout"
+	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
@@ -25,7 +26,7 @@
 func TestRelayReturnsWithoutStragglers(t *testing.T) {
 	const delay = 30 * time.Millisecond
 	route := gatheringRoute(services(20))
-	r := fanout.NewRelaying(newSharedState(), route, firstTargets(route), start, delay)
+	r := fanout.NewRelaying(newSharedState(), route, quarantine.Content{}, firstTargets(route), start, delay)
 	deadline := start.Add(route.TimeLimit)
 	for i := range 18 {
 		done, _ := r.Done(start.Add(10*time.Millisecond), deadline)
@@ -46,7 +47,7 @@
 // once more.
 func TestRelayWaitsForMostReplies(t *testing.T) {
 	route := gatheringRoute(services(20))
-	r := fanout.NewRelaying(newSharedState(), route, firstTargets(route), start, 30*time.Millisecond)
+	r := fanout.NewRelaying(newSharedState(), route, quarantine.Content{}, firstTargets(route), start, 30*time.Millisecond)
 	deadline := start.Add(route.TimeLimit)
 	r.Ended(start.Add(10*time.Millisecond), 0, fanout.Result{Reply: goodReply("r")})
 	done, wakeAt := r.Done(start.Add(40*time.Millisecond), deadline)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -87,7 +87,7 @@
 	r := &relayRun{
 		call: c, cancel: cancel, results: make(chan relayResult, len(targets)),
 		deadline: c.gateway.deadline(c.arrived, c.timeLimit()),
-		state:    fanout.NewRelaying(c.gateway.fanoutState, c.route, targets, now, c.relay.StragglerDelay),
+		state:    fanout.NewRelaying(c.gateway.fanoutState, c.route, c.content, targets, now, c.relay.StragglerDelay),
 	}
 	for i, target := range targets {
 		if target != nil {
@@ -132,7 +132,7 @@
 		timer.Reset(time.Until(wakeAt))
 		select {
 		case res := <-r.results:
-			r.state.Ended(time.Now(), res.index, res.Result)
+			r.ended(res)
 		case <-timer.C:
 		case <-r.call.http.Context().Done():
 			return false
@@ -140,6 +140,11 @@
 	}
 }
 
+func (r *relayRun) ended(res relayResult) {
+	r.state.Ended(time.Now(), res.index, res.Result)
+	r.call.gateway.reportFindings()
+}
+
 func (r *relayRun) answer() {
 	c := r.call
 	results := r.state.Results()
@@ -169,7 +174,7 @@
 	for r.state.Pending() > 0 {
 		select {
 		case res := <-r.results:
-			r.state.Ended(time.Now(), res.index, res.Result)
+			r.ended(res)
 		case <-timer.C:
 			r.cancel()
 			r.abandon(health.Abandoned)
