gateway: count and log requests that are held back for their content

Cause: lines of requests that were refused at their arrival did not name the content, and no metric counted them, so that innocent ones could not be told from the repeats of a crashing one. Change: the field content in these lines, the counter carawayreel_route_requests_held_back_total.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -19,7 +19,7 @@
 	switch {
 	case answer.Outcome == fanout.NotRun:
 		if answer.ContentRefused {
-			c.stateContentRefused(answer.RetryAfter)
+			c.recordContentRefused(answer.RetryAfter)
 		}
 		c.writeNotRun(answer.RetryAfter)
 	case answer.Outcome == fanout.TimedOut:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -84,7 +84,7 @@
 	g.options.Dialect.RemoveAttemptHeaders(c.request.Header)
 	c.content = contentOf(c.request)
 	if admission, until := g.options.Guard.Check(c.content, c.arrived); admission == quarantine.Refused {
-		c.stateContentRefused(until.Sub(c.arrived))
+		c.recordContentRefused(until.Sub(c.arrived))
 		c.notRun("targets crashed while they ran requests with this content", until.Sub(c.arrived))
 		return
 	}
@@ -162,9 +162,10 @@
 	c.writeNotRun(retryAfter)
 }
 
-// stateContentRefused tells a VM that delegated the request that its content is refused, so
-// that it does not send the request itself.
-func (c *call) stateContentRefused(length time.Duration) {
+// recordContentRefused counts the request as held back, and tells a VM that delegated it that
+// its content is refused, so that it does not send the request itself.
+func (c *call) recordContentRefused(length time.Duration) {
+	c.gateway.counters.requestsHeldBack.Inc()
 	if c.delegated {
 		delegation.SetContentRefused(c.writer.Header(), length)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,9 @@
 	contentsOnTrial     *metrics.Counter
 	contentsQuarantined *metrics.Counter
 	contentsCleared     *metrics.Counter
+	// requestsHeldBack counts the requests that were rejected because their content, or its
+	// family, may crash targets.
+	requestsHeldBack *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -50,6 +53,7 @@
 		contentsOnTrial:     set.NewCounter("carawayreel_route_contents_on_trial_total"),
 		contentsQuarantined: set.NewCounter("carawayreel_route_contents_quarantined_total"),
 		contentsCleared:     set.NewCounter("carawayreel_route_contents_cleared_total"),
+		requestsHeldBack:    set.NewCounter("carawayreel_route_requests_held_back_total"),
 	}
 	for outcome := range c.requests {
 		label := fanout.Outcome(outcome).String()
--- a/internal/gateway/request_logger.go
+++ b/internal/gateway/request_logger.go
@@ -131,7 +131,7 @@
 	if ordinary && !l.sampled(c.id) || !l.allow(ordinary) {
 		return
 	}
-	l.logger.Info().Str("request", c.id).Str("content", fmt.Sprintf("%016x", c.content.Exact)).Str("route", c.route.Name).
+	l.logger.Info().Str("request", c.id).Str("content", c.contentID()).Str("route", c.route.Name).
 		Uint64("version", c.compiled.table.Version).Uint64("revision", c.compiled.table.Revision).
 		Int64("configuration_age_ms", c.compiled.view.ConfigurationAge(c.received).Milliseconds()).
 		Str("outcome", answer.Outcome.String()).Str("cause", answer.Cause).
@@ -139,6 +139,17 @@
 		Bool("delegated", c.delegated).Dur("took", took).Dur("retry_after", answer.RetryAfter).Array("sends", t).Msg("request")
 }
 
+// contentID returns the digest of the request's content as it is logged; empty if the request
+// was refused before it was read.
+func (c *call) contentID() string {
+	if c.request == nil {
+		return ""
+	}
+	return formatDigest(c.content.Exact)
+}
+
+func formatDigest(digest uint64) string { return fmt.Sprintf("%016x", digest) }
+
 // undelegated logs that no gatherer ran a request, so that this VM gathers its answer.
 func (l *requestLogger) undelegated(c *call, t *trace, cause string) {
 	if l.allow(true) {
@@ -166,7 +177,7 @@
 	if !l.allow(false) {
 		return
 	}
-	l.logger.Info().Str("request", c.id).Int("status", status).Str("cause", cause).
+	l.logger.Info().Str("request", c.id).Str("content", c.contentID()).Int("status", status).Str("cause", cause).
 		Uint64("version", c.compiled.table.Version).Uint64("revision", c.compiled.table.Revision).
 		Str("host", c.http.Host).Str("uri", c.http.RequestURI).Msg("request refused")
 }
@@ -176,7 +187,7 @@
 	if !l.allow(f.Admission == quarantine.Admitted) {
 		return
 	}
-	l.logger.Warn().Str("content", fmt.Sprintf("%016x", f.Digest)).Str("scope", f.Scope.String()).Str("service", f.Ref.Service).
+	l.logger.Warn().Str("content", formatDigest(f.Digest)).Str("scope", f.Scope.String()).Str("service", f.Ref.Service).
 		Str("target", f.Ref.Target).Str("admission", f.Admission.String()).Str("reason", string(f.Reason)).
 		Msg("content that may crash targets")
 }
