fanout: a reply that is no success is not passed on as one

Cause: the reply of a target that failed is passed on with its status, also if the status is that of a success and only the receipt or the encoding shows that it is none. Change: an answer holds successes and the failure that may be passed on apart; a spoiled success is neither, so that the caller gets 502.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -97,9 +97,15 @@
 // Successful reports whether the reply has a 2xx status, a receipt and no content
 // encoding.
 func (r *Reply) Successful() bool {
-	return r.Status >= 200 && r.Status < 300 && r.Receipt != "" && r.Header.Get("Content-Encoding") == ""
+	return r.hasSuccessStatus() && r.Receipt != "" && r.Header.Get("Content-Encoding") == ""
 }
 
+// Spoiled reports whether the reply has the status of a success and is none. It must not be
+// passed on.
+func (r *Reply) Spoiled() bool { return r.hasSuccessStatus() && !r.Successful() }
+
+func (r *Reply) hasSuccessStatus() bool { return r.Status >= 200 && r.Status < 300 }
+
 // Target is the destination of a request.
 type Target struct {
 	// ID identifies the target, and Started its incarnation by the start time in Unix
--- a/internal/fanout/finish.go
+++ b/internal/fanout/finish.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/health"
 )
 
@@ -49,9 +48,7 @@
 	case m.coverageMet(succeeded):
 		m.answerReplies(succeeded)
 	case !m.in.Route.Gathers() && m.legs[0].failure != nil && !m.legs[0].failure.NotRun && m.legs[0].running == 0:
-		m.actions.Answer = &Answer{
-			Outcome: Failed, Replies: []*backend.Reply{m.legs[0].failure}, Cause: m.cause(),
-		}
+		m.actions.Answer = &Answer{Outcome: Failed, Failure: m.legs[0].failure, Cause: m.cause()}
 	case !m.mayHaveRun():
 		m.reject(m.cause())
 	case expired:
--- a/internal/fanout/leg.go
+++ b/internal/fanout/leg.go
@@ -21,7 +21,7 @@
 type leg struct {
 	service *routing.Service
 	reply   *backend.Reply
-	// failure is the last reply that was not successful.
+	// failure is the last reply that says that the target failed.
 	failure  *backend.Reply
 	attempts []targetAttempts
 	running  int
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -266,11 +266,14 @@
 		m.releaseHeld()
 		return
 	}
-	if reply != nil {
+	switch {
+	case reply == nil:
+		l.cause = err.Error()
+	case reply.Spoiled():
+		l.cause = "a reply has the status of a success, but no receipt or a content encoding"
+	default:
 		l.failure = reply
 		l.cause = "a target failed"
-	} else {
-		l.cause = err.Error()
 	}
 	if l.running > 0 {
 		return
--- a/internal/fanout/machine_test.go
+++ b/internal/fanout/machine_test.go
@@ -1,6 +1,7 @@
 package fanout_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -156,7 +157,22 @@
 		actions = m.Ended(now, actions.Sends[0].Attempt, failedReply(), nil)
 	}
 	require.Equal(t, fanout.Failed, actions.Answer.Outcome)
-	require.Equal(t, 500, actions.Answer.Replies[0].Status)
+	require.Equal(t, 500, actions.Answer.Failure.Status)
+	require.Empty(t, actions.Answer.Replies)
+}
+
+// Guards against a reply that the VM found to be no success being passed on with its status,
+// which says that it is one.
+func TestSpoiledSuccessIsNotPassedOn(t *testing.T) {
+	encoded := goodReply("r")
+	encoded.Header = http.Header{"Content-Encoding": {"gzip"}}
+	for _, spoiled := range []*backend.Reply{goodReply(""), encoded} {
+		m := newMachine(newSharedState(), singleRoute(services(1)[0], false), start)
+		answer := m.Ended(at(time.Millisecond), m.Start(start).Sends[0].Attempt, spoiled, nil).Answer
+		require.Equal(t, fanout.Failed, answer.Outcome)
+		require.Nil(t, answer.Failure)
+		require.Empty(t, answer.Replies)
+	}
 }
 
 func TestTargetsPerRequestAreBounded(t *testing.T) {
--- a/internal/fanout/types.go
+++ b/internal/fanout/types.go
@@ -105,9 +105,11 @@
 // Answer is the answer to the caller.
 type Answer struct {
 	Outcome Outcome
-	// Replies are the successful replies in the order of the legs. For a request that
-	// one target serves, it is that target's reply, which may be a failure.
+	// Replies are the successful replies in the order of the legs.
 	Replies []*backend.Reply
+	// Failure is the reply of a target that failed, to be passed on as it is; nil if there is
+	// none, or the outcome is not Failed.
+	Failure *backend.Reply
 	// Missing is the number of legs without a reply.
 	Missing int
 	// RetryAfter is the delay after which a retry may succeed; set only for NotRun.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -24,9 +24,11 @@
 		c.writeNotRun(answer.RetryAfter)
 	case answer.Outcome == fanout.TimedOut:
 		c.writer.WriteHeader(http.StatusGatewayTimeout)
+	case answer.Failure != nil:
+		c.writeReply(answer.Failure)
 	case len(answer.Replies) == 0:
 		c.writer.WriteHeader(http.StatusBadGateway)
-	case len(answer.Replies) == 1 && answer.Replies[0].Delegated:
+	case answer.Replies[0].Delegated:
 		c.writeReply(answer.Replies[0])
 	case c.route.Gathers():
 		c.writeGathered(answer)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -200,6 +200,19 @@
 	require.Empty(t, f.targets["ub"].Runs())
 }
 
+// Guards against a spoiled reply to a request that may not be repeated reaching its caller
+// with status 200.
+func TestSpoiledReplyIsABadGateway(t *testing.T) {
+	f := newFixture(t)
+	for _, target := range f.targets {
+		target.SetBehavior(users.Behavior{Header: http.Header{"Content-Encoding": {"x-spoiled"}}})
+	}
+	response, body, err := f.request(t, context.Background(), "POST", "/e/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.Empty(t, body)
+}
+
 func TestStatusOfRequestsThatAreNotForwarded(t *testing.T) {
 	f := newFixture(t)
 	response, _ := f.do(t, "GET", "/none/", "")
