advisory: a named limit holds while its target gets no requests

Class of fault: silence taken for news. Change: a limit holds for ten minutes after the last reply that named it, also at VMs that have restarted; a reply without it ends it at once, as before. The end is told to other VMs for 30 s. Evidence: TestLimitHoldsThroughSilence failed before (100 instead of 3 requests admitted).

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -17,9 +17,11 @@
 	maxPause = 10 * time.Minute
 	// leavingTTL is how long a target that leaves is remembered.
 	leavingTTL = 10 * time.Minute
-	// limitTTL is how long a limit holds after the last reply that named it. Requests at the
-	// limit renew it.
-	limitTTL = 30 * time.Second
+	// limitTTL is how long a limit holds after the last reply that named it: a target that gets
+	// no requests cannot show that it has ended.
+	limitTTL = 10 * time.Minute
+	// limitEndTTL is how long the end of a limit is remembered and told to other VMs.
+	limitEndTTL = 30 * time.Second
 	// maxTargets bounds the targets on a Board.
 	maxTargets = 4096
 )
@@ -221,7 +223,7 @@
 		if !s.leavingAt.IsZero() && now.Sub(s.leavingAt) >= leavingTTL {
 			s.leavingAt = time.Time{}
 		}
-		if s.leavingAt.IsZero() && !now.Before(s.pausedUntil) && now.Sub(s.limit.seenAt) >= limitTTL {
+		if s.leavingAt.IsZero() && !now.Before(s.pausedUntil) && s.limit.outdated(now) {
 			delete(b.targets, t)
 		}
 	}
--- a/internal/advisory/advisory_test.go
+++ b/internal/advisory/advisory_test.go
@@ -101,6 +101,31 @@
 	}
 }
 
+// Guards against a limit being forgotten because its target got no requests for a while.
+func TestLimitHoldsThroughSilence(t *testing.T) {
+	sharers := advisory.NewSharers("vm-0", vmNames(1), 0)
+	admitted := func(b *advisory.Board, now time.Duration) int {
+		n := 0
+		for range 100 {
+			if b.Admit(target, sharers, at(now)) {
+				n++
+			}
+		}
+		return n
+	}
+	b := advisory.NewBoard()
+	b.Observe(target, limited(1), at(0), at(0))
+	b.Expire(at(40 * time.Second))
+	require.Equal(t, 3, admitted(b, 40*time.Second))
+	restarted := advisory.NewBoard()
+	restarted.Merge(b.Updates(at(40*time.Second)), at(40*time.Second))
+	require.Equal(t, 3, admitted(restarted, 40*time.Second), "a VM that has restarted learns the limit")
+	b.Observe(target, advisory.Advice{}, at(41*time.Second), at(42*time.Second))
+	require.Equal(t, 100, admitted(b, 42*time.Second), "a target that has recovered is not held down")
+	b.Expire(at(80 * time.Second))
+	require.Empty(t, b.Updates(at(80*time.Second)))
+}
+
 func TestRefundedRequestIsNotCounted(t *testing.T) {
 	b := advisory.NewBoard()
 	sharers := advisory.NewSharers("vm-0", vmNames(1), 0)
--- a/internal/advisory/exchange.go
+++ b/internal/advisory/exchange.go
@@ -38,7 +38,7 @@
 	if !s.leavingAt.IsZero() {
 		u.LeavingMs = age(s.leavingAt, now)
 	}
-	if !s.limit.seenAt.IsZero() && now.Sub(s.limit.seenAt) < limitTTL {
+	if !s.limit.seenAt.IsZero() && !s.limit.outdated(now) {
 		u.Limited, u.RequestsPerS, u.LimitAgeMs = s.limit.active, s.limit.rate, age(s.limit.seenAt, now)
 	}
 	if u.LeavingMs == 0 && u.LimitAgeMs == 0 {
--- a/internal/advisory/limit.go
+++ b/internal/advisory/limit.go
@@ -40,6 +40,15 @@
 
 func (l *limit) holds(now time.Time) bool { return l.active && now.Sub(l.seenAt) < limitTTL }
 
+// outdated reports whether neither the limit nor its end needs to be remembered.
+func (l *limit) outdated(now time.Time) bool {
+	ttl := limitEndTTL
+	if l.active {
+		ttl = limitTTL
+	}
+	return now.Sub(l.seenAt) >= ttl
+}
+
 // burst returns the number of requests beyond the limit that all VMs together may send.
 func (l *limit) burst() float64 { return burstSeconds*l.rate + burstRequests }
 
