delegation: relays pass on what targets ask of their callers

Cause: a relayed reply carried no advice. The VM that gathers took that as the end of the limit, and told other VMs. Class of fault: the absence of a statement on the way is taken for a statement. Change: RelayedAdvice in the relay's message; a reply of an older relay shows nothing about the limit.

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -42,6 +42,8 @@
 	// Limited is true if the reply names a limit, of RequestsPerSecond from all VMs together.
 	Limited           bool
 	RequestsPerSecond float64
+	// Unknown is true if a relay has the reply and did not pass on what it asks.
+	Unknown bool
 }
 
 func (a Advice) empty() bool { return !a.Leaving && a.Pause == 0 && !a.Limited }
@@ -91,7 +93,7 @@
 // Observe records the advice of a target's reply to a request that was sent at the given
 // time.
 func (b *Board) Observe(t Target, advice Advice, sentAt, now time.Time) {
-	if advice.empty() && b.size.Load() == 0 {
+	if advice.Unknown || advice.empty() && b.size.Load() == 0 {
 		return
 	}
 	b.mu.Lock()
--- a/internal/delegation/relayed.go
+++ b/internal/delegation/relayed.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawayreel/carawayreel/internal/advisory"
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
@@ -27,7 +28,7 @@
 	if reply == nil {
 		return &pb.RelayedReply{Result: resultOfError(result.Err)}
 	}
-	encoded := &pb.RelayedReply{TookUs: uint32(reply.Took.Microseconds())}
+	encoded := &pb.RelayedReply{TookUs: uint32(reply.Took.Microseconds()), Advice: encodeAdvice(reply.Advice)}
 	switch {
 	case reply.OtherTarget:
 		encoded.Result = pb.RelayedResult_RELAYED_RESULT_UNREACHABLE
@@ -42,6 +43,17 @@
 	return encoded
 }
 
+func encodeAdvice(a advisory.Advice) *pb.RelayedAdvice {
+	return &pb.RelayedAdvice{Leaving: a.Leaving, Limited: a.Limited, RequestsPerS: a.RequestsPerSecond}
+}
+
+func parseAdvice(a *pb.RelayedAdvice) advisory.Advice {
+	if a == nil {
+		return advisory.Advice{Unknown: true}
+	}
+	return advisory.Advice{Leaving: a.Leaving, Limited: a.Limited, RequestsPerSecond: a.RequestsPerS}
+}
+
 // errorResults are the results of sends without a reply.
 var errorResults = []struct {
 	err    error
@@ -100,6 +112,7 @@
 
 func parseResult(relayed *pb.RelayedReply) fanout.Result {
 	reply := &backend.Reply{Took: time.Duration(relayed.TookUs) * time.Microsecond}
+	reply.Advice = parseAdvice(relayed.Advice)
 	switch relayed.Result {
 	case pb.RelayedResult_RELAYED_RESULT_SUCCEEDED:
 		reply.Status, reply.Receipt = http.StatusOK, relayed.Receipt
--- a/internal/delegation/relayed_test.go
+++ b/internal/delegation/relayed_test.go
@@ -7,10 +7,13 @@
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/carawayreel/carawayreel/internal/advisory"
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/fanout"
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 func relayReply(status int, body []byte) *backend.Reply {
@@ -21,10 +24,11 @@
 	reply := func(status int, metadata backend.ReplyMetadata) fanout.Result {
 		return fanout.Result{Reply: &backend.Reply{Status: status, Took: 7 * time.Millisecond, ReplyMetadata: metadata}}
 	}
+	advice := advisory.Advice{Leaving: true, Limited: true, RequestsPerSecond: 2.5}
 	answered := []fanout.Result{
 		reply(500, backend.ReplyMetadata{Receipt: "f"}),
 		reply(200, backend.ReplyMetadata{Receipt: "r1"}),
-		reply(200, backend.ReplyMetadata{Receipt: "r2"}),
+		reply(200, backend.ReplyMetadata{Receipt: "r2", Advice: advice}),
 		reply(503, backend.ReplyMetadata{NotRun: true}),
 		reply(421, backend.ReplyMetadata{OtherTarget: true}),
 	}
@@ -47,6 +51,8 @@
 	require.Equal(t, "records", string(parsed[1].Reply.Body), "the first successful reply holds the records of all")
 	require.Equal(t, 7*time.Millisecond, parsed[1].Reply.Took)
 	require.Empty(t, parsed[2].Reply.Body)
+	require.Equal(t, advice, parsed[2].Reply.Advice)
+	require.Equal(t, advisory.Advice{}, parsed[1].Reply.Advice)
 	require.True(t, parsed[3].Reply.NotRun)
 	require.ErrorIs(t, parsed[4].Err, backend.ErrNotSent, "another target replied")
 	for i, kind := range kinds {
@@ -54,6 +60,22 @@
 	}
 }
 
+// Guards against the reply of a relay that passes no advice on being taken to say that the
+// target asks for nothing, which would end a limit that it has named.
+func TestRelayWithoutAdviceEndsNoLimit(t *testing.T) {
+	body, err := proto.Marshal(&pb.RelayedReplies{Replies: []*pb.RelayedReply{
+		{Result: pb.RelayedResult_RELAYED_RESULT_SUCCEEDED, Receipt: "r"},
+	}})
+	require.NoError(t, err)
+	parsed, err := delegation.ParseResults(relayReply(200, body), 1)
+	require.NoError(t, err)
+	board, target := advisory.NewBoard(), advisory.Target{ID: "t", Started: 1}
+	now := time.Unix(1000, 0)
+	board.Observe(target, advisory.Advice{Limited: true, RequestsPerSecond: 1}, now, now)
+	board.Observe(target, parsed[0].Reply.Advice, now.Add(time.Second), now.Add(2*time.Second))
+	require.Equal(t, 1, board.Counts(now.Add(2*time.Second)).Limited)
+}
+
 func TestUnusableReplyOfARelay(t *testing.T) {
 	body, err := delegation.EncodeResults([]fanout.Result{{Err: backend.ErrLost}}, nil)
 	require.NoError(t, err)
