--- a/internal/configuration/delta.go
+++ b/internal/configuration/delta.go
@@ -59,6 +59,7 @@
 		RouteTable:     c.GetRouteTable(),
 		Registrations:  c.GetRegistrations(),
 		RemovalsSince:  c.GetRemovalsSince(),
+		Rollouts:       c.GetRollouts(),
 	}
 	for _, front := range c.GetFronts() {
 		reference := &pb.FrontReference{Name: front.Name, Revision: front.Revision, Key: keys[front.Name]}
@@ -81,6 +82,7 @@
 		RouteTable:     root.GetRouteTable(),
 		Registrations:  root.GetRegistrations(),
 		RemovalsSince:  root.GetRemovalsSince(),
+		Rollouts:       root.GetRollouts(),
 	}
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,7 @@
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/fanout"
+	"github.com/carawayreel/carawayreel/internal/organisation"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
@@ -33,8 +34,10 @@
 	id       string
 	compiled *compiledTable
 	route    *routing.Route
-	request  *backend.Request
-	content  quarantine.Content
+	// organisation is the one that the caller's key belongs to; nil if there is none.
+	organisation *organisation.Organisation
+	request      *backend.Request
+	content      quarantine.Content
 }
 
 // startupRetryAfter is the retry delay told to callers of a VM that has no routes yet:
--- a/internal/gen/carawayreel/v1/carawayreelv1connect/peer.connect.go
+++ b/internal/gen/carawayreel/v1/carawayreelv1connect/peer.connect.go
@@ -59,6 +59,8 @@
 	PeerServiceAnnounceProcedure = "/carawayreel.v1.PeerService/Announce"
 	// PeerServiceGetTargetsProcedure is the fully-qualified name of the PeerService's GetTargets RPC.
 	PeerServiceGetTargetsProcedure = "/carawayreel.v1.PeerService/GetTargets"
+	// PeerServiceReportUsageProcedure is the fully-qualified name of the PeerService's ReportUsage RPC.
+	PeerServiceReportUsageProcedure = "/carawayreel.v1.PeerService/ReportUsage"
 )
 
 // PeerServiceClient is a client for the carawayreel.v1.PeerService service.
@@ -83,6 +85,9 @@
 	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	// GetTargets returns the states of the targets that this VM owns.
 	GetTargets(context.Context, *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error)
+	// ReportUsage reports the requests of organisations to the VM that accounts for their
+	// allowances.
+	ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the carawayreel.v1.PeerService service. By default,
@@ -156,6 +161,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("GetTargets")),
 			connect.WithClientOptions(opts...),
 		),
+		reportUsage: connect.NewClient[v1.ReportUsageRequest, v1.ReportUsageResponse](
+			httpClient,
+			baseURL+PeerServiceReportUsageProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ReportUsage")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -171,6 +182,7 @@
 	handOver           *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
 	announce           *connect.Client[v1.AnnounceRequest, v1.AnnounceResponse]
 	getTargets         *connect.Client[v1.GetTargetsRequest, v1.GetTargetsResponse]
+	reportUsage        *connect.Client[v1.ReportUsageRequest, v1.ReportUsageResponse]
 }
 
 // Dispatch calls carawayreel.v1.PeerService.Dispatch.
@@ -223,6 +235,11 @@
 	return c.getTargets.CallUnary(ctx, req)
 }
 
+// ReportUsage calls carawayreel.v1.PeerService.ReportUsage.
+func (c *peerServiceClient) ReportUsage(ctx context.Context, req *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error) {
+	return c.reportUsage.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the carawayreel.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Dispatch runs one search subrequest on a target that this VM owns.
@@ -245,6 +262,9 @@
 	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	// GetTargets returns the states of the targets that this VM owns.
 	GetTargets(context.Context, *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error)
+	// ReportUsage reports the requests of organisations to the VM that accounts for their
+	// allowances.
+	ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -314,6 +334,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("GetTargets")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceReportUsageHandler := connect.NewUnaryHandler(
+		PeerServiceReportUsageProcedure,
+		svc.ReportUsage,
+		connect.WithSchema(peerServiceMethods.ByName("ReportUsage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/carawayreel.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceDispatchProcedure:
@@ -336,6 +362,8 @@
 			peerServiceAnnounceHandler.ServeHTTP(w, r)
 		case PeerServiceGetTargetsProcedure:
 			peerServiceGetTargetsHandler.ServeHTTP(w, r)
+		case PeerServiceReportUsageProcedure:
+			peerServiceReportUsageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -384,3 +412,7 @@
 func (UnimplementedPeerServiceHandler) GetTargets(context.Context, *connect.Request[v1.GetTargetsRequest]) (*connect.Response[v1.GetTargetsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.GetTargets is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carawayreel.v1.PeerService.ReportUsage is not implemented"))
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -185,3 +185,8 @@
 	_ change.Dispatcher = (*Client)(nil)
 	_ change.Forwarder  = (*Client)(nil)
 )
+
+// ReportUsage reports the requests of organisations to the VM that accounts for their allowances.
+func (c *Client) ReportUsage(ctx context.Context, vm view.VM, r *pb.ReportUsageRequest) (*pb.ReportUsageResponse, error) {
+	return unwrap(c.clientFor(vm.PeerAddress).ReportUsage(ctx, connect.NewRequest(r)))
+}
--- a/internal/routing/compiler.go
+++ b/internal/routing/compiler.go
@@ -9,6 +9,7 @@
 	"github.com/carawayreel/carawayreel/internal/backend"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/organisation"
 )
 
 // Compiler compiles successive configurations into tables. The health of a target is
@@ -62,11 +63,12 @@
 func (c *Compiler) Compile(configuration *pb.Configuration, vms int, replacedAt, now time.Time) *Table {
 	routes := configuration.GetRouteTable()
 	table := &Table{
-		Revision: configuration.GetRevision(),
-		Version:  routes.GetVersion(),
-		Limits:   routes.GetLimits(),
-		services: map[string]*Service{},
-		targets:  map[string]*Target{},
+		Revision:      configuration.GetRevision(),
+		Version:       routes.GetVersion(),
+		Limits:        routes.GetLimits(),
+		Organisations: organisation.NewDirectory(routes.GetOrganisations()),
+		services:      map[string]*Service{},
+		targets:       map[string]*Target{},
 	}
 	table.addRoutes(routes)
 	c.updateEntries(configuration.GetRegistrations(), replacedAt, now)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -11,6 +11,7 @@
 	"github.com/carawayreel/carawayreel/internal/backend"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/organisation"
 )
 
 const (
@@ -106,13 +107,15 @@
 type Table struct {
 	// Revision is the revision of the configuration, and Version the operators'
 	// version of the routes.
-	Revision   uint64
-	Version    uint64
-	Limits     *pb.CallerLimits
-	hosts      map[string][]*Route
-	services   map[string]*Service
-	targets    map[string]*Target
-	routeNames map[string]bool
+	Revision uint64
+	Version  uint64
+	Limits   *pb.CallerLimits
+	// Organisations are the organisations of callers.
+	Organisations *organisation.Directory
+	hosts         map[string][]*Route
+	services      map[string]*Service
+	targets       map[string]*Target
+	routeNames    map[string]bool
 }
 
 // HasRouteTable reports whether the configuration holds any route table.
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -62,3 +62,10 @@
 func (s *peerService) GetTargets(context.Context, *connect.Request[pb.GetTargetsRequest]) (*connect.Response[pb.GetTargetsResponse], error) {
 	return connect.NewResponse(&pb.GetTargetsResponse{Targets: s.roles.Owner.Targets()}), nil
 }
+
+func (s *peerService) ReportUsage(_ context.Context, r *connect.Request[pb.ReportUsageRequest]) (*connect.Response[pb.ReportUsageResponse], error) {
+	if s.roles.Allowances == nil {
+		return connect.NewResponse(&pb.ReportUsageResponse{}), nil
+	}
+	return connect.NewResponse(s.roles.Allowances.ReportUsage(r.Msg)), nil
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -55,6 +55,11 @@
 	Merge(entries []*pb.QuarantineEntry, now time.Time)
 }
 
+// Allowances accounts for the allowances of organisations over all VMs.
+type Allowances interface {
+	ReportUsage(r *pb.ReportUsageRequest) *pb.ReportUsageResponse
+}
+
 // Roles holds the components of this VM that the services call. The roles of package
 // auth are unrelated: they are permissions.
 type Roles struct {
@@ -64,6 +69,8 @@
 	Control    Control
 	Quarantine Quarantine
 	Admin      carawayreelv1connect.AdminServiceHandler
+	// Allowances may be nil.
+	Allowances Allowances
 }
 
 // CallerHandler returns the handler for callers and operators, for metrics, and for
