quarantine: one content does not put a served family on trial

Cause: a gathered request that was in flight beside a crashing one lost the replies of all its shards. Its family, though served, had six crashes by that single request and went on trial; the request's own retry was the trial, ran beside the crashing content again, and condemned the family at all VMs for a minute. Ruled out: counting each crash once for a family (done before) does not help, since the six crashes are of six targets.

Change: the list knows the family of each content. A served family goes on trial only if two of its contents coincided with the crashes. While there is one, its other requests are sent to one target first and to the others after a reply, so that a second harmful content costs one target. Families that were never served are held as before.

--- a/internal/fanout/content.go
+++ b/internal/fanout/content.go
@@ -162,6 +162,11 @@
 			m.hold(l, reason)
 			return true
 		}
+	case quarantine.OneTargetFirst:
+		if m.runsAttempts() {
+			m.hold(l, reason)
+			return true
+		}
 	case quarantine.Admitted:
 	}
 	return false
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -136,7 +136,7 @@
 	for i := range m.legs {
 		m.shared.deposit(m.legs[i].service.Name, m.now)
 	}
-	if admission == quarantine.OnTrial {
+	if admission != quarantine.Admitted {
 		m.startTrial(chosen)
 		return m.finishEvent()
 	}
--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -43,7 +43,7 @@
 			g.counters.contentsOnTrial.Inc()
 		case quarantine.Refused:
 			g.counters.contentsQuarantined.Inc()
-		case quarantine.Admitted:
+		case quarantine.Admitted, quarantine.OneTargetFirst:
 			g.counters.contentsCleared.Inc()
 		}
 		g.log.contentFound(finding)
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -31,6 +31,10 @@
 	// minServedFamilyCrashes is this number for a family to which targets have replied
 	// before, as the requests that it has in common with others are not all harmful.
 	minServedFamilyCrashes = 4
+	// minServedFamilyMembers is the number of contents of such a family that have to be among
+	// these crashes. A gathered request that ran beside a crashing one loses the replies of
+	// all its shards at once, so that crashes of one content show nothing about the others.
+	minServedFamilyMembers = 2
 	// servedFamilies is the number of families to which targets have replied that are kept.
 	servedFamilies = 4096
 	// familyRefusal is how long a family is refused after a crash on trial; each further one
@@ -47,6 +51,9 @@
 const (
 	// Admitted requests may be sent without restriction.
 	Admitted Admission = iota
+	// OneTargetFirst requests may be sent to further targets once one has replied: one other
+	// content of their family crashed targets.
+	OneTargetFirst
 	// OnTrial requests may be sent to one target at a time: a target crashed, or seems to
 	// have crashed, while it ran the content.
 	OnTrial
@@ -55,7 +62,9 @@
 )
 
 // String returns the name used in logs.
-func (a Admission) String() string { return [...]string{"admitted", "on_trial", "refused"}[a] }
+func (a Admission) String() string {
+	return [...]string{"admitted", "one_target_first", "on_trial", "refused"}[a]
+}
 
 // Guard decides which requests of routes may be sent, from the replies that this VM lost and
 // from a List that all VMs share. A reply that is lost puts the content on trial at this VM.
@@ -104,13 +113,11 @@
 	if until := g.refusedUntil(c.Exact); now.Before(until) {
 		return Refused, until
 	}
-	if admission, until := g.checkFamily(c.Family, now); admission != Admitted {
-		return admission, until
-	}
-	if len(verdict.Crashed) > 0 || g.hasLoss(c.Exact) {
+	admission, until := g.checkFamily(c.Family, now)
+	if admission < OnTrial && (len(verdict.Crashed) > 0 || g.hasLoss(c.Exact)) {
 		return OnTrial, time.Time{}
 	}
-	return Admitted, time.Time{}
+	return admission, until
 }
 
 func (g *Guard) checkFamily(family uint64, now time.Time) (Admission, time.Time) {
@@ -118,8 +125,12 @@
 		return Admitted, time.Time{}
 	}
 	verdict := g.list.Check(family, now)
-	if verdict.Crashes < minFamilyCrashes || verdict.Crashes < minServedFamilyCrashes && g.served.Has(family) {
+	served := g.served.Has(family)
+	switch {
+	case verdict.Crashes < minFamilyCrashes, served && verdict.Crashes < minServedFamilyCrashes:
 		return Admitted, time.Time{}
+	case served && g.list.Members(family, now) < minServedFamilyMembers:
+		return OneTargetFirst, time.Time{}
 	}
 	if verdict.Quarantined {
 		length := min(familyRefusal<<min(verdict.CrashesAlone-1, maxRefusalDoublings), g.list.limits.Lifetime)
@@ -177,7 +188,7 @@
 // other one may be until EndTrial is called.
 func (g *Guard) BeginTrial(c Content, now time.Time) (Trial, bool) {
 	trial := Trial{Scope: ExactScope, digest: c.Exact}
-	if admission, _ := g.checkFamily(c.Family, now); admission != Admitted {
+	if admission, _ := g.checkFamily(c.Family, now); admission >= OnTrial {
 		trial = Trial{Scope: FamilyScope, digest: c.Family}
 	}
 	g.mu.Lock()
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -235,3 +235,30 @@
 	g.Lost(variant(2), targetA, noTrial, start.Add(2*time.Second))
 	require.Equal(t, quarantine.OnTrial, admissionOf(g, variant(9), 2*time.Second))
 }
+
+// Guards against a gathered request that runs beside a crashing one, and so loses the replies
+// of all its shards, condemning all requests of its family.
+func TestOneContentDoesNotPutAServedFamilyOnTrial(t *testing.T) {
+	g, list := newGuard()
+	g.Proved(variant(99))
+	loseAllShards := func(c quarantine.Content, after time.Duration) {
+		for _, target := range []string{"a", "b", "c", "d", "e"} {
+			g.Lost(c, quarantine.TargetRef{Service: target, Target: target}, noTrial, start.Add(after))
+		}
+	}
+	loseAllShards(variant(0), 0)
+	require.Equal(t, quarantine.OneTargetFirst, admissionOf(g, variant(9), 0))
+	trial := beginTrial(t, g, variant(0), 0)
+	g.Lost(variant(0), targetB, trial, start.Add(10*time.Millisecond))
+	g.EndTrial(trial)
+	require.Equal(t, quarantine.Refused, admissionOf(g, variant(0), time.Second), "the content itself")
+	require.Equal(t, quarantine.OneTargetFirst, admissionOf(g, variant(9), time.Second))
+
+	other, otherList := newGuard()
+	other.Proved(variant(99))
+	otherList.Merge(list.Updates(start.Add(time.Second)), start.Add(time.Second))
+	require.Equal(t, quarantine.OneTargetFirst, admissionOf(other, variant(9), time.Second))
+
+	loseAllShards(variant(1), 2*time.Second)
+	require.Equal(t, quarantine.OnTrial, admissionOf(g, variant(9), 2*time.Second), "a second content crashed targets")
+}
--- a/internal/quarantine/losses.go
+++ b/internal/quarantine/losses.go
@@ -113,6 +113,7 @@
 		}
 		g.findLocked(finding)
 	}
+	g.list.SetFamily(l.content.Exact, l.content.Family)
 	l.listed = true
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -18,8 +18,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 const (
@@ -143,11 +141,13 @@
 
 	mu       sync.Mutex
 	contents map[uint64]map[TargetRef]record
+	// families holds the family of each content that belongs to one.
+	families map[uint64]uint64
 }
 
 // New returns an empty list.
 func New(limits Limits) *List {
-	return &List{limits: limits, contents: map[uint64]map[TargetRef]record{}}
+	return &List{limits: limits, contents: map[uint64]map[TargetRef]record{}, families: map[uint64]uint64{}}
 }
 
 // RecordCrash records that the target crashed while it ran the content and possibly others.
@@ -173,6 +173,39 @@
 	})
 }
 
+// SetFamily records the family of a content that is in the list.
+func (l *List) SetFamily(digest, family uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setFamily(digest, family)
+}
+
+func (l *List) setFamily(digest, family uint64) {
+	if family != 0 && len(l.contents[digest]) > 0 {
+		l.families[digest] = family
+	}
+}
+
+// Members returns the number of contents of a family that coincided with crashes which are neither expired nor
+// cleared.
+func (l *List) Members(family uint64, now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	members := 0
+	for digest, other := range l.families {
+		if other != family {
+			continue
+		}
+		for _, r := range l.contents[digest] {
+			if r.crashes > 0 && now.Before(r.expires) {
+				members++
+				break
+			}
+		}
+	}
+	return members
+}
+
 // Retract removes the crashes recorded for a target that turned out not to have crashed.
 func (l *List) Retract(digest uint64, ref TargetRef) {
 	l.clear(digest, func(other TargetRef) bool { return other == ref })
@@ -264,84 +297,6 @@
 	return slices.DeleteFunc(digests, func(d uint64) bool { return !l.Check(d, now).Quarantined })
 }
 
-// Updates returns the entries of all contents, to be merged by other VMs, in ascending order of digest.
-func (l *List) Updates(now time.Time) []*pb.QuarantineEntry {
-	if l.size.Load() == 0 {
-		return nil
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.expire(now)
-	entries := make([]*pb.QuarantineEntry, 0, len(l.contents))
-	for digest := range l.contents {
-		entries = append(entries, l.entry(digest, now))
-	}
-	slices.SortFunc(entries, func(a, b *pb.QuarantineEntry) int { return cmp.Compare(a.ContentDigest, b.ContentDigest) })
-	return entries
-}
-
-// Entry returns the entry of one content, or nil if the list does not contain it.
-func (l *List) Entry(digest uint64, now time.Time) *pb.QuarantineEntry {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.expire(now)
-	if len(l.contents[digest]) == 0 {
-		return nil
-	}
-	return l.entry(digest, now)
-}
-
-func (l *List) entry(digest uint64, now time.Time) *pb.QuarantineEntry {
-	refs := make([]TargetRef, 0, len(l.contents[digest]))
-	for ref := range l.contents[digest] {
-		refs = append(refs, ref)
-	}
-	slices.SortFunc(refs, compareTargetRefs)
-	entry := &pb.QuarantineEntry{ContentDigest: digest}
-	for _, ref := range refs {
-		r := l.contents[digest][ref]
-		remaining := uint64(r.expires.Sub(now).Milliseconds())
-		entry.ExpiresInMs = max(entry.ExpiresInMs, remaining)
-		entry.Suspicions = append(entry.Suspicions, &pb.Suspicion{
-			Service: ref.Service, Target: ref.Target, Epoch: r.epoch, Crashes: r.crashes, CrashesAlone: r.alone, ExpiresInMs: remaining,
-		})
-		if r.crashes > 0 {
-			entry.Targets = append(entry.Targets, ref.Target)
-		}
-	}
-	return entry
-}
-
-// Merge merges the entries of another VM into the list.
-func (l *List) Merge(entries []*pb.QuarantineEntry, now time.Time) {
-	if len(entries) == 0 {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.expire(now)
-	for _, entry := range entries {
-		for _, suspicion := range entry.Suspicions {
-			l.mergeOne(entry.ContentDigest, suspicion, now)
-		}
-	}
-}
-
-func (l *List) mergeOne(digest uint64, suspicion *pb.Suspicion, now time.Time) {
-	remaining := min(time.Duration(suspicion.ExpiresInMs)*time.Millisecond, l.limits.Lifetime)
-	if remaining <= 0 {
-		return
-	}
-	ref := TargetRef{Service: suspicion.Service, Target: suspicion.Target}
-	incoming := record{
-		epoch: suspicion.Epoch, crashes: suspicion.Crashes, alone: suspicion.CrashesAlone, expires: now.Add(remaining),
-	}
-	current, known := l.contents[digest][ref]
-	if !known || current.less(incoming) {
-		l.put(digest, ref, incoming)
-	}
-}
-
 // put stores a record. Once a content has reached maxTargetsPerContent, the record of a further target is
 // dropped unless the target crashed while it ran only this content.
 func (l *List) put(digest uint64, ref TargetRef, r record) {
@@ -372,6 +327,7 @@
 		}
 	}
 	delete(l.contents, victim)
+	delete(l.families, victim)
 }
 
 func lastExpiry(records map[TargetRef]record) time.Time {
@@ -399,6 +355,7 @@
 		}
 		if len(records) == 0 {
 			delete(l.contents, digest)
+			delete(l.families, digest)
 		}
 	}
 	l.size.Store(int64(len(l.contents)))
