Authenticate callers by the keys of organisations

Cause: callers belong to organisations, which the operators' configuration lists with their keys, priority and allowance. VMs ignored the list and passed keys on to targets.

Requests on routes that are not public need a key. The target gets the name of the organisation in place of the key. A VM that delegates a request, or has it relayed, sends the name and states that it has authenticated the caller; a gatherer that knows organisations does not run a request without that statement, since the delegating VM may have another configuration. Keys are checked again if the configuration changes while the body arrives. A VM whose configuration was not confirmed for 5 s answers 503 instead of 401 or 404. Requests are counted by organisation, the 20 largest by name. Nothing acts without such a list.

The new field RouteTable.organisations_declared keeps routes closed if all entries of the list are invalid.

Also fixed: a caller could set the header that names the targets of a relayed batch, and a delegating VM passed it on.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -66,6 +66,14 @@
 	// RequestID and TimeLimit read a caller's headers.
 	RequestID(h http.Header) string
 	TimeLimit(h http.Header) time.Duration
+	// Key returns the caller's API key; empty if it states none, or several.
+	Key(h http.Header) string
+	// Organisation returns the name of the organisation that another VM found for a request
+	// that it delegates or has relayed; empty if there is none.
+	Organisation(h http.Header) string
+	// SetOrganisation removes the caller's key from the headers, and sets the name of its
+	// organisation. An empty name removes what the caller stated as the name.
+	SetOrganisation(h http.Header, name string)
 	// AppendAttemptHeaders appends the header lines that tell a target which target the
 	// request is meant for and how much time is left for the answer.
 	AppendAttemptHeaders(text []byte, target string, timeLeft time.Duration) []byte
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -28,7 +28,10 @@
 func (dialect) AppendAttemptHeaders(text []byte, target string, timeLeft time.Duration) []byte {
 	return fmt.Appendf(text, "Target: %s\r\nLeft: %s\r\n", target, timeLeft)
 }
-func (dialect) RemoveAttemptHeaders(http.Header) {}
+func (dialect) RemoveAttemptHeaders(http.Header)    {}
+func (dialect) Key(http.Header) string              { return "" }
+func (dialect) Organisation(http.Header) string     { return "" }
+func (dialect) SetOrganisation(http.Header, string) {}
 func (dialect) ParseReply(_ int, h http.Header) backend.ReplyMetadata {
 	return backend.ReplyMetadata{RequestID: h.Get("Id"), Receipt: h.Get("Receipt"), NotRun: h.Get("Not-Run") != ""}
 }
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -42,6 +42,7 @@
 	for _, front := range c.Fronts {
 		k.checkFront(front)
 	}
+	k.checkOrganisations(c.GetRouteTable().GetOrganisations())
 	if size := proto.Size(Root(c, Keys{})); size > MaxValueBytes {
 		k.addProblem("the configuration root takes %d bytes, limit %d", size, MaxValueBytes)
 	}
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -59,6 +59,13 @@
 		`service "births" is defined twice`: func(c *pb.Configuration) {
 			c.Fronts[0].Services = append(c.Fronts[0].Services, c.Fronts[0].Services[0])
 		},
+		`organisation "o" is defined twice`: func(c *pb.Configuration) {
+			c.RouteTable = &pb.RouteTable{Organisations: []*pb.Organisation{{Name: "o"}, {Name: "o"}}}
+		},
+		`organisations "o" and "p" hold the same key`: func(c *pb.Configuration) {
+			keys := [][]byte{make([]byte, 32)}
+			c.RouteTable = &pb.RouteTable{Organisations: []*pb.Organisation{{Name: "o", KeyDigests: keys}, {Name: "p", KeyDigests: keys}}}
+		},
 		`fronts[0].limits`:                       func(c *pb.Configuration) { c.Fronts[0].Limits = nil },
 		`fronts[0].services[0].targets[0].slots`: func(c *pb.Configuration) { c.Fronts[0].Services[0].Targets[0].Slots = 0 },
 		`front "front" takes`:                    func(c *pb.Configuration) { enlarge(c.Fronts[0]) },
--- a/internal/delegation/dialect.go
+++ b/internal/delegation/dialect.go
@@ -25,6 +25,9 @@
 	// stragglerHeader is the time in microseconds after which a relay returns without the
 	// last few replies.
 	stragglerHeader = "Carawayreel-Straggler-Us"
+	// authenticatedHeader is set if the delegating VM knows organisations, so that it has
+	// replaced the caller's key by the name of the organisation.
+	authenticatedHeader = "Carawayreel-Authenticated"
 	// contentRefusedHeader is the time in microseconds for which a gatherer refuses the content
 	// of the request.
 	contentRefusedHeader = "Carawayreel-Content-Refused-Us"
@@ -47,10 +50,20 @@
 	Targets []string
 	// StragglerDelay is the time after which a relay returns without the last few replies.
 	StragglerDelay time.Duration
+	// Authenticated is true if the delegating VM knows organisations: the request then carries
+	// the name of the caller's organisation, if it has one, and not its key.
+	Authenticated bool
 }
 
-// SetHeaders adds the statements to the headers of a delegated request.
+// SetHeaders replaces the statements in the headers of a delegated request.
 func (r Request) SetHeaders(h http.Header) {
+	// A caller may have set any of them.
+	for _, name := range []string{targetsHeader, stragglerHeader, authenticatedHeader} {
+		h.Del(name)
+	}
+	if r.Authenticated {
+		h.Set(authenticatedHeader, "1")
+	}
 	h.Set(versionHeader, strconv.FormatUint(r.RouteVersion, 10))
 	h.Set(elapsedHeader, strconv.FormatInt(r.Elapsed.Microseconds(), 10))
 	if len(r.Targets) > 0 {
@@ -64,7 +77,7 @@
 func TakeRequest(h http.Header) (Request, bool) {
 	version, versionErr := strconv.ParseUint(take(h, versionHeader), 10, 64)
 	elapsed, elapsedErr := microseconds(take(h, elapsedHeader))
-	r := Request{RouteVersion: version, Elapsed: elapsed}
+	r := Request{RouteVersion: version, Elapsed: elapsed, Authenticated: take(h, authenticatedHeader) != ""}
 	ok := versionErr == nil && elapsedErr == nil
 	if targets := take(h, targetsHeader); targets != "" {
 		var err error
--- a/internal/fanout/types.go
+++ b/internal/fanout/types.go
@@ -30,6 +30,9 @@
 	// Content identifies what the request asks, apart from its ID: repeats of a request have
 	// the same content.
 	Content quarantine.Content
+	// Priority is that of the caller's organisation, or else of the route; zero is the
+	// highest.
+	Priority uint32
 	// Stopping is true if this VM stops at the deadline, or before: the request is cut off then.
 	Stopping bool
 	// Relays holds the VMs that may relay the first attempts of a gathered answer, by their
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -64,7 +64,7 @@
 	c.route = table.Match(hostOf(c.http.Host), pathOf(c.http.RequestURI))
 	switch {
 	case c.route == nil:
-		c.refuse(http.StatusNotFound, "no route for the host and path")
+		c.refuseIfConfirmed(http.StatusNotFound, "no route for the host and path")
 		return
 	case c.id == "":
 		c.refuse(http.StatusBadRequest, "the request has no identity")
@@ -76,6 +76,9 @@
 		c.notRun("too many requests are running", overloadRetryAfter)
 		return
 	}
+	if !c.authenticate() {
+		return
+	}
 	body, err := c.readBody(table.Limits.GetMaxBodyBytes())
 	if err != nil || !c.renewRoute() {
 		return
@@ -85,6 +88,7 @@
 		Header: endToEndHeaders(c.http.Header), Body: body,
 	}
 	g.options.Dialect.RemoveAttemptHeaders(c.request.Header)
+	c.stateOrganisation()
 	c.content = contentOf(c.request)
 	if admission, until := g.options.Guard.Check(c.content, c.arrived); admission == quarantine.Refused {
 		c.recordContentRefused(until.Sub(c.arrived))
@@ -99,8 +103,9 @@
 	}
 }
 
-// renewRoute replaces the route if the configuration has changed while the body arrived. It
-// reports false if there is none any more and the caller has been answered.
+// renewRoute replaces the route if the configuration has changed while the body arrived, and
+// authenticates the caller again. It reports false if there is no route any more, or the key is
+// no longer valid, and the caller has been answered.
 func (c *call) renewRoute() bool {
 	current := c.gateway.table(time.Now())
 	if c.delegated || current.table == c.compiled.table {
@@ -109,10 +114,10 @@
 	c.compiled = current
 	c.route = current.table.Match(hostOf(c.http.Host), pathOf(c.http.RequestURI))
 	if c.route == nil {
-		c.refuse(http.StatusNotFound, "no route for the host and path any more")
+		c.refuseIfConfirmed(http.StatusNotFound, "no route for the host and path any more")
 		return false
 	}
-	return true
+	return c.authenticate()
 }
 
 // overloadRetryAfter is the retry delay told to callers of an overloaded VM.
@@ -154,6 +159,7 @@
 func (c *call) refuse(status int, cause string) {
 	c.gateway.log.refused(c, status, cause)
 	c.gateway.counters.refused.Inc()
+	c.countForOrganisation(resultRefused)
 	c.writer.WriteHeader(status)
 }
 
@@ -161,7 +167,7 @@
 // retry delay.
 func (c *call) notRun(cause string, retryAfter time.Duration) {
 	c.gateway.log.refused(c, http.StatusServiceUnavailable, cause)
-	c.gateway.counters.recordOutcome(fanout.NotRun, time.Since(c.received))
+	c.recordOutcome(fanout.NotRun)
 	c.writeNotRun(retryAfter)
 }
 
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -122,13 +122,16 @@
 		return false
 	}
 	request := c.request.Clone()
-	delegation.Request{RouteVersion: c.compiled.table.Version, Elapsed: time.Since(c.received)}.SetHeaders(request.Header)
+	delegation.Request{
+		RouteVersion: c.compiled.table.Version, Elapsed: time.Since(c.received), Authenticated: c.requiresKeys(),
+	}.SetHeaders(request.Header)
 	limit := c.timeLimit() / delegationDivisor
 	r := c.newRun(runOptions{
 		client: c.gateway.options.Gatherers, state: c.gateway.delegationState, request: request,
 		input: fanout.Input{
 			Route: route, Legs: []*routing.Service{route.WeightedServices[0].Service},
 			Received: c.received, Deadline: c.gateway.deadline(c.arrived, limit),
+			Priority: c.priority(),
 		},
 	})
 	answer := r.runMachine()
@@ -165,7 +168,8 @@
 		if len(stated.Targets) > 0 {
 			c.relay = &stated
 		}
-		if g.table(now).table.Version != stated.RouteVersion {
+		table := g.table(now).table
+		if table.Version != stated.RouteVersion || !stated.Authenticated && !table.Organisations.Empty() {
 			g.counters.otherVersion.Inc()
 			w.WriteHeader(http.StatusConflict)
 			return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,7 +107,8 @@
 	compiledFrom *pb.Configuration
 	compiled     atomic.Pointer[compiledTable]
 
-	counters counters
+	counters      counters
+	organisations *organisationCounters
 	// changed signals that a new configuration must be compiled.
 	changed chan struct{}
 }
@@ -127,6 +128,7 @@
 		delegates:       newDelegates(),
 		log:             newRequestLogger(options.Logger, options.Settings.GetLog(), options.Metrics),
 		counters:        newCounters(options.Metrics),
+		organisations:   newOrganisationCounters(options.Metrics),
 		changed:         make(chan struct{}, 1),
 		pauses:          options.Pauses,
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,13 @@
 	// requestsHeldBack counts the requests that were rejected because their content, or its
 	// family, may crash targets.
 	requestsHeldBack *metrics.Counter
+	// keysAbsent, keysUnknown and keysRevoked count the requests without a valid key on routes
+	// that need one. refusalsUnconfirmed counts the requests that were answered 503 since a
+	// newer configuration may allow them.
+	keysAbsent          *metrics.Counter
+	keysUnknown         *metrics.Counter
+	keysRevoked         *metrics.Counter
+	refusalsUnconfirmed *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -54,6 +61,11 @@
 		contentsQuarantined: set.NewCounter("carawayreel_route_contents_quarantined_total"),
 		contentsCleared:     set.NewCounter("carawayreel_route_contents_cleared_total"),
 		requestsHeldBack:    set.NewCounter("carawayreel_route_requests_held_back_total"),
+
+		keysAbsent:          set.NewCounter(`carawayreel_route_keys_invalid_total{reason="absent"}`),
+		keysUnknown:         set.NewCounter(`carawayreel_route_keys_invalid_total{reason="unknown"}`),
+		keysRevoked:         set.NewCounter(`carawayreel_route_keys_invalid_total{reason="revoked"}`),
+		refusalsUnconfirmed: set.NewCounter("carawayreel_route_refusals_unconfirmed_total"),
 	}
 	for outcome := range c.requests {
 		label := fanout.Outcome(outcome).String()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,6 +21,7 @@
 	request := r.request.Clone()
 	stated := delegation.Request{
 		RouteVersion: c.compiled.table.Version, Elapsed: time.Since(c.received), StragglerDelay: batch.StragglerDelay,
+		Authenticated: c.requiresKeys(),
 	}
 	for _, send := range batch.Sends {
 		stated.Targets = append(stated.Targets, send.Target.ID)
--- a/internal/gateway/request_logger.go
+++ b/internal/gateway/request_logger.go
@@ -134,7 +134,7 @@
 	l.logger.Info().Str("request", c.id).Str("content", c.contentID()).Str("route", c.route.Name).
 		Uint64("version", c.compiled.table.Version).Uint64("revision", c.compiled.table.Revision).
 		Int64("configuration_age_ms", c.compiled.view.ConfigurationAge(c.received).Milliseconds()).
-		Str("outcome", answer.Outcome.String()).Str("cause", answer.Cause).
+		Func(c.addOrganisation).Str("outcome", answer.Outcome.String()).Str("cause", answer.Cause).
 		Int("missing", answer.Missing).Int("attempts", len(t.attempts)).Int("extra", t.extraAttempts).
 		Bool("delegated", c.delegated).Dur("took", took).Dur("retry_after", answer.RetryAfter).Array("sends", t).Msg("request")
 }
@@ -178,7 +178,9 @@
 		return
 	}
 	l.logger.Info().Str("request", c.id).Str("content", c.contentID()).Int("status", status).Str("cause", cause).
+		Func(c.addOrganisation).
 		Uint64("version", c.compiled.table.Version).Uint64("revision", c.compiled.table.Revision).
+		Int64("configuration_age_ms", c.compiled.view.ConfigurationAge(time.Now()).Milliseconds()).
 		Str("host", c.http.Host).Str("uri", c.http.RequestURI).Msg("request refused")
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -65,6 +65,7 @@
 		input: fanout.Input{
 			Route: c.route, Legs: legs, Received: c.received, Deadline: c.gateway.deadline(c.arrived, c.timeLimit()),
 			Stopping: c.gateway.stopBy.Load() != 0, Sharers: c.compiled.sharersOf(c.route), Content: c.content, Relays: c.compiled.relays,
+			Priority: c.priority(),
 		},
 	})
 	r.conclude(r.runMachine())
@@ -86,14 +87,14 @@
 func (r *fanoutRun) conclude(answer *fanout.Answer) {
 	c := r.call
 	if answer == nil {
-		c.gateway.counters.recordOutcome(fanout.CallerGone, time.Since(c.received))
+		c.recordOutcome(fanout.CallerGone)
 		r.cancel()
 		r.abandonAll(health.Canceled)
 		c.gateway.log.finished(c, &r.trace, &fanout.Answer{Outcome: fanout.CallerGone, Cause: "the caller left"})
 		return
 	}
 	c.write(answer)
-	c.gateway.counters.recordOutcome(answer.Outcome, time.Since(c.received))
+	c.recordOutcome(answer.Outcome)
 	c.gateway.log.finished(c, &r.trace, answer)
 	r.finish(answer)
 }
--- a/internal/organisation/organisation.go
+++ b/internal/organisation/organisation.go
@@ -27,16 +27,36 @@
 	Burst             float64
 }
 
+// PriorityOr returns the priority of the organisation's requests on a route with the given
+// priority. A nil Organisation has none of its own.
+func (o *Organisation) PriorityOr(route uint32) uint32 {
+	if o == nil || !o.HasPriority {
+		return route
+	}
+	return o.Priority
+}
+
 // Directory holds the organisations of one route table. It is immutable; a nil Directory is
 // empty.
 type Directory struct {
 	byDigest map[Digest]*Organisation
 	byName   map[string]*Organisation
+	// declared is true if the operators' list is not empty. It may hold invalid entries only.
+	declared bool
+}
+
+// DirectoryOf returns the directory of a route table.
+func DirectoryOf(table *pb.RouteTable) *Directory {
+	d := NewDirectory(table.GetOrganisations())
+	d.declared = d.declared || table.GetOrganisationsDeclared()
+	return d
 }
 
 // NewDirectory returns the directory of the organisations.
 func NewDirectory(organisations []*pb.Organisation) *Directory {
-	d := &Directory{byDigest: map[Digest]*Organisation{}, byName: map[string]*Organisation{}}
+	d := &Directory{
+		byDigest: map[Digest]*Organisation{}, byName: map[string]*Organisation{}, declared: len(organisations) > 0,
+	}
 	for _, declared := range organisations {
 		organisation := &Organisation{
 			Name: declared.GetName(), Priority: declared.GetPriority(), HasPriority: declared.Priority != nil,
@@ -52,8 +72,8 @@
 	return d
 }
 
-// Empty reports whether there are no organisations, so that no request needs a key.
-func (d *Directory) Empty() bool { return d == nil || len(d.byName) == 0 }
+// Empty reports whether no organisations are declared, so that no request needs a key.
+func (d *Directory) Empty() bool { return d == nil || !d.declared }
 
 // ByKey returns the organisation that holds the key, or nil if there is none.
 func (d *Directory) ByKey(key string) *Organisation {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -49,6 +49,8 @@
 	Sequence     uint64
 	// DomainTakenOut is the name of a failure domain that is out of service.
 	DomainTakenOut string
+	// Omitted names the invalid parts of the value that were left out.
+	Omitted []string
 	// Problem describes why the value could not be decoded.
 	Problem string
 }
@@ -219,5 +221,9 @@
 			s.logger.Warn().Str("key", entry.Key).Uint64("revision", entry.Revision).
 				Str("problem", entry.Problem).Msg("store entry ignored")
 		}
+		if len(entry.Omitted) > 0 {
+			s.logger.Warn().Str("key", entry.Key).Uint64("revision", entry.Revision).
+				Strs("omitted", entry.Omitted).Msg("invalid parts of a store entry ignored")
+		}
 	}
 }
--- a/internal/routing/compiler.go
+++ b/internal/routing/compiler.go
@@ -66,7 +66,7 @@
 		Revision:      configuration.GetRevision(),
 		Version:       routes.GetVersion(),
 		Limits:        routes.GetLimits(),
-		Organisations: organisation.NewDirectory(routes.GetOrganisations()),
+		Organisations: organisation.DirectoryOf(routes),
 		services:      map[string]*Service{},
 		targets:       map[string]*Target{},
 	}
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -137,6 +137,8 @@
 type Arrival struct {
 	ID string
 	At time.Time
+	// Header holds the headers of the request.
+	Header http.Header
 	// Leaving is true if the reply says that the target leaves.
 	Leaving bool
 }
@@ -167,7 +169,7 @@
 		w.Header()[name] = values
 	}
 	t.mu.Lock()
-	t.arrivals = append(t.arrivals, Arrival{ID: id, At: time.Now(), Leaving: b.Header.Get("Server-Leaving") != ""})
+	t.arrivals = append(t.arrivals, Arrival{ID: id, At: time.Now(), Header: r.Header.Clone(), Leaving: b.Header.Get("Server-Leaving") != ""})
 	t.mu.Unlock()
 	switch {
 	case r.Header.Get("X-Target-Instance") != t.ID:
