--- a/internal/delegation/delegation_test.go
+++ b/internal/delegation/delegation_test.go
@@ -79,7 +79,7 @@
 
 func TestStatementsOfTheDelegatingVMAreNotForwarded(t *testing.T) {
 	h := http.Header{"X-Kept": {"1"}}
-	sent := delegation.Request{RouteVersion: 7, Elapsed: 1500 * time.Microsecond}
+	sent := delegation.Request{RouteVersion: 7, Elapsed: 1500 * time.Microsecond, Authenticated: true}
 	sent.SetHeaders(h)
 	received, ok := delegation.TakeRequest(h)
 	require.True(t, ok)
@@ -89,6 +89,18 @@
 	require.False(t, ok)
 }
 
+// Guards against a caller that states for the delegating VM that it is authenticated, or which
+// targets are asked.
+func TestStatementsOfCallersAreReplaced(t *testing.T) {
+	h := http.Header{"Carawayreel-Authenticated": {"1"}, "Carawayreel-Targets": {"a,b"}, "Carawayreel-Straggler-Us": {"5"}}
+	sent := delegation.Request{RouteVersion: 7}
+	sent.SetHeaders(h)
+	received, ok := delegation.TakeRequest(h)
+	require.True(t, ok)
+	require.Equal(t, sent, received)
+	require.Empty(t, h)
+}
+
 func TestAnswersOfGatherers(t *testing.T) {
 	d := delegation.Dialect{Dialect: platform.Headers{}}
 	parse := func(status int) (string, bool, bool) {
