--- a/internal/gateway/authenticate_test.go
+++ b/internal/gateway/authenticate_test.go
@@ -52,7 +52,7 @@
 }
 
 // send sends a request with the headers X-Credential and X-Tenant, unless they are empty.
-func (f *fixture) send(t *testing.T, method, uri, key, name string, body io.Reader) *http.Response {
+func (f *fixture) send(t *testing.T, method, uri, key, name string, body io.Reader) callerResponse {
 	t.Helper()
 	r, err := http.NewRequest(method, f.server.URL+uri, body)
 	require.NoError(t, err)
@@ -66,7 +66,7 @@
 	response, err := f.server.Client().Do(r)
 	require.NoError(t, err)
 	_ = response.Body.Close()
-	return response
+	return callerResponse{StatusCode: response.StatusCode, Header: response.Header, Close: response.Close}
 }
 
 // requireArrivals checks the number of requests that reached targets, and the name of the
