Name the organisation in refusals that precede the check of the key

Cause: requests refused for their size, for overload or for want of a route were logged as those of an unknown organisation, and not counted for theirs.

Change: the caller is identified before the checks; the key is still checked after the route.

--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -27,22 +27,30 @@
 // requiresKeys reports whether organisations are declared, so that requests need keys.
 func (c *call) requiresKeys() bool { return !c.compiled.table.Organisations.Empty() }
 
-// authenticate finds the organisation of the caller, in the table of the call. It reports false
-// if the route needs a key and the request carries no valid one; the caller has then been
-// answered. A request that another VM delegates or has relayed was authenticated there and
-// states the name of the organisation instead.
-func (c *call) authenticate() bool {
-	if !c.requiresKeys() {
-		c.organisation = nil
-		return true
+// identify returns the organisation of the caller by the table of the call; nil if there is none.
+// A request that another VM delegates or has relayed was authenticated there and states the name
+// of the organisation instead of the key.
+func (c *call) identify() *organisation.Organisation {
+	directory, dialect := c.compiled.table.Organisations, c.gateway.options.Dialect
+	if directory.Empty() {
+		return nil
 	}
-	if c.delegated {
-		c.organisation = c.statedOrganisation()
-		return true
+	if !c.delegated {
+		return directory.ByKey(dialect.Key(c.http.Header))
 	}
-	key := c.gateway.options.Dialect.Key(c.http.Header)
-	found := c.compiled.table.Organisations.ByKey(key)
-	if found != nil || c.route.Public {
+	name := dialect.Organisation(c.http.Header)
+	if known := directory.ByName(name); known != nil || name == "" {
+		return known
+	}
+	// The delegating VM has another revision of the routes. No limits are known here.
+	return &organisation.Organisation{Name: name}
+}
+
+// authenticate identifies the caller by the table of the call. It reports false if the route
+// needs a key and the request carries no valid one; the caller has then been answered.
+func (c *call) authenticate() bool {
+	found := c.identify()
+	if found != nil || c.delegated || c.route.Public || !c.requiresKeys() {
 		c.organisation = found
 		return true
 	}
@@ -50,7 +58,7 @@
 	case c.organisation != nil:
 		c.gateway.counters.keysRevoked.Inc()
 		c.refuseIfConfirmed(http.StatusUnauthorized, "the key was withdrawn while the body arrived")
-	case key == "":
+	case c.gateway.options.Dialect.Key(c.http.Header) == "":
 		c.gateway.counters.keysAbsent.Inc()
 		c.refuseIfConfirmed(http.StatusUnauthorized, "the request has no key")
 	default:
@@ -60,19 +68,6 @@
 	return false
 }
 
-// statedOrganisation returns the organisation that the delegating VM found; nil if there is
-// none. One that this VM does not know has no limits here.
-func (c *call) statedOrganisation() *organisation.Organisation {
-	name := c.gateway.options.Dialect.Organisation(c.http.Header)
-	if name == "" {
-		return nil
-	}
-	if known := c.compiled.table.Organisations.ByName(name); known != nil {
-		return known
-	}
-	return &organisation.Organisation{Name: name}
-}
-
 // stateOrganisation replaces the key in the request to targets and other VMs by the name of the
 // organisation.
 func (c *call) stateOrganisation() {
--- a/internal/gateway/authenticate_test.go
+++ b/internal/gateway/authenticate_test.go
@@ -206,6 +206,13 @@
 	require.Contains(t, f.log.String(), `"configuration_age_ms":`)
 }
 
+// Guards against refusals before the check of the key that don't say whose request it was.
+func TestRefusalsBeforeTheCheckNameTheOrganisation(t *testing.T) {
+	f := newOrganisationFixture(t)
+	require.Equal(t, 404, f.send(t, "GET", "/none/x", firstKey, "", nil).StatusCode)
+	require.Contains(t, f.log.String(), `"organisation":"org \"1\""`)
+}
+
 // addOrganisations puts organisations in force at each VM.
 func addOrganisations(fixtures ...*fixture) {
 	for _, f := range fixtures {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -52,6 +52,7 @@
 	g := c.gateway
 	c.id = g.options.Dialect.RequestID(c.http.Header)
 	c.compiled = g.table(c.arrived)
+	c.organisation = c.identify()
 	table := c.compiled.table
 	if g.paused(c.arrived) {
 		c.notRun("this VM was paused and its configuration is not confirmed yet", pauseRetryAfter)
