--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -56,6 +57,8 @@
 	timeLimitMs string
 	// extraHeader is the value of a further header that callers send.
 	extraHeader string
+	// header holds other headers that callers send.
+	header http.Header
 }
 
 func recordBody(greatest byte) []byte {
@@ -132,6 +135,7 @@
 	r.Header.Set("X-Deadline-Ms", f.timeLimitMs)
 	r.Header.Set("X-Own", "kept")
 	r.Header.Set("X-Extra", f.extraHeader)
+	maps.Copy(r.Header, f.header)
 	response, err := f.server.Client().Do(r)
 	if err != nil {
 		return callerResponse{}, "", err
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -163,13 +163,13 @@
 	t.mu.Lock()
 	b := t.behavior
 	t.mu.Unlock()
-	id := r.Header.Get("X-Attempt-Id")
+	id, received := r.Header.Get("X-Attempt-Id"), r.Header.Clone()
 	w.Header().Set("X-Attempt-Id", id)
 	for name, values := range b.Header {
 		w.Header()[name] = values
 	}
 	t.mu.Lock()
-	t.arrivals = append(t.arrivals, Arrival{ID: id, At: time.Now(), Header: r.Header.Clone(), Leaving: b.Header.Get("Server-Leaving") != ""})
+	t.arrivals = append(t.arrivals, Arrival{ID: id, At: time.Now(), Header: received, Leaving: b.Header.Get("Server-Leaving") != ""})
 	t.mu.Unlock()
 	switch {
 	case r.Header.Get("X-Target-Instance") != t.ID:
@@ -191,7 +191,7 @@
 		}
 	}
 	t.mu.Lock()
-	t.runs = append(t.runs, Run{ID: id, Method: r.Method, URI: r.RequestURI, Body: body.String(), At: time.Now(), Header: r.Header.Clone()})
+	t.runs = append(t.runs, Run{ID: id, Method: r.Method, URI: r.RequestURI, Body: body.String(), At: time.Now(), Header: received})
 	n := len(t.runs)
 	t.mu.Unlock()
 	if b.CrashOn != "" && strings.Contains(r.RequestURI, b.CrashOn) {
