--- a/internal/rollout/comparison.go
+++ b/internal/rollout/comparison.go
@@ -21,7 +21,7 @@
 	// priorBad and priorReplies are what is added to the replies of the present version, so
 	// that few replies prove no low rate. The rate that is assumed is a standard deviation
 	// above the measured one, which varies from window to window.
-	priorBad, priorReplies = 1, 12
+	priorBad, priorReplies = 0.5, 12
 	// badEvidence is the logarithm of the odds at which a version is bad: some five failures
 	// among few replies where the present version has none.
 	badEvidence = 11.0
@@ -45,10 +45,8 @@
 	// start of the window.
 	before map[string][2]Counts
 	sums   map[Test]float64
-	// rates are the last known rates of the other versions.
-	rates map[Test]float64
-	// unknown counts the windows without a known rate.
-	unknown map[Test]int
+	// rates are the rates of the other versions.
+	rates map[Test]*rate
 }
 
 // Test is one test: of failures or of slow replies, on a route or on all (empty name).
@@ -89,7 +87,7 @@
 }
 
 func newComparison(order Order) *comparison {
-	return &comparison{order: order, before: map[string][2]Counts{}, sums: map[Test]float64{}, rates: map[Test]float64{}, unknown: map[Test]int{}}
+	return &comparison{order: order, before: map[string][2]Counts{}, sums: map[Test]float64{}, rates: map[Test]*rate{}}
 }
 
 // advance compares the replies of the window if it has ended.
@@ -133,40 +131,60 @@
 // gain returns the logarithm of the odds of a window's replies: that of the ordered version
 // being worse than the others, against it being as they are.
 func (c *comparison) gain(t Test, ordered, others Counts) float64 {
-	bad, lowest := ordered.Failures, minFailureRate
-	badOfOthers := others.Failures
+	bad, badOfOthers, lowest := ordered.Failures, others.Failures, minFailureRate
 	if t.Slow {
 		bad, badOfOthers, lowest = ordered.Slow(), others.Slow(), minSlowRate
 	}
-	usual, known := c.rates[t]
-	replies := float64(others.Replies) + priorReplies
-	rate := (float64(badOfOthers) + priorBad) / replies
-	rate += math.Sqrt(rate * max(1-rate, 0) / replies)
-	if others.Replies >= minOthers || known && others.Replies > 0 {
-		// The rate follows a rise at once and a fall slowly, as replies that were delayed by a
-		// shared fault arrive after it.
-		usual = max(rate, usual*rateDecay)
-	} else if !known {
-		if c.unknown[t]++; c.unknown[t] < maxUnknown {
-			return 0
-		}
-		usual = rate
+	r := c.rates[t]
+	if r == nil {
+		r = &rate{}
+		c.rates[t] = r
 	}
-	c.rates[t] = usual
-	if ordered.Replies == 0 {
+	r.advance(float64(badOfOthers), float64(others.Replies))
+	if ordered.Replies == 0 || !r.known() {
 		return 0
 	}
-	p0 := min(max(usual, lowest), 1-worseBy)
+	p0 := min(max(r.value, lowest), 1-worseBy)
 	p1 := p0 + (1-p0)*worseBy
 	good := ordered.Replies - min(bad, ordered.Replies)
 	return float64(bad)*math.Log(p1/p0) + float64(good)*math.Log((1-p1)/(1-p0))
 }
 
+// rate estimates the part of bad replies of the other versions in the present window.
+type rate struct {
+	// bad and replies are sums over the last windows.
+	bad, replies float64
+	windows      int
+	value        float64
+}
+
+// advance takes the replies of a window. The rate is that of the last windows, or of this one
+// if it is higher, as in a fault of both versions; a standard deviation is added. It falls
+// slowly, as replies that a shared fault delayed arrive after it.
+func (r *rate) advance(bad, replies float64) {
+	r.windows++
+	r.bad, r.replies = r.bad*memory+bad, r.replies*memory+replies
+	value := upper(r.bad+priorBad, r.replies+priorReplies)
+	if replies >= minOthers {
+		value = max(value, upper(bad, replies))
+	}
+	r.value = max(value, r.value*rateDecay)
+}
+
+func upper(bad, replies float64) float64 {
+	part := min(bad/replies, 1)
+	return part + math.Sqrt(part*(1-part)/replies)
+}
+
+func (r *rate) known() bool { return r.replies >= minOthers || r.windows >= maxUnknown }
+
 const (
+	// memory is the weight of the sums of replies after a further window: they cover some 3 s.
+	memory = 0.85
 	// rateDecay is what remains of the rate of the other versions after a window.
 	rateDecay = 0.6
-	// minOthers is the number of replies of the other versions in a window from which their
-	// rate is known. After maxUnknown windows without, it is assumed to be low.
+	// minOthers is the number of replies of the other versions from which their rate is known.
+	// After maxUnknown windows without, it is assumed to be low.
 	minOthers  = 5
 	maxUnknown = 6
 )
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -55,7 +55,10 @@
 }
 
 // NewGate returns the gate of an order that sends nothing to the ordered version yet.
-func NewGate(rollout *pb.Rollout) *Gate { return &Gate{rollout: rollout} }
+// The given number of VMs serve requests.
+func NewGate(rollout *pb.Rollout, vms int) *Gate {
+	return &Gate{rollout: rollout, credit: guardSlack / float64(max(vms, 1))}
+}
 
 // Update takes the newest state of the order, or a newer order, and the age of the
 // configuration that holds it.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -63,10 +63,14 @@
 	// guardShare is the part that a VM sends to the version at most before the requests are
 	// moved. The difference to exposureShare is for requests that VMs and targets count
 	// differently, as retries and those that are under way.
-	guardShare = 0.085
+	guardShare = 0.09
+	// exposureSlack is the number of requests that a version that turns out bad may get in
+	// addition, and guardSlack the number that all VMs together send at most.
+	exposureSlack = 50
+	guardSlack    = 25
 	// firstShare and secondShare are the shares of the first two steps.
 	firstShare  = 0.03
-	secondShare = 0.05
+	secondShare = 0.06
 	// maxLoadShare bounds the share of the third step, in which the targets in use get the
 	// load that they will have. The guard share at each VM bounds the sum.
 	maxLoadShare = 0.3
@@ -78,7 +82,7 @@
 	// are moved, and the completion is written. The old targets stop when it is written, so
 	// that all VMs must have moved by then: a change reaches all VMs in about a second. The
 	// rest is for a store that answers late.
-	moveReserve     = 3500 * time.Millisecond
+	moveReserve     = 3400 * time.Millisecond
 	completeReserve = 2400 * time.Millisecond
 	// minRampShare bounds the reserves of short ramps: the decision is not taken before this
 	// part of the ramp, and the move takes half of the rest.
