rollout: data path, evidence in heartbeats, decider in the daemon

Orders and statuses are read from the users' store and distributed with the configuration; targets know their version; the first choice of a target draws the version; a watching VM runs the decider and writes the status by compare-and-swap.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -78,6 +78,8 @@
 	Quarantine    Quarantine    // may be nil
 	TargetReports TargetReports // may be nil
 	TargetAdvice  TargetAdvice  // may be nil
+	// VersionEvidence may be nil.
+	VersionEvidence VersionEvidence
 	// OnPublish is called after a configuration was put in force. It must not block. May be nil.
 	OnPublish func()
 	Logger    zerolog.Logger
@@ -399,7 +401,7 @@
 	c.mergeGossip(r.GetSender(), r, now)
 	// The trace records the event without quarantine entries and target reports.
 	stripped, _ := proto.Clone(r).(*pb.HeartbeatRequest)
-	stripped.Quarantine, stripped.TargetReports, stripped.TargetAdvice = nil, nil, nil
+	stripped.Quarantine, stripped.TargetReports, stripped.TargetAdvice, stripped.VersionEvidence = nil, nil, nil, nil
 	response, ok := c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatReceived{HeartbeatReceived: stripped}})
 	if !ok || response == nil {
 		return &pb.HeartbeatResponse{}
@@ -407,6 +409,7 @@
 	response, _ = proto.Clone(response).(*pb.HeartbeatResponse)
 	gossip := c.gossipFor(r.GetSender().GetFailureDomain(), now)
 	response.Quarantine, response.TargetReports, response.TargetAdvice = gossip.quarantine, gossip.reports, gossip.advice
+	response.VersionEvidence = gossip.evidence
 	c.traffic.count(response, r)
 	return response
 }
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -12,6 +12,15 @@
 	quarantine []*pb.QuarantineEntry
 	reports    []*pb.TargetReport
 	advice     []*pb.TargetAdvice
+	evidence   []*pb.VersionEvidence
+}
+
+// VersionEvidence exchanges evidence on roll-outs with the other VMs. The data passes through control only and does
+// not affect its decisions. Implementations must be safe for concurrent use.
+type VersionEvidence interface {
+	// Updates returns the evidence to send in heartbeats.
+	Updates(now time.Time) []*pb.VersionEvidence
+	Merge(evidence []*pb.VersionEvidence, now time.Time)
 }
 
 // gossipMessage is a heartbeat or the response to one.
@@ -19,6 +28,7 @@
 	GetQuarantine() []*pb.QuarantineEntry
 	GetTargetReports() []*pb.TargetReport
 	GetTargetAdvice() []*pb.TargetAdvice
+	GetVersionEvidence() []*pb.VersionEvidence
 }
 
 // gossipFor returns the gossip to send to a VM of the given failure domain. Target reports are sent only to VMs of
@@ -34,6 +44,9 @@
 	if c.options.TargetAdvice != nil {
 		g.advice = c.options.TargetAdvice.Updates(now)
 	}
+	if c.options.VersionEvidence != nil {
+		g.evidence = c.options.VersionEvidence.Updates(now)
+	}
 	return g
 }
 
@@ -48,4 +61,7 @@
 	if c.options.TargetAdvice != nil {
 		c.options.TargetAdvice.Merge(message.GetTargetAdvice(), now)
 	}
+	if c.options.VersionEvidence != nil {
+		c.options.VersionEvidence.Merge(message.GetVersionEvidence(), now)
+	}
 }
--- a/internal/control/standby.go
+++ b/internal/control/standby.go
@@ -88,6 +88,14 @@
 	return order
 }
 
+// Watchers returns the VMs of one failure domain, of which it gets those that may own targets, that watch the store:
+// the first n in the order that all VMs derive.
+func Watchers(vms []string, n int) []string {
+	ordered := slices.Clone(vms)
+	sortByHash(ordered, "watch")
+	return ordered[:min(n, len(ordered))]
+}
+
 // isWatcher reports whether this VM is one of the watchers of its failure domain.
 func (m *machine) isWatcher() bool {
 	m.checkOrder()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/carawayreel/carawayreel/internal/platformclient"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/registry"
+	"github.com/carawayreel/carawayreel/internal/rollout"
 	"github.com/carawayreel/carawayreel/internal/server"
 	"github.com/carawayreel/carawayreel/internal/settings"
 	"github.com/carawayreel/carawayreel/internal/statement"
@@ -56,6 +57,10 @@
 	// members registers this VM in the store of the users' platform. It is nil
 	// with the product's own platform.
 	members *registry.Members
+	// rollouts holds the orders in force at this VM and the evidence on them. rolloutStore is
+	// where their status is written; nil with the product's own platform.
+	rollouts     *rollout.Board
+	rolloutStore rolloutStore
 	// gateway serves routes. It is nil if the settings have no route address.
 	gateway         *gateway.Gateway
 	routeServer     *transport.Server
@@ -125,12 +130,15 @@
 	store, list, source := d.newPlatform(platformHTTP)
 	d.targetHealth = health.NewTracker()
 	d.advice = advisory.NewBoard()
+	rolloutMetrics := metrics.NewSet()
+	metrics.RegisterSet(rolloutMetrics)
+	d.rollouts = rollout.NewBoard(rollout.Origin{VM: self.ID, Incarnation: self.Incarnation}, d.logger, rolloutMetrics)
 	d.quarantine = quarantine.New(quarantine.DefaultLimits())
 	d.peers = peer.New(self.ID, client, settings.Limits.MaxRequestBytes)
 	var err error
 	d.control, err = control.New(control.Options{
 		Settings: settings, Self: self, Store: store, Source: source, VMList: list,
-		Peers: controlPeers{d.peers}, Quarantine: d.quarantine, TargetReports: d.targetHealth, TargetAdvice: d.advice,
+		Peers: controlPeers{d.peers}, Quarantine: d.quarantine, TargetReports: d.targetHealth, TargetAdvice: d.advice, VersionEvidence: d.rollouts,
 		OnPublish: d.notifyGateway, Logger: d.logger, Trace: d.traces.control.writer(),
 	})
 	if err != nil {
@@ -250,6 +258,9 @@
 	if d.gateway != nil {
 		supervisor.Add(d.gateway)
 	}
+	if d.rolloutStore != nil && d.gateway != nil {
+		supervisor.Add(newRolloutRunner(d))
+	}
 	for _, service := range extra {
 		supervisor.Add(service)
 	}
--- a/internal/daemon/userplatform.go
+++ b/internal/daemon/userplatform.go
@@ -33,6 +33,7 @@
 	listed := &pb.ListedVm{
 		Vm: self.ID, FailureDomain: self.FailureDomain, PeerAddress: self.PeerAddress, State: pb.VmState_VM_STATE_LIVE,
 	}
+	d.rolloutStore = store
 	d.members = registry.NewMembers(store, listed, d.watchesStore, d.logger)
 	return userPlatform{Members: d.members, source: registry.NewSource(store, d.logger)}
 }
--- a/internal/fanout/choose.go
+++ b/internal/fanout/choose.go
@@ -43,9 +43,21 @@
 // target: if it is not sent, it must be refunded. Unreachable targets are left out; targets
 // ejected for failures are a last resort.
 func (m *Machine) chooseTarget(l *leg) *routing.Target {
+	best := m.chooseVersion(l)
+	// A target at its rate limit is left out for the length of a backoff.
+	if best != nil && !m.admit(best) {
+		l.leaveOut(best.ID, m.now.Add(retryBackoff))
+		return m.chooseTarget(l)
+	}
+	return best
+}
+
+// cheapest returns the target with the lowest cost among those of the list that the leg may
+// use, or nil if there is none.
+func (m *Machine) cheapest(l *leg, targets []*routing.Target) *routing.Target {
 	var best *routing.Target
 	lowest := math.Inf(1)
-	for _, target := range l.service.Targets {
+	for _, target := range targets {
 		if !l.mayUse(target.ID, m.in.Route.MaxTargets, m.now) {
 			continue
 		}
@@ -57,11 +69,6 @@
 			best, lowest = target, cost
 		}
 	}
-	// A target at its rate limit is left out for the length of a backoff.
-	if best != nil && !m.admit(best) {
-		l.leaveOut(best.ID, m.now.Add(retryBackoff))
-		return m.chooseTarget(l)
-	}
 	return best
 }
 
--- a/internal/fanout/leg.go
+++ b/internal/fanout/leg.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/rollout"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
@@ -20,7 +21,11 @@
 // leg is the part of a request that one service serves.
 type leg struct {
 	service *routing.Service
-	reply   *backend.Reply
+	// drawn is true once the version of the first attempt has been chosen, and choice is what
+	// the leg may use during a roll-out.
+	drawn  bool
+	choice rollout.Choice
+	reply  *backend.Reply
 	// failure is the last reply that says that the target failed.
 	failure  *backend.Reply
 	attempts []targetAttempts
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -196,6 +196,7 @@
 		m.shared.recordReply(m.in.Route, at.Sub(a.sentAt))
 	}
 	m.content.ended(a, reply, err, m.now)
+	m.recordVersion(a, reply, outcome, at.Sub(a.sentAt))
 	return outcome
 }
 
@@ -206,6 +207,7 @@
 	m.legs[a.leg].end(a.target.ID, true, now)
 	a.target.Health.End(a.sentAt, now, outcome, m.latencies.typical)
 	m.content.abandoned(a, now)
+	m.recordAbandoned(a, now)
 }
 
 // Tick handles the timers that are due.
--- a/internal/fanout/shared_state.go
+++ b/internal/fanout/shared_state.go
@@ -7,6 +7,7 @@
 	"github.com/carawayreel/carawayreel/internal/advisory"
 	"github.com/carawayreel/carawayreel/internal/coordinator/latency"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
+	"github.com/carawayreel/carawayreel/internal/rollout"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
@@ -36,6 +37,8 @@
 type SharedState struct {
 	guard  *quarantine.Guard
 	advice *advisory.Board
+	// rollouts holds the orders to move services to another version; nil if there are none.
+	rollouts *rollout.Board
 
 	mu           sync.Mutex
 	limits       Limits
@@ -56,6 +59,9 @@
 	}
 }
 
+// SetRollouts sets the board of roll-outs. It must be called before the first request.
+func (s *SharedState) SetRollouts(board *rollout.Board) { s.rollouts = board }
+
 // SetLimits sets the limits of extra requests.
 func (s *SharedState) SetLimits(limits Limits) {
 	s.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/carawayreel/carawayreel/internal/health"
 	"github.com/carawayreel/carawayreel/internal/pause"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
+	"github.com/carawayreel/carawayreel/internal/rollout"
 	"github.com/carawayreel/carawayreel/internal/routing"
 	"github.com/carawayreel/carawayreel/internal/view"
 )
@@ -75,6 +76,8 @@
 	Advice *advisory.Board
 	// Guard decides on requests that may crash targets; nil uses one of the gateway's own.
 	Guard *quarantine.Guard
+	// Rollouts holds the orders to move services to another version; nil if there are none.
+	Rollouts *rollout.Board
 	// Announcer tells other VMs what the guard finds; may be nil.
 	Announcer Announcer
 	// Pauses detects pauses of this process; nil uses a detector of the gateway's own.
@@ -133,6 +136,7 @@
 	if g.pauses == nil {
 		g.pauses = pause.NewDetector(pauseThreshold)
 	}
+	g.fanoutState.SetRollouts(options.Rollouts)
 	drain := time.Duration(options.Settings.GetRoutes().GetDrainMs()) * time.Millisecond
 	options.Advice.SetGrace(time.Duration(leavingShare * float64(drain)))
 	self := options.Views.Current().Self
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -39,6 +39,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.options.Rollouts.Confirm(current.ConfirmedAt)
 	next := &compiledTable{view: current, vms: sharingVMs(current)}
 	gatherers := g.gatherers(current)
 	next.gatherers, next.gathers = len(gatherers), containsVM(gatherers, current.Self.ID)
@@ -113,6 +114,7 @@
 	replacedAt := current.LastInForce(g.compiledFrom.GetRevision())
 	next.table = g.compiler.Compile(current.Configuration, next.vms, replacedAt, now)
 	next.validUntil = g.compiler.NextChange()
+	g.options.Rollouts.Apply(current.Configuration.GetRollouts(), next.vms, now)
 	g.compiledFrom = current.Configuration
 	g.fanoutState.SetLimits(next.limits(g.settings.Load()))
 	g.fanoutState.Retain(next.table)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -34,8 +34,8 @@
 )
 
 // Entry is one key of the store with its decoded value. At most one of RouteTable,
-// Registration and DomainTakenOut is set; none is set if the value could not be
-// decoded or the key was deleted.
+// Registration, DomainTakenOut, Rollout and RolloutStatus is set; none is set if the value
+// could not be decoded or the key was deleted.
 type Entry struct {
 	Key string
 	// Revision is the store revision of the key's last change.
@@ -49,6 +49,10 @@
 	Sequence     uint64
 	// DomainTakenOut is the name of a failure domain that is out of service.
 	DomainTakenOut string
+	// Rollout is an operator's order, of which service, version and ramp are set, and
+	// RolloutStatus the status of one, without its revision.
+	Rollout       *pb.Rollout
+	RolloutStatus *pb.Rollout
 	// Problem describes why the value could not be decoded.
 	Problem string
 }
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -30,6 +30,7 @@
 	// takenOut holds the names of the failure domains taken out of service, by the keys
 	// of their entries.
 	takenOut map[string]string
+	rollouts rollouts
 	// removals holds all removals after the revision removalsSince.
 	removals      []*pb.Removal
 	removalsSince uint64
@@ -45,7 +46,7 @@
 // newStoreState returns an empty state. It keeps the route table of the previous
 // state, which remains active until a readable one is found.
 func newStoreState(previous *storeState, logger zerolog.Logger) *storeState {
-	s := &storeState{logger: logger, registrations: map[string]sequencedRegistration{}, takenOut: map[string]string{}}
+	s := &storeState{logger: logger, registrations: map[string]sequencedRegistration{}, takenOut: map[string]string{}, rollouts: newRollouts()}
 	if previous != nil {
 		s.table = previous.table
 	}
@@ -93,6 +94,8 @@
 		return !known
 	case entry.Registration != nil:
 		return s.applyRegistration(entry)
+	case entry.Rollout != nil, entry.RolloutStatus != nil:
+		return s.rollouts.apply(entry)
 	default:
 		return s.applyRemoval(entry)
 	}
@@ -153,6 +156,9 @@
 // applyRemoval deletes the failure domain or target stored under the key. The route
 // table stays active, since operators replace it but never delete it.
 func (s *storeState) applyRemoval(entry Entry) bool {
+	if s.rollouts.remove(entry) {
+		return true
+	}
 	if _, ok := s.takenOut[entry.Key]; ok {
 		delete(s.takenOut, entry.Key)
 		return true
@@ -182,6 +188,7 @@
 		Registrations: make([]*pb.Registration, 0, len(s.registrations)),
 		Removals:      slices.Clone(s.removals),
 		RemovalsSince: s.removalsSince,
+		Rollouts:      s.rollouts.configuration(),
 	}
 	for _, registration := range s.registrations {
 		c.Registrations = append(c.Registrations, registration.Registration)
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -99,11 +100,11 @@
 	d.status = status
 }
 
-// refusedBefore returns the versions that were rolled back until an order for the given
-// version, according to the status of the order before it.
+// refusedBefore returns the versions that were rolled back, or not decided, until an order for
+// the given version, according to the status of the order before it.
 func refusedBefore(status Status, version string) []string {
 	refused := slices.Clone(status.Refused)
-	if status.State == pb.RolloutState_ROLLOUT_STATE_ROLLED_BACK {
+	if status.State != pb.RolloutState_ROLLOUT_STATE_COMPLETED {
 		refused = append(refused, status.Version)
 	}
 	refused = slices.DeleteFunc(refused, func(v string) bool { return v == version })
@@ -186,11 +187,19 @@
 // Status means that there is none.
 func (d *Decider) Stored(status Status, now time.Time) {
 	d.unconfirmed = false
-	if status.Revision > d.status.Revision {
+	switch {
+	case status.Revision > d.status.Revision:
 		d.adopt(status, now)
+	case status.Revision == 0:
+		// The entry does not exist, or was deleted: the next write creates it.
+		d.status.Revision = 0
 	}
 }
 
+// Advance compares the replies of a window that has ended. Next does so, too; a runtime that
+// waits for the store calls Advance instead.
+func (d *Decider) Advance(now time.Time) { d.comparison.advance(d.pool, now) }
+
 // NotWritten takes the result of a write that certainly had no effect.
 func (d *Decider) NotWritten() { d.unconfirmed = false }
 
@@ -274,3 +283,21 @@
 	}
 	return fmt.Sprintf("the ordered version %s more often on %s (evidence %.1f of %.1f)", kind, route, evidence, badEvidence)
 }
+
+// Total is the sum of the replies of one version on one route at all VMs.
+type Total struct {
+	Group
+	Counts
+}
+
+// Totals returns the replies that the decider knows, by route and version.
+func (d *Decider) Totals() []Total {
+	totals := make([]Total, 0, len(d.pool.totals))
+	for group, counts := range d.pool.totals {
+		totals = append(totals, Total{Group: group, Counts: counts})
+	}
+	slices.SortFunc(totals, func(a, b Total) int {
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Version, b.Version))
+	})
+	return totals
+}
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -7,14 +7,15 @@
 )
 
 // classBounds are the upper bounds of the classes of reply times, as multiples of the usual
-// reply time of the route; the last class has none. Replies of the classes from slowClass
+// reply time of the route; the last class has none. Replies of the classes from SlowClass
 // on are slow: several times the usual time, beyond what a pause of a target adds often.
 var classBounds = [...]float64{1.5, 2.5, 5, 10}
 
 const (
 	// Classes is the number of classes of reply times.
-	Classes   = len(classBounds) + 1
-	slowClass = 2
+	Classes = len(classBounds) + 1
+	// SlowClass is the first class of slow replies.
+	SlowClass = 2
 )
 
 // ClassOf returns the class of a reply time on a route with the given usual reply time.
@@ -39,7 +40,7 @@
 // Slow returns the number of slow replies.
 func (c Counts) Slow() uint64 {
 	slow := uint64(0)
-	for _, n := range c.Times[slowClass:] {
+	for _, n := range c.Times[SlowClass:] {
 		slow += n
 	}
 	return slow
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -97,7 +97,7 @@
 	// before it should have written: a write and its distribution take less.
 	takeoverDelay = 500 * time.Millisecond
 	// maxCandidates bounds the VMs that write the status of an order.
-	maxCandidates = 4
+	maxCandidates = 8
 	// handicapRanks is by how many places a candidate that started after the order stands
 	// back for handicapTime, in which it gathers evidence.
 	handicapRanks = 1
--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -204,7 +204,7 @@
 		counts.Times[class]++
 	}
 	s.counts[vm][group] = counts
-	bad := fails || class >= slowClass
+	bad := fails || class >= SlowClass
 	if group.Version != simOrdered {
 		return
 	}
@@ -288,4 +288,3 @@
 		})
 	}
 }
-
--- a/internal/routing/compiler.go
+++ b/internal/routing/compiler.go
@@ -10,6 +10,7 @@
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/health"
 	"github.com/carawayreel/carawayreel/internal/organisation"
+	"github.com/carawayreel/carawayreel/internal/rollout"
 )
 
 // Compiler compiles successive configurations into tables. The health of a target is
@@ -74,8 +75,10 @@
 	c.updateEntries(configuration.GetRegistrations(), replacedAt, now)
 	takenOut := takenOutDomains(configuration)
 	declared := servicesByName(routes)
+	rollouts := rolloutsByService(configuration)
 	for id, e := range c.entries {
-		withdrawn := !ready(e.registration) || takenOut[e.registration.FailureDomain]
+		withdrawn := !ready(e.registration) || takenOut[e.registration.FailureDomain] ||
+			rollout.Excludes(rollouts[e.registration.Service], e.registration.SoftwareVersion)
 		e.withdrawn.Store(withdrawn)
 		service, used := table.services[e.registration.Service]
 		if !used || withdrawn {
@@ -152,7 +155,7 @@
 			ID: r.Id, Started: r.StartedUnixMs, Address: r.Address,
 			Connections: connectionShare(service.GetMaxConnections(), vms),
 		},
-		Service: r.Service, FailureDomain: r.FailureDomain, Slots: r.Slots,
+		Service: r.Service, FailureDomain: r.FailureDomain, Version: r.SoftwareVersion, Slots: r.Slots,
 		ColdPerSecond: service.GetColdRequestsPerS(),
 		LapsedUntil:   e.lapsedUntil, withdrawn: e.withdrawn, Health: e.health,
 	}
@@ -194,6 +197,14 @@
 	return domains
 }
 
+func rolloutsByService(c *pb.Configuration) map[string]*pb.Rollout {
+	rollouts := make(map[string]*pb.Rollout, len(c.GetRollouts()))
+	for _, r := range c.GetRollouts() {
+		rollouts[r.Service] = r
+	}
+	return rollouts
+}
+
 func servicesByName(table *pb.RouteTable) map[string]*pb.RouteService {
 	services := make(map[string]*pb.RouteService, len(table.GetServices()))
 	for _, service := range table.GetServices() {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -62,8 +62,10 @@
 	backend.Target
 	Service       string
 	FailureDomain string
-	Distance      Distance
-	Slots         uint32
+	// Version is the version of the target's software; empty if it is not known.
+	Version  string
+	Distance Distance
+	Slots    uint32
 	// ColdUntil is when the target's cold start ends; zero if it is warm.
 	ColdUntil time.Time
 	// ColdPerSecond bounds the requests per second from all VMs to the target while it
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -73,6 +73,11 @@
 func (s *Store) appendItem(entry item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.append(entry)
+}
+
+// append adds an item at the next revision. s.mu must be held.
+func (s *Store) append(entry item) {
 	entry.Revision = s.revision() + 1
 	s.history = append(s.history, entry)
 	close(s.changed)
@@ -159,19 +164,54 @@
 	writeJSON(w, map[string]any{"items": items, "has_more": hasMore, "as_of": s.revision()})
 }
 
-// serveWrite applies the writes of a transaction. It ignores conditions and leases.
+// serveWrite applies the writes of a transaction if its conditions hold. It ignores leases,
+// and refuses writes to the keys of operators and targets.
 func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request) {
 	var transaction struct {
-		Writes []item `json:"writes"`
+		Conditions []item `json:"if_revision"`
+		Writes     []item `json:"writes"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&transaction); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	for _, entry := range transaction.Writes {
-		s.appendItem(item{Key: entry.Key, Value: entry.Value})
+		if strings.HasPrefix(entry.Key, "op/") || strings.HasPrefix(entry.Key, "servers/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var failed []item
+	for _, condition := range transaction.Conditions {
+		if latest := s.latest(condition.Key); latest.Revision != condition.Revision {
+			failed = append(failed, latest)
+		}
+	}
+	if len(failed) > 0 {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		writeJSON(w, map[string]any{"items": failed})
+		return
+	}
+	for _, entry := range transaction.Writes {
+		s.append(item{Key: entry.Key, Value: entry.Value})
+	}
+	writeJSON(w, map[string]uint64{"revision": s.revision()})
+}
+
+// latest returns the present item of a key; its revision is zero if the key does not exist.
+// s.mu must be held.
+func (s *Store) latest(key string) item {
+	for i := len(s.history) - 1; i >= 0; i-- {
+		if entry := s.history[i]; entry.Key == key {
+			if entry.Tombstone {
+				return item{Key: key}
+			}
+			return entry
+		}
 	}
-	writeJSON(w, map[string]int{"revision": 1})
+	return item{Key: key}
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +24,10 @@
 	Delay time.Duration
 	// Status replaces status 200 unless it is zero.
 	Status int
+	// FailPart and SlowPart are the parts of requests, 0 to 1, that are answered with status
+	// 500, or with SlowDelay in place of Delay.
+	FailPart, SlowPart float64
+	SlowDelay          time.Duration
 	// Shed rejects requests with status 503 without running them.
 	Shed bool
 	// ResetAfterRun runs the request and resets the connection instead of responding.
@@ -41,6 +46,9 @@
 type Target struct {
 	ID, Service, Domain string
 	Server              *httptest.Server
+	// Version is the version of the target's software, "v1" unless it is set before the
+	// target registers.
+	Version string
 	// Records is the body of the response to each executed request.
 	Records []byte
 
@@ -57,7 +65,7 @@
 
 // NewTarget starts a target on a free port of the loopback interface.
 func NewTarget(id, service, domain string, records []byte) *Target {
-	t := &Target{ID: id, Service: service, Domain: domain, Records: records}
+	t := &Target{ID: id, Service: service, Domain: domain, Version: "v1", Records: records}
 	listener, err := newCrashListener()
 	if err != nil {
 		panic(err)
@@ -114,7 +122,7 @@
 	boots := t.boots
 	t.mu.Unlock()
 	s.Put("servers/"+t.ID, map[string]any{
-		"service": t.Service, "address": t.Server.Listener.Addr().String(), "zone": t.Domain, "version": "v1",
+		"service": t.Service, "address": t.Server.Listener.Addr().String(), "zone": t.Domain, "version": t.Version,
 		"slots": 2, "state": state, "cold_left_ms": 0, "seq": sequence, "born": 1000 + boots,
 	})
 }
@@ -203,6 +211,12 @@
 		resetConnection(w)
 		return
 	}
+	if rand.Float64() < b.SlowPart {
+		b.Delay = b.SlowDelay
+	}
+	if rand.Float64() < b.FailPart {
+		b.Status = http.StatusInternalServerError
+	}
 	select {
 	case <-time.After(b.Delay):
 	case <-r.Context().Done():
--- a/internal/testkit/users.go
+++ b/internal/testkit/users.go
@@ -120,7 +120,13 @@
 
 // AddTarget starts a target and registers it as ready.
 func (d *UsersDeployment) AddTarget(id, service, domain string, records []byte) *users.Target {
+	return d.AddTargetVersion(id, service, domain, "v1", records)
+}
+
+// AddTargetVersion is AddTarget with the version of the target's software.
+func (d *UsersDeployment) AddTargetVersion(id, service, domain, version string, records []byte) *users.Target {
 	target := users.NewTarget(id, service, domain, records)
+	target.Version = version
 	d.Targets[id] = target
 	d.Store.Register(target, users.Ready, 1)
 	return target
