--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -74,6 +74,7 @@
 	TakeOut     takeOutCommand     `cmd:"" help:"Take a failure domain or target out of service."`
 	BringBack   bringBackCommand   `cmd:"" help:"Bring a failure domain or target back into service."`
 	Status      statusCommand      `cmd:"" help:"Show VMs, owners, ramps, budgets and the configuration's age."`
+	Rollout     rolloutCommand     `cmd:"" help:"Show the roll-outs of services to other versions."`
 	VMs         vmsCommand         `cmd:"" name:"vms" help:"List the VMs of the deployment."`
 	Explain     explainCommand     `cmd:"" help:"Show the decisions taken for a request, with their reasons."`
 	Prompt      promptCommand      `cmd:"" help:"Read statements interactively."`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -217,7 +217,7 @@
 	middleware := auth.NewMiddleware(key, d.logger)
 	admin := server.NewAdmin(server.AdminOptions{
 		Control: d.control, Owner: d.owner, Peers: d.peers, Records: d.changes,
-		Budget: d.coordinator, Quarantine: d.quarantine, Decisions: decisions,
+		Budget: d.coordinator, Quarantine: d.quarantine, Rollouts: d.rollouts, Decisions: decisions,
 	})
 	roles := server.Roles{
 		Searcher: d.coordinator, Changes: d.changes, Owner: d.owner, Control: d.control,
--- a/internal/rollout/board.go
+++ b/internal/rollout/board.go
@@ -125,9 +125,6 @@
 	before := s.rollout
 	s.rollout = r
 	s.gate.Update(r, b.age(now))
-	if final(r.State) {
-		s.forget()
-	}
 	if before != nil && before.OrderRevision == r.OrderRevision && before.State == r.State && before.Share == r.Share && before.Answer == r.Answer {
 		return
 	}
--- a/internal/rollout/exchange.go
+++ b/internal/rollout/exchange.go
@@ -33,10 +33,8 @@
 			continue
 		}
 		for group, r := range s.own {
+			r.orderAge = now.Sub(s.seenAt)
 			list = appendChange(list, b.self, s.rollout, group, r, now)
-			if n := len(list); n > 0 && list[n-1].origin == b.self {
-				list[n-1].message.OrderAgeMs = uint32(now.Sub(s.seenAt).Milliseconds())
-			}
 		}
 		for origin, groups := range s.others {
 			for group, r := range groups {
@@ -54,7 +52,6 @@
 
 // change is evidence that changed lately.
 type change struct {
-	origin  Origin
 	at      time.Time
 	message *pb.VersionEvidence
 }
@@ -63,7 +60,7 @@
 	if now.Sub(r.changedAt) > forwardFor {
 		return list
 	}
-	return append(list, change{origin: origin, at: r.changedAt, message: &pb.VersionEvidence{
+	return append(list, change{at: r.changedAt, message: &pb.VersionEvidence{
 		Vm: origin.VM, Incarnation: origin.Incarnation, Service: order.Service, OrderRevision: order.OrderRevision,
 		Route: group.Route, Version: group.Version, Replies: r.Replies, Failures: r.Failures,
 		ReplyTimes: slices.Clone(r.Times[:]), OrderAgeMs: uint32(r.orderAge.Milliseconds()),
@@ -102,9 +99,7 @@
 	if known != nil && u.GetReplies() <= known.Replies {
 		return
 	}
-	next := &report{changedAt: now, orderAge: time.Duration(u.GetOrderAgeMs()) * time.Millisecond}
-	next.Replies, next.Failures = u.GetReplies(), u.GetFailures()
-	copy(next.Times[:], u.GetReplyTimes())
+	next := &report{Counts: CountsOf(u), changedAt: now, orderAge: time.Duration(u.GetOrderAgeMs()) * time.Millisecond}
 	groups[group] = next
 	// The sender knew the order before this VM did.
 	if seen := now.Add(-next.orderAge); seen.Before(s.seenAt) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -76,6 +76,28 @@
 
 // When a store was unavailable for longer than the lifetime of registrations, it comes
 // back without them. The targets are still alive and register again.
+// Guards against requests to a version that no order allows, and against a service without an
+// order whose targets of several versions are not all used.
+func TestVersionsThatNoOrderAllowsAreLeftOut(t *testing.T) {
+	old, next, refused := registration("old"), registration("next"), registration("refused")
+	old.SoftwareVersion, next.SoftwareVersion, refused.SoftwareVersion = "v1", "v2", "v0"
+	for state, want := range map[pb.RolloutState][]string{
+		pb.RolloutState_ROLLOUT_STATE_UNSPECIFIED: {"next", "old", "refused"},
+		pb.RolloutState_ROLLOUT_STATE_RUNNING:     {"next", "old"},
+		pb.RolloutState_ROLLOUT_STATE_ROLLED_BACK: {"old"},
+		pb.RolloutState_ROLLOUT_STATE_COMPLETED:   {"next"},
+	} {
+		c := configuration(old, next, refused)
+		compiler := routing.NewCompiler(health.NewTracker(), localVM, time.Second)
+		before := compiler.Compile(c, 1, start, start).Target("next")
+		if state != pb.RolloutState_ROLLOUT_STATE_UNSPECIFIED {
+			c.Rollouts = []*pb.Rollout{{Service: "s", Version: "v2", State: state, RefusedVersions: []string{"v0"}}}
+		}
+		require.Equal(t, want, targets(compiler.Compile(c, 1, start, start)), state)
+		require.Equal(t, state != pb.RolloutState_ROLLOUT_STATE_ROLLED_BACK, before.Usable(start), "requests under way know, too")
+	}
+}
+
 func TestTargetStaysAsLapsedWhenItsRegistrationEndsWithoutNotice(t *testing.T) {
 	compiler := routing.NewCompiler(health.NewTracker(), localVM, time.Second)
 	compiler.Compile(configuration(registration("x")), 1, start, start)
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -56,6 +56,11 @@
 	Quarantined(now time.Time) []uint64
 }
 
+// RolloutReporter returns the state of the roll-outs and the evidence on them.
+type RolloutReporter interface {
+	Status(now time.Time) []*pb.RolloutReport
+}
+
 // AdminOptions holds the roles that an Admin queries and changes.
 type AdminOptions struct {
 	Control    AdminControl
@@ -64,6 +69,7 @@
 	Records    RecordCounter
 	Budget     BudgetReporter
 	Quarantine QuarantineReporter
+	Rollouts   RolloutReporter // may be nil
 	Decisions  *decision.Log
 }
 
@@ -135,6 +141,9 @@
 	for _, digest := range a.options.Quarantine.Quarantined(time.Now()) {
 		response.Quarantined = append(response.Quarantined, fmt.Sprintf("%016x", digest))
 	}
+	if a.options.Rollouts != nil {
+		response.Rollouts = a.options.Rollouts.Status(time.Now())
+	}
 	if r.Msg.All {
 		response.Targets = append(response.Targets, a.remoteTargets(ctx, current)...)
 	}
--- a/internal/statement/show.go
+++ b/internal/statement/show.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"connectrpc.com/connect"
@@ -174,6 +175,23 @@
 	return report.Success("STATUS", sections, report.StatusNotes(status), r.now().Sub(start), start), nil
 }
 
+// Rollouts reports the roll-outs of services to other versions; an empty name selects all.
+func (r *Runner) Rollouts(ctx context.Context, service string) (*report.Report, error) {
+	start := r.now()
+	status, err := r.status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rollouts := slices.DeleteFunc(slices.Clone(status.Rollouts), func(known *pb.RolloutReport) bool {
+		return service != "" && known.GetRollout().GetService() != service
+	})
+	if service != "" && len(rollouts) == 0 {
+		return r.refused("ROLL-OUTS", "no roll-out of the service "+service+" is known", start), nil
+	}
+	sections := []report.Section{report.Rollouts(rollouts), report.RolloutEvidence(rollouts), report.RolloutTests(rollouts)}
+	return report.Success("ROLL-OUTS", sections, report.StatusNotes(status), r.now().Sub(start), start), nil
+}
+
 // showCoverage probes a front with a one-row search, because the configuration
 // alone does not tell which coverage searches currently get.
 func (r *Runner) showCoverage(ctx context.Context, front string) (*report.Report, error) {
