--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -259,3 +259,14 @@
 	require.Equal(t, 2, got.code)
 	require.Contains(t, got.stderr, "was not run")
 }
+
+// Guards against a roll-out that is shown without the reason and the figures it was decided by.
+func TestRolloutStatusShowsTheEvidence(t *testing.T) {
+	vm := startVM(t, nil)
+	got := runTool(t, vm.address, "", "rollout", "status", "s")
+	require.Equal(t, 0, got.code)
+	for _, text := range []string{"ROLLED BACK", "fails more often", "35.0", "20.0", "15.2"} {
+		require.Contains(t, got.stdout, text)
+	}
+	require.Equal(t, 4, runTool(t, vm.address, "", "rollout", "status", "other").code)
+}
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -138,6 +138,10 @@
 		Vm: "vm-a-1", FailureDomain: "a", Ready: true, HedgeBudgetLeft: 17, ConfigurationAgeMs: 700,
 		Members: []*pb.Member{{Vm: "vm-a-1", FailureDomain: "a"}},
 		Targets: []*pb.TargetStatusReport{{Target: "t-1", Front: "f", Service: "s", Owner: "vm-a-1", Phase: pb.TargetPhase_TARGET_PHASE_RAMP}},
+		Rollouts: []*pb.RolloutReport{{
+			Rollout: &pb.Rollout{Service: "s", Version: "v2", State: pb.RolloutState_ROLLOUT_STATE_ROLLED_BACK, Reason: "fails more often", Evidence: []*pb.RolloutEvidence{{Route: "r", Sum: 15.2}}},
+			Totals:  []*pb.VersionEvidence{{Route: "r", Version: "v2", Replies: 20, Failures: 7, ReplyTimes: []uint64{9, 0, 4}}},
+		}},
 	}), nil
 }
 
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -198,8 +198,9 @@
 	}
 	candidates := make([]string, 0, len(domains)*r.watchers)
 	for domain := range domains {
-		var names []string
-		for _, vm := range current.DomainVMs(domain) {
+		vms := current.DomainVMs(domain)
+		names := make([]string, 0, len(vms))
+		for _, vm := range vms {
 			names = append(names, vm.ID)
 		}
 		candidates = append(candidates, control.Watchers(names, r.watchers)...)
--- a/internal/fanout/finish.go
+++ b/internal/fanout/finish.go
@@ -140,6 +140,9 @@
 	m.actions.WakeAt = at
 }
 
+// due reports whether a timer is set and has expired.
+func due(at, now time.Time) bool { return !at.IsZero() && !now.Before(at) }
+
 // earlier returns the earlier time, ignoring b if it is zero.
 func earlier(a, b time.Time) time.Time {
 	if !b.IsZero() && b.Before(a) {
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -229,9 +229,6 @@
 	return m.finishEvent()
 }
 
-// due reports whether a timer is set and has expired.
-func due(at, now time.Time) bool { return !at.IsZero() && !now.Before(at) }
-
 func (m *Machine) startEvent(now time.Time) {
 	m.now = now
 	m.actions = Actions{}
--- a/internal/fanout/version.go
+++ b/internal/fanout/version.go
@@ -101,6 +101,10 @@
 	r := rollout.Reply{Service: name, Route: m.in.Route.Name, Version: a.target.Version}
 	switch outcome {
 	case health.Lost:
+		// A failure domain that is cut off shows nothing about a version.
+		if a.target.Health.DomainUnreachable(m.now) {
+			return
+		}
 		r.Failed = true
 	case health.Failed:
 		r.Failed = reply.Status >= serverFailureStatus || reply.Spoiled()
@@ -117,10 +121,12 @@
 // serverFailureStatus is the lowest HTTP status of a failure of the target.
 const serverFailureStatus = 500
 
-// recordAbandoned counts an attempt that was given up if it was slow by then.
+// recordAbandoned counts an attempt that was given up if it was slow by then, unless its
+// target cannot be reached.
 func (m *Machine) recordAbandoned(a *attempt, now time.Time) {
 	name := a.target.Service
-	if !m.shared.rollouts.Observes(name) || now.Before(a.target.ColdUntil) {
+	if !m.shared.rollouts.Observes(name) || now.Before(a.target.ColdUntil) ||
+		a.target.Health.DomainUnreachable(now) || a.target.Health.Unreached() {
 		return
 	}
 	class := rollout.ClassOf(now.Sub(a.sentAt), m.latencies.typical)
--- a/internal/rollout/comparison.go
+++ b/internal/rollout/comparison.go
@@ -24,12 +24,12 @@
 	priorBad, priorReplies = 0.5, 12
 	// badEvidence is the logarithm of the odds at which a version is bad: some five failures
 	// among few replies where the present version has none.
-	badEvidence = 11.0
+	badEvidence = 10.0
 	// suspectEvidence is that at which the share is not raised, and closingEvidence that at
 	// which the version is rolled back when no time is left for more. With 4.5 for both, 9 of 120
 	// simulated roll-outs with a fault of both versions were rolled back.
 	suspectEvidence = 4.5
-	closingEvidence = 9.0
+	closingEvidence = 7.5
 	// windowEvidence bounds what one window adds, so that replies that one event lost, as the
 	// crash of a target, do not decide alone.
 	windowEvidence = 7.0
--- a/internal/rollout/exchange.go
+++ b/internal/rollout/exchange.go
@@ -34,15 +34,17 @@
 		}
 		for group, r := range s.own {
 			r.orderAge = now.Sub(s.seenAt)
-			list = appendChange(list, b.self, s.rollout, group, r, now)
+			list = b.appendChange(list, b.self, s.rollout, group, r, now)
 		}
 		for origin, groups := range s.others {
 			for group, r := range groups {
-				list = appendChange(list, origin, s.rollout, group, r, now)
+				list = b.appendChange(list, origin, s.rollout, group, r, now)
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b change) int { return cmp.Compare(b.at.UnixNano(), a.at.UnixNano()) })
+	slices.SortFunc(list, func(a, b change) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.at.UnixNano(), a.at.UnixNano()))
+	})
 	var updates []*pb.VersionEvidence
 	for _, c := range list[:min(len(list), maxPerMessage)] {
 		updates = append(updates, c.message)
@@ -50,17 +52,26 @@
 	return updates
 }
 
-// change is evidence that changed lately.
+// change is evidence that changed lately. Those of a lower class are sent first: this VM's
+// own, then those on the ordered versions, which are few.
 type change struct {
+	class   int
 	at      time.Time
 	message *pb.VersionEvidence
 }
 
-func appendChange(list []change, origin Origin, order *pb.Rollout, group Group, r *report, now time.Time) []change {
+func (b *Board) appendChange(list []change, origin Origin, order *pb.Rollout, group Group, r *report, now time.Time) []change {
 	if now.Sub(r.changedAt) > forwardFor {
 		return list
 	}
-	return append(list, change{at: r.changedAt, message: &pb.VersionEvidence{
+	class := 2
+	switch {
+	case origin == b.self:
+		class = 0
+	case group.Version == order.Version:
+		class = 1
+	}
+	return append(list, change{class: class, at: r.changedAt, message: &pb.VersionEvidence{
 		Vm: origin.VM, Incarnation: origin.Incarnation, Service: order.Service, OrderRevision: order.OrderRevision,
 		Route: group.Route, Version: group.Version, Replies: r.Replies, Failures: r.Failures,
 		ReplyTimes: slices.Clone(r.Times[:]), OrderAgeMs: uint32(r.orderAge.Milliseconds()),
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -110,6 +110,9 @@
 // Guards against a good version that is rolled back for faults that the other version has too,
 // or is completed late.
 func TestGoodVersionsAreCompletedInTime(t *testing.T) {
+	crashes := func(s *simulation, at time.Duration, _ int, _ float64) (bool, float64) {
+		return at > s.begins && at < s.begins+150*time.Millisecond, 1
+	}
 	during := func(s *simulation, at time.Duration) bool { return at > s.begins && at < s.begins+3*time.Second }
 	for name, both := range map[string]behavior{
 		"no fault": usual,
@@ -133,6 +136,10 @@
 			})
 		}
 	}
+	t.Run("the target in use crashes", func(t *testing.T) {
+		t.Parallel()
+		play(t, pb.RolloutState_ROLLOUT_STATE_COMPLETED, func(s *simulation) { s.ordered = crashes })
+	})
 }
 
 // Guards against a decider that never learns that its write took effect, and against two
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -166,9 +166,7 @@
 // ServeHTTP executes one request and records it, unless it is addressed to another
 // target or shed.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	t.mu.Lock()
-	b := t.behavior
-	t.mu.Unlock()
+	b := t.drawBehavior()
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
 	for name, values := range b.Header {
@@ -211,12 +209,6 @@
 		resetConnection(w)
 		return
 	}
-	if rand.Float64() < b.SlowPart {
-		b.Delay = b.SlowDelay
-	}
-	if rand.Float64() < b.FailPart {
-		b.Status = http.StatusInternalServerError
-	}
 	select {
 	case <-time.After(b.Delay):
 	case <-r.Context().Done():
@@ -232,6 +224,20 @@
 	_, _ = w.Write(t.Records)
 }
 
+// drawBehavior returns the behavior for one request.
+func (t *Target) drawBehavior() Behavior {
+	t.mu.Lock()
+	b := t.behavior
+	t.mu.Unlock()
+	if rand.Float64() < b.SlowPart {
+		b.Delay = b.SlowDelay
+	}
+	if rand.Float64() < b.FailPart {
+		b.Status = http.StatusInternalServerError
+	}
+	return b
+}
+
 // sendHead sends the head of the reply, and waits until it has arrived.
 func sendHead(w http.ResponseWriter, way time.Duration) {
 	w.WriteHeader(http.StatusOK)
