--- a/internal/rollout/comparison.go
+++ b/internal/rollout/comparison.go
@@ -30,9 +30,12 @@
 	// simulated roll-outs with a fault of both versions were rolled back.
 	suspectEvidence = 4.5
 	closingEvidence = 7.5
-	// windowEvidence bounds what one window adds, so that replies that one event lost, as the
-	// crash of a target, do not decide alone.
+	// windowEvidence bounds what one window adds, and maxEvidence the sum, so that good replies
+	// soon outweigh those that one event lost, as the crash of a target. The counts of the VMs
+	// arrive over a second, so that the evidence must last for provenAfter.
 	windowEvidence = 7.0
+	maxEvidence    = 15.0
+	provenAfter    = 1500 * time.Millisecond
 )
 
 // comparison tests whether the ordered version is worse than the others. For each route, and
@@ -125,7 +128,7 @@
 }
 
 func (c *comparison) add(t Test, gain float64) {
-	c.sums[t] = max(c.sums[t]+min(gain, windowEvidence), 0)
+	c.sums[t] = min(max(c.sums[t]+min(gain, windowEvidence), 0), maxEvidence)
 }
 
 // gain returns the logarithm of the odds of a window's replies: that of the ordered version
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -51,6 +51,9 @@
 	// rank is this VM's place among the candidates, and dueSince since when a write is due.
 	rank     int
 	dueSince time.Time
+	// suspectSince is since when the evidence speaks against the version; zero while it does
+	// not.
+	suspectSince time.Time
 	// repeated is true if the version was completed by the order before this one.
 	repeated bool
 }
@@ -214,7 +217,7 @@
 	case d.repeated:
 		next.State, next.Share, next.Reason = pb.RolloutState_ROLLOUT_STATE_COMPLETED, 1, "the order before this one completed the same version"
 		return next
-	case evidence >= badEvidence:
+	case d.proven(evidence, now):
 		return rolledBack(next, where.describe(evidence))
 	case gone:
 		return rolledBack(next, "the ordered version has no targets any more")
@@ -241,6 +244,20 @@
 	return next
 }
 
+// proven reports whether the evidence suffices for a roll-back and has spoken against the
+// version for some time, so that it is not from one event. While all requests are moved there
+// is no time to wait.
+func (d *Decider) proven(evidence float64, now time.Time) bool {
+	switch {
+	case evidence < suspectEvidence:
+		d.suspectSince = time.Time{}
+		return false
+	case d.suspectSince.IsZero():
+		d.suspectSince = now
+	}
+	return evidence >= badEvidence && (d.status.Share >= 1 || now.Sub(d.suspectSince) >= provenAfter)
+}
+
 func rolledBack(next Status, reason string) Status {
 	next.State, next.Share, next.Reason = pb.RolloutState_ROLLOUT_STATE_ROLLED_BACK, 0, reason
 	return next
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -82,8 +82,8 @@
 	// are moved, and the completion is written. The old targets stop when it is written, so
 	// that all VMs must have moved by then: a change reaches all VMs in about a second. The
 	// rest is for a store that answers late.
-	moveReserve     = 3400 * time.Millisecond
-	completeReserve = 2400 * time.Millisecond
+	moveReserve     = 3200 * time.Millisecond
+	completeReserve = 2300 * time.Millisecond
 	// minRampShare bounds the reserves of short ramps: the decision is not taken before this
 	// part of the ramp, and the move takes half of the rest.
 	minRampShare = 0.5
