--- /dev/null
+++ b/internal/testkit/hostile.go
@@ -0,0 +1,194 @@
+package testkit
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// HostileRequest is a request that is never complete: the prefix, then the filler the given
+// number of times, or without end if Count is 0, and then nothing until the server closes
+// the connection.
+type HostileRequest struct {
+	Prefix, Filler string
+	Count          int
+	// Interval is the time between two fillers; zero sends them in blocks.
+	Interval time.Duration
+}
+
+// Sizes of the hostile requests, for the limits max_header_bytes 16384 and max_body_bytes
+// 262144 of the configuration.
+const (
+	// hostileHeadBytes is a head below the limit as it is sent, and hostileLines one that is also
+	// below it if each line counts with four bytes of separators.
+	hostileHeadBytes  = 15600
+	hostileLines      = 2600
+	hostileBodyBytes  = 262144
+	hostileChunkBytes = 8192
+)
+
+const hostileHead = "POST /e/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: hostile\r\n"
+
+// UnfinishedBody returns a request with a body of legal size that lacks its last byte.
+func UnfinishedBody() HostileRequest {
+	return HostileRequest{
+		Prefix: fmt.Sprintf("%sContent-Length: %d\r\n\r\n", hostileHead, hostileBodyBytes),
+		Filler: "a", Count: hostileBodyBytes - 1,
+	}
+}
+
+// UnfinishedChunks returns a request with a body of legal size that arrives chunk by chunk
+// and lacks its last chunk.
+func UnfinishedChunks() HostileRequest {
+	const interval = 20 * time.Millisecond
+	return HostileRequest{
+		Prefix: hostileHead + "Transfer-Encoding: chunked\r\n\r\n",
+		Filler: fmt.Sprintf("%x\r\n%s\r\n", hostileChunkBytes, strings.Repeat("a", hostileChunkBytes)),
+		Count:  hostileBodyBytes/hostileChunkBytes - 1, Interval: interval,
+	}
+}
+
+// ManyHeaderLines returns a request with a head of legal size that consists of header lines
+// with names of two characters and no value, and with a body of which nothing is sent.
+func ManyHeaderLines() HostileRequest {
+	// The characters that header names may have, except upper-case letters, which stand for
+	// the same names as lower-case ones.
+	const characters = "abcdefghijklmnopqrstuvwxyz0123456789!#$%&'*+-.^_`|~"
+	head := strings.Builder{}
+	head.WriteString(hostileHead + "Content-Length: 1000\r\n")
+	for i := range hostileLines {
+		_, _ = fmt.Fprintf(&head, "%c%c:\r\n", characters[i/len(characters)], characters[i%len(characters)])
+	}
+	return HostileRequest{Prefix: head.String() + "\r\n"}
+}
+
+// EmptyHeaderLines returns a request with a head of legal size that consists of header lines
+// of one and the same name, and with a body of which nothing is sent.
+func EmptyHeaderLines() HostileRequest {
+	const line = "a:\r\n"
+	head := hostileHead + "Content-Length: 1000\r\n"
+	return HostileRequest{Prefix: head + strings.Repeat(line, (hostileHeadBytes-len(head))/len(line)) + "\r\n"}
+}
+
+// EndlessHead returns a request with header lines without end.
+func EndlessHead() HostileRequest {
+	return HostileRequest{Prefix: hostileHead, Filler: "X-Many: a\r\n"}
+}
+
+// EndlessHeaderLine returns a request with a header line without end.
+func EndlessHeaderLine() HostileRequest {
+	return HostileRequest{Prefix: hostileHead + "X-Long: ", Filler: "a"}
+}
+
+// EndlessEmptyLines returns empty lines without end in place of a request.
+func EndlessEmptyLines() HostileRequest { return HostileRequest{Filler: "\r\n"} }
+
+// HostileCrowd is a number of callers that send a hostile request each, over and over.
+type HostileCrowd struct {
+	address string
+	request HostileRequest
+	stop    chan struct{}
+	callers sync.WaitGroup
+	engaged atomic.Int64
+	opened  atomic.Int64
+}
+
+// StartHostileCrowd starts n callers of the address, from the given loopback addresses in
+// turn. Each keeps its connection open until the server closes it, and then opens another.
+// The caller must call Stop.
+func StartHostileCrowd(address string, request HostileRequest, n int, sources ...string) *HostileCrowd {
+	c := &HostileCrowd{address: address, request: request, stop: make(chan struct{})}
+	for i := range n {
+		dialer := &net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(sources[i%len(sources)])}}
+		c.callers.Go(func() { c.run(dialer) })
+	}
+	return c
+}
+
+// Engaged returns the number of callers that have sent what there is to send of a request, or
+// whose connection was refused or closed, at least once.
+func (c *HostileCrowd) Engaged() int { return int(c.engaged.Load()) }
+
+// Opened returns the number of connections opened so far.
+func (c *HostileCrowd) Opened() int { return int(c.opened.Load()) }
+
+// Stop closes all connections and waits for the callers to end.
+func (c *HostileCrowd) Stop() {
+	close(c.stop)
+	c.callers.Wait()
+}
+
+func (c *HostileCrowd) run(dialer *net.Dialer) {
+	// retryInterval bounds the connections that the crowd opens in a second.
+	const retryInterval = 250 * time.Millisecond
+	engaged := false
+	for {
+		if conn, err := dialer.Dial("tcp", c.address); err == nil {
+			c.opened.Add(1)
+			c.send(conn, func() {
+				if !engaged {
+					c.engaged.Add(1)
+				}
+				engaged = true
+			})
+		}
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+// send sends one request and waits until the server closes the connection or the crowd stops.
+// It calls sent once nothing is left to send.
+func (c *HostileCrowd) send(conn net.Conn, sent func()) {
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-c.stop:
+		case <-done:
+		}
+		_ = conn.Close()
+	}()
+	defer sent()
+	if _, err := conn.Write([]byte(c.request.Prefix)); err != nil {
+		return
+	}
+	if c.request.Filler != "" && c.sendFillers(conn) != nil {
+		return
+	}
+	sent()
+	answer := make([]byte, hostileChunkBytes)
+	for {
+		if _, err := conn.Read(answer); err != nil {
+			return
+		}
+	}
+}
+
+func (c *HostileCrowd) sendFillers(conn net.Conn) error {
+	const blockBytes = 16 << 10
+	fillers := max(blockBytes/len(c.request.Filler), 1)
+	if c.request.Interval > 0 {
+		fillers = 1
+	}
+	block := []byte(strings.Repeat(c.request.Filler, fillers))
+	for left := c.request.Count; left > 0 || c.request.Count == 0; left -= fillers {
+		next := block
+		if c.request.Count > 0 && left < fillers {
+			next = block[:left*len(c.request.Filler)]
+		}
+		if _, err := conn.Write(next); err != nil {
+			return err
+		}
+		if c.request.Interval > 0 {
+			time.Sleep(c.request.Interval)
+		}
+	}
+	return nil
+}
