intake: what callers hold is bounded by the VM's memory and descriptors

Change: package internal/intake. Budget (pure) grants connections and bytes and chooses the connections that give way: those that hold most for longest without progress, and those of addresses beyond their fair share. Gate wraps the listener and the connections of the route address: heads are counted by bytes and lines while they arrive, bodies are read into memory that is reserved before. Refusals are 503 with Retry-After, 408 and 431, or a closed connection; a request that runs never gives way. max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration are in force. Settings: vm.max_descriptors and section [intake]; a section of its own, which takes effect after a restart. The template of the settings passes on the memory and descriptors that the platform states, and review/standin states them. A head is measured as it arrived where that is less than as parsed: four bytes of separators a line made legal heads of short lines too large.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,7 +66,7 @@
 // New builds the roles and binds the listen addresses of the settings.
 func New(settings *pb.Settings, logger zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: settings, logger: logger, traces: newTraces()}
-	if err := limitMemory(settings.Vm.MemoryMb); err != nil {
+	if err := limitMemory(settings.Vm); err != nil {
 		// Without a limit the runtime collects garbage as usual.
 		logger.Warn().Err(err).Msg("memory not limited")
 	}
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -10,6 +10,7 @@
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/gateway"
+	"github.com/carawayreel/carawayreel/internal/intake"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/transport"
 	"github.com/carawayreel/carawayreel/platform"
@@ -36,7 +37,11 @@
 			Gatherers: backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}},
 				listen.SourceAddress, set, delegation.MetricPrefix),
 		})
-		server, err := transport.ListenHTTP1(listen.RouteAddress, d.gateway)
+		gate, err := d.newGate(set)
+		if err != nil {
+			return errors.Wrap(err, "bounds of callers")
+		}
+		server, err := transport.ListenHTTP1(listen.RouteAddress, d.gateway, gate.Apply)
 		if err != nil {
 			return errors.Wrap(err, "route address")
 		}
@@ -67,6 +72,22 @@
 	return errors.Wrap(err, "ready address")
 }
 
+// newGate returns the gate that bounds what callers of routes take of this VM.
+func (d *Daemon) newGate(set *metrics.Set) (*intake.Gate, error) {
+	memory, err := memoryBytes(d.settings.Vm)
+	if err != nil {
+		return nil, err
+	}
+	descriptors, err := maxDescriptors(d.settings.Vm)
+	if err != nil {
+		return nil, err
+	}
+	return intake.NewGate(intake.Options{
+		Memory: memory, Descriptors: descriptors, Settings: d.settings.Intake,
+		CallerLimits: d.gateway.CallerLimits, Logger: d.logger, Metrics: set,
+	}), nil
+}
+
 // notifyGateway tells the gateway that a new configuration was published.
 func (d *Daemon) notifyGateway() {
 	if d.gateway != nil {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/fanout"
+	"github.com/carawayreel/carawayreel/internal/intake"
 	"github.com/carawayreel/carawayreel/internal/organisation"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
 	"github.com/carawayreel/carawayreel/internal/routing"
@@ -53,6 +53,10 @@
 	c.id = g.options.Dialect.RequestID(c.http.Header)
 	c.compiled = g.table(c.arrived)
 	table := c.compiled.table
+	if !intake.FromContext(c.http.Context()).Admitted() {
+		c.notRun(intake.ErrNoMemory.Error(), intake.RetryAfter)
+		return
+	}
 	if g.paused(c.arrived) {
 		c.notRun("this VM was paused and its configuration is not confirmed yet", pauseRetryAfter)
 		return
@@ -69,7 +73,7 @@
 	case c.id == "":
 		c.refuse(http.StatusBadRequest, "the request has no identity")
 		return
-	case !c.delegated && headerBytes(c.http) > int(table.Limits.GetMaxHeaderBytes()) && table.Limits.GetMaxHeaderBytes() > 0:
+	case !c.delegated && c.headBytes() > int(table.Limits.GetMaxHeaderBytes()) && table.Limits.GetMaxHeaderBytes() > 0:
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
 		return
 	case g.running.Load() > int64(g.settings.Load().GetMaxWaitingRequests()):
@@ -123,17 +127,17 @@
 
 // readBody reads the whole body. On an error it has already answered the caller.
 func (c *call) readBody(limit uint32) ([]byte, error) {
-	if c.http.Body == nil || c.http.Body == http.NoBody {
-		return nil, nil
-	}
 	if limit == 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.http.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
+	body, err := intake.ReadBody(c.writer, c.http, int64(limit))
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, intake.ErrTooLarge):
 		c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
+	case errors.Is(err, intake.ErrNoMemory):
+		c.notRun(err.Error(), intake.RetryAfter)
+	case errors.Is(err, intake.ErrStalled):
+		c.refuse(http.StatusRequestTimeout, err.Error())
 	case err != nil:
 		c.refuse(http.StatusBadRequest, "the body could not be read")
 	}
@@ -193,15 +197,14 @@
 	return path
 }
 
-func headerBytes(r *http.Request) int {
-	const separators = 4
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value) + separators
-		}
+// headBytes returns the size of the head: as it arrived or, if that is less or not known, as it
+// was parsed.
+func (c *call) headBytes() int {
+	parsed, _ := intake.HeaderSize(c.http)
+	if arrived := intake.FromContext(c.http.Context()).HeadBytes(); arrived > 0 {
+		return min(arrived, parsed)
 	}
-	return size
+	return parsed
 }
 
 // hopByHopHeaders are the headers that apply to a single connection.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -9,6 +9,7 @@
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/intake"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
@@ -195,14 +196,22 @@
 		r.cancel()
 		return
 	}
+	// The attempts still need the body.
+	release := intake.FromContext(r.call.http.Context()).Hold()
 	if answer.Outcome == fanout.TimedOut {
 		// The response is sent when the handler returns, so it must not wait for the
 		// cancelled attempts to end.
 		r.cancel()
-		go r.abandonAll(health.Abandoned)
+		go func() {
+			defer release()
+			r.abandonAll(health.Abandoned)
+		}()
 		return
 	}
-	go r.linger()
+	go func() {
+		defer release()
+		r.linger()
+	}()
 }
 
 // linger waits for the attempts in flight, and abandons those that are still running
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -58,6 +58,9 @@
 	return next
 }
 
+// CallerLimits returns the limits of the configuration in force; nil if there is none.
+func (g *Gateway) CallerLimits() *pb.CallerLimits { return g.table(time.Now()).table.Limits }
+
 // setSharers sets the VMs that share the limits of targets. Nearly all requests to shards are
 // the gatherers', where there are any.
 func (c *compiledTable) setSharers(v *view.View, gatherers []view.VM) {
--- /dev/null
+++ b/internal/intake/budget_test.go
@@ -0,0 +1,232 @@
+package intake
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// smallVM are the limits on a VM of 184 MB and 4,100 descriptors.
+var smallVM = Limits{Memory: 46 << 20, Connections: 2050}
+
+// load feeds a budget with events at its own time.
+type load struct {
+	*Budget
+	now  time.Time
+	next uint64
+	// closed are the connections that were told to close.
+	closed map[uint64]bool
+}
+
+func newLoad(limits Limits) *load {
+	return &load{Budget: NewBudget(limits), now: time.Unix(1000, 0), closed: map[uint64]bool{}}
+}
+
+func (l *load) settle(granted bool, evictions []Eviction) bool {
+	for _, e := range evictions {
+		l.closed[e.ID] = true
+		l.Release(e.ID, e.Bytes-ConnectionBytes)
+		l.Close(e.ID)
+	}
+	return granted
+}
+
+func (l *load) open(address netip.Prefix) (uint64, bool) {
+	l.next++
+	return l.next, l.settle(l.Open(l.now, l.next, address))
+}
+
+func (l *load) reserve(id uint64, bytes int64) bool { return l.settle(l.Reserve(l.now, id, bytes)) }
+
+// body opens a connection and reads a body into it as far as it is granted.
+func (l *load) body(address netip.Prefix, bytes int64) (uint64, bool) {
+	const piece = 32 << 10
+	id, ok := l.open(address)
+	ok = ok && l.Enter(l.now, id, ReadingBody)
+	for ; ok && bytes > 0; bytes -= piece {
+		ok = l.reserve(id, min(piece, bytes))
+		l.Progress(l.now, id, piece)
+	}
+	return id, ok
+}
+
+func caller(i int) netip.Prefix {
+	return AddressKey(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}))
+}
+
+const legalBody = 256 << 10
+
+// Load: 100 callers at once, each with a body and a head of the greatest legal size.
+func TestCallersWithinTheLimitsAreServedInCalm(t *testing.T) {
+	l := newLoad(smallVM)
+	for i := range 100 {
+		_, ok := l.body(caller(i%3), legalBody+headMemory(16<<10, 100)-freeHeadBytes)
+		require.True(t, ok, "caller %d", i)
+	}
+	require.Empty(t, l.closed)
+	l = newLoad(smallVM)
+	id, _ := l.open(caller(0))
+	require.True(t, l.reserve(id, headMemory(16<<10, 4096)+legalBody), "one request with as many lines as its head can hold")
+}
+
+// Load: 800 callers of four addresses, or of one that ordinary callers have, too, hold bodies that
+// lack their end; one ordinary caller each 100 ms sends 4 KiB.
+func TestOrdinaryCallersAreServedBesideUnfinishedBodies(t *testing.T) {
+	for _, addresses := range []int{1, 4, 800} {
+		for ordinaryFrom := range 2 {
+			t.Run(fmt.Sprintf("%d addresses, ordinary from %d", addresses, ordinaryFrom), func(t *testing.T) {
+				l := newLoad(smallVM)
+				ordinary := caller(1000 * ordinaryFrom)
+				for i := range 100 {
+					for j := range 8 {
+						_, _ = l.body(caller((i*8+j)%addresses), legalBody-1)
+					}
+					l.now = l.now.Add(100 * time.Millisecond)
+					id, ok := l.body(ordinary, 4<<10)
+					require.True(t, ok, "ordinary caller %d", i)
+					require.True(t, l.Enter(l.now, id, Running))
+					l.Release(id, 4<<10)
+					l.Close(id)
+					require.False(t, l.closed[id])
+				}
+			})
+		}
+	}
+}
+
+// Load: a crowd of one address opens all connections and sends nothing.
+func TestIdleCrowdLosesConnectionsToOthers(t *testing.T) {
+	l := newLoad(Limits{Memory: 1 << 30, Connections: 100})
+	other, _ := l.open(caller(2))
+	require.True(t, l.Enter(l.now, other, Idle))
+	opened := 0
+	for range 200 {
+		if _, ok := l.open(caller(1)); ok {
+			opened++
+		}
+	}
+	require.Less(t, opened, 100, "an address beyond its share leaves a part to others")
+	for i := range 30 {
+		id, ok := l.open(caller(3))
+		require.True(t, ok, "connection %d", i)
+		require.False(t, l.closed[id])
+	}
+	require.False(t, l.closed[other], "the address with fewest connections keeps its own")
+}
+
+// Load: the crowd's requests run, so that none of them may be closed, and fill the budget.
+func TestRunningRequestsAreNeverClosed(t *testing.T) {
+	l := newLoad(smallVM)
+	for range 300 {
+		if id, ok := l.body(caller(1), legalBody); ok {
+			require.True(t, l.Enter(l.now, id, Running))
+		} else if e := l.entries[id]; e != nil {
+			l.Release(id, e.held[memory]-ConnectionBytes)
+			l.Close(id)
+		}
+		l.now = l.now.Add(10 * time.Millisecond)
+	}
+	l.now = l.now.Add(time.Minute)
+	for range 10 {
+		_, ok := l.body(caller(2), legalBody)
+		require.False(t, ok)
+		_, ok = l.body(caller(2), 4<<10)
+		require.True(t, ok, "a part is left to small requests of other addresses")
+	}
+	require.Empty(t, l.closed)
+}
+
+// Load: callers that send a byte now and then, each on a connection of its own.
+func TestSingleBytesAreNoProgress(t *testing.T) {
+	l := newLoad(Limits{Memory: 2 << 20, Connections: 1000})
+	slow, _ := l.body(caller(1), 1<<20)
+	for range 200 {
+		l.now = l.now.Add(10 * time.Millisecond)
+		l.Progress(l.now, slow, 1)
+	}
+	_, ok := l.body(caller(1), 1<<20)
+	require.True(t, ok)
+	require.True(t, l.closed[slow])
+}
+
+// Load: any sequence of openings, reservations, releases, pauses and ends by ten addresses.
+func TestBudgetIsNeverExceededAndReturnsToZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Memory: 1 << 20, Connections: 20}
+		b := NewBudget(limits)
+		now, next := time.Unix(1000, 0), uint64(0)
+		held, phase, evicted := map[uint64]int64{}, map[uint64]Phase{}, map[uint64]bool{}
+		check := func(evictions []Eviction) {
+			for _, e := range evictions {
+				require.NotEqual(t, Running, phase[e.ID], "a running request is not closed")
+				require.False(t, evicted[e.ID], "a connection is told to close once")
+				evicted[e.ID] = true
+			}
+		}
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			id := uint64(rapid.IntRange(1, int(next)+1).Draw(t, "id"))
+			_, open := held[id]
+			switch action := rapid.IntRange(0, 4).Draw(t, "action"); {
+			case action <= 1 && !open && id > next:
+				next = id
+				granted, evictions := b.Open(now, id, caller(rapid.IntRange(0, 9).Draw(t, "address")))
+				check(evictions)
+				if granted {
+					held[id] = 0
+				}
+			case action <= 1 && open:
+				bytes := int64(rapid.IntRange(1, 300<<10).Draw(t, "bytes"))
+				granted, evictions := b.Reserve(now, id, bytes)
+				check(evictions)
+				require.False(t, granted && evicted[id], "a connection that closes gets nothing")
+				if granted {
+					held[id] += bytes
+				}
+			case action == 2 && open:
+				entered := rapid.SampledFrom([]Phase{ReadingHead, ReadingBody, Running, Idle}).Draw(t, "phase")
+				if b.Enter(now, id, entered) {
+					phase[id] = entered
+				}
+			case open:
+				b.Close(id)
+				b.Release(id, held[id])
+				delete(held, id)
+			}
+			require.LessOrEqual(t, float64(b.Held().Memory), (1+closingShare)*float64(limits.Memory))
+			require.LessOrEqual(t, float64(b.Held().Connections), (1+closingShare)*float64(limits.Connections))
+		}
+		for id, bytes := range held {
+			b.Release(id, bytes)
+			b.Close(id)
+		}
+		require.Equal(t, Limits{}, b.Held())
+		require.Zero(t, b.closing)
+		require.Empty(t, b.entries)
+		require.Empty(t, b.shares)
+	})
+}
+
+func TestAddressesOfOneNetworkCountAsOne(t *testing.T) {
+	key := func(s string) netip.Prefix { return AddressKey(netip.MustParseAddr(s)) }
+	require.Equal(t, key("2001:db8::1"), key("2001:db8::2:3"))
+	require.NotEqual(t, key("2001:db8::1"), key("2001:db8:0:1::1"))
+	require.Equal(t, key("10.0.0.1"), key("::ffff:10.0.0.1"))
+	require.NotEqual(t, key("10.0.0.1"), key("10.0.0.2"))
+}
+
+// BenchmarkSearch measures a search for victims among all connections of the smallest VM.
+func BenchmarkSearch(b *testing.B) {
+	l := newLoad(Limits{Memory: 1 << 30, Connections: smallVM.Connections})
+	for i := range int(smallVM.Connections) {
+		_, _ = l.open(caller(i % 500))
+	}
+	first := l.entries[1]
+	for b.Loop() {
+		l.victims(l.now.Add(time.Hour), first, connections, 1)
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -107,13 +107,21 @@
 	return &Server{listener: listener, server: server}, nil
 }
 
-// ListenHTTP1 binds the address. The server supports HTTP/1.1 only, without TLS.
-func ListenHTTP1(address string, handler http.Handler) (*Server, error) {
+// Bound bounds the connections of a server: it may change the server's hooks and handler, and
+// returns the listener to accept connections from.
+type Bound func(server *http.Server, listener net.Listener) net.Listener
+
+// ListenHTTP1 binds the address. The server supports HTTP/1.1 only, without TLS. The bounds are
+// applied in turn.
+func ListenHTTP1(address string, handler http.Handler, bounds ...Bound) (*Server, error) {
 	server, err := Listen(address, handler)
 	if err != nil {
 		return nil, err
 	}
 	server.server.Protocols.SetUnencryptedHTTP2(false)
+	for _, bound := range bounds {
+		server.listener = bound(server.server, server.listener)
+	}
 	return server, nil
 }
 
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -192,6 +192,7 @@
 	vm.settings = filepath.Join(d.dir, vm.Name+".ini")
 	return fillTemplate("deploy/vm.ini.tmpl", vm.settings, map[string]string{
 		"node": vm.Name, "zone": vm.Zone, "ip": "127.0.0.1", "limits.cpu_share": "0.4",
+		"limits.memory_mb": "184", "limits.max_fds": "4100",
 		"port_range.0": portOf(first), "port_range.1": portOf(second),
 		"listen.control": control, "listen.front": vm.Front, "listen.ready": vm.Ready,
 		"platform.address": store, "seeds": strings.Join(d.seeds, ","), "bounds.grace_s": "6", "bounds.drain_ms": "3000",
