e2e: the crowd of hostile callers is test code

It holds names of the users' platform, which only the platform's package, the stand-in and tests may (TestWireNamesStayInPlatformPackage failed).

--- a/internal/e2e/hostile_callers_test.go
+++ b/internal/e2e/hostile_callers_test.go
@@ -25,47 +25,47 @@
 // Guards against a VM that runs out of memory or descriptors through bodies of legal size
 // that stop just short of their end.
 func TestUnfinishedBodiesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.UnfinishedBody())
+	withstandCrowd(t, UnfinishedBody())
 }
 
 // Guards against a VM that runs out of memory or descriptors through bodies of legal size
 // that arrive in chunks, piece by piece, and stop just short of their end.
 func TestUnfinishedChunksDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.UnfinishedChunks())
+	withstandCrowd(t, UnfinishedChunks())
 }
 
 // Guards against a VM that runs out of memory or descriptors through heads of legal size with
 // thousands of names, of requests whose bodies are left open.
 func TestManyHeaderLinesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.ManyHeaderLines())
+	withstandCrowd(t, ManyHeaderLines())
 }
 
 // Guards against a VM that runs out of memory or descriptors through heads of legal size with
 // thousands of empty lines of one name, of requests whose bodies are left open.
 func TestEmptyHeaderLinesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.EmptyHeaderLines())
+	withstandCrowd(t, EmptyHeaderLines())
 }
 
 // Guards against a VM that runs out of memory or descriptors through header lines without end.
 func TestEndlessHeadsDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.EndlessHead())
+	withstandCrowd(t, EndlessHead())
 }
 
 // Guards against a VM that runs out of memory or descriptors through a header line without end.
 func TestEndlessHeaderLineDoesNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.EndlessHeaderLine())
+	withstandCrowd(t, EndlessHeaderLine())
 }
 
 // Guards against a VM that runs out of memory or descriptors through empty lines without end
 // where a request should begin.
 func TestEndlessEmptyLinesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.EndlessEmptyLines())
+	withstandCrowd(t, EndlessEmptyLines())
 }
 
 // withstandCrowd starts a VM of little memory and few descriptors and a crowd of hostile
 // callers. It checks that the VM lives and stays within both, and that an ordinary caller of
 // another address is answered while the crowd is still there.
-func withstandCrowd(t *testing.T, request testkit.HostileRequest) {
+func withstandCrowd(t *testing.T, request HostileRequest) {
 	t.Helper()
 	d, vm := startSmallVM(t)
 	ordinary := newClientFrom("127.0.0.2")
@@ -73,7 +73,7 @@
 	require.Equal(t, 200, status, "before the crowd: %s", text)
 
 	descriptors := watchDescriptors(t, vm)
-	crowd := testkit.StartHostileCrowd(vm.RouteAddress, request, hostileCallers,
+	crowd := StartHostileCrowd(vm.RouteAddress, request, hostileCallers,
 		"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4", "127.0.1.5", "127.0.1.6", "127.0.1.7")
 	stopped := false
 	t.Cleanup(func() {
--- a/internal/testkit/hostile.go
+++ b/internal/e2e/hostile_crowd_test.go
@@ -1,4 +1,4 @@
-package testkit
+package e2e_test
 
 import (
 	"fmt"
