--- /dev/null
+++ b/internal/admission/pressure.go
@@ -0,0 +1,252 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// stepInterval is the least time between two changes of a pressure. It is about the time in
+	// which a queue of a target drains, so that a change shows before the next one.
+	stepInterval = 100 * time.Millisecond
+	// minResults is the number of results that a change needs. Fewer are noise.
+	minResults = 8
+	// badShare is the share of results that were queued or rejected from which the pressure
+	// rises. A slow or rejecting target in three stays below it: others take its requests.
+	badShare = 0.4
+	// maxShed is the part of the admitted work that one step sheds if all results are bad.
+	maxShed = 0.12
+	// recovery is the pressure that one step takes off while the service is not overloaded.
+	recovery = 0.015
+	// maxPressure keeps enough requests going to learn when a service recovers.
+	maxPressure = 0.9
+	// minPressure is the pressure below which all requests are admitted.
+	minPressure = 0.02
+	// consensus is the part of the difference to the pressure of all VMs that a VM takes over
+	// in one step, so that VMs with unequal callers shed alike.
+	consensus = 0.1
+	// silence is the time without replies after which a pressure ages, and pressureTTL the time
+	// until it has ended from then on. A pressure that another VM told ages from its receipt.
+	silence     = time.Second
+	pressureTTL = 3 * time.Second
+	// meanWorkWeight is the weight of one request in the mean work of a service.
+	meanWorkWeight = 0.02
+)
+
+// service is what is known of the load of one service.
+type service struct {
+	name     string
+	demand   demand
+	meanWork float64
+	// credit holds, by rank, the shares of requests that were due and not admitted yet.
+	credit [ranks]float64
+	// results and bad count the results since steppedAt, and those that were queued or rejected.
+	results, bad float64
+	steppedAt    time.Time
+	observedAt   time.Time
+	pressure     float64
+	inFlight     int
+	peers        map[string]peerPressure
+}
+
+// peerPressure is the pressure of a service at another VM.
+type peerPressure struct {
+	pressure, demand float64
+	at               time.Time
+}
+
+// service returns the state of a service, or nil if there are too many. c.mu must be held.
+func (c *Controller) service(name string, now time.Time) *service {
+	s, ok := c.services[name]
+	if !ok {
+		if len(c.services) >= maxServices {
+			return nil
+		}
+		s = &service{name: name, steppedAt: now, observedAt: now, peers: map[string]peerPressure{}}
+		c.services[name] = s
+	}
+	return s
+}
+
+// decisive returns the service with the highest pressure that the answer cannot lack, or nil
+// if none is known. c.mu must be held.
+func (c *Controller) decisive(r Request, now time.Time) *service {
+	all := make([]*service, 0, len(r.Services))
+	for _, name := range r.Services {
+		if s := c.service(name, now); s != nil {
+			all = append(all, s)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(all, func(a, b *service) int {
+		switch pa, pb := a.effective(now), b.effective(now); {
+		case pa > pb:
+			return -1
+		case pa < pb:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return all[min(r.Spare, len(all)-1)]
+}
+
+// Began records that an attempt was sent to a target of a service.
+func (c *Controller) Began(name string, now time.Time) {
+	if !c.Enabled() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.service(name, now); s != nil {
+		s.inFlight++
+	}
+}
+
+// Result states how an attempt ended.
+type Result int
+
+const (
+	// Other results show nothing about the load of the service.
+	Other Result = iota
+	// Replied means that the target ran the request.
+	Replied
+	// Rejected means that the target replied that it did not run the request.
+	Rejected
+	// Unanswered means that the attempt was given up while it may still have been queued.
+	Unanswered
+)
+
+// Ended records the end of an attempt that a request of the route, with the given goal, sent
+// to a service.
+func (c *Controller) Ended(routeName, name string, result Result, took, goal time.Duration, now time.Time) {
+	if !c.Enabled() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, rt := c.service(name, now), c.route(routeName)
+	if s == nil || rt == nil {
+		return
+	}
+	s.inFlight = max(s.inFlight-1, 0)
+	switch result {
+	case Replied:
+		s.observe(rt.queued(took, goal), now)
+		rt.add(took, goal, s.effective(now) < minPressure, now)
+		s.meanWork += meanWorkWeight * (rt.work() - s.meanWork)
+	case Rejected:
+		s.observe(true, now)
+	case Unanswered:
+		if rt.queued(took, goal) {
+			s.observe(true, now)
+		}
+	case Other:
+	}
+}
+
+// Overloaded reports whether the service is under pressure, so that it gets no optional
+// requests.
+func (c *Controller) Overloaded(name string, now time.Time) bool {
+	if !c.Enabled() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.services[name]
+	return ok && s.effective(now) >= minPressure
+}
+
+func (s *service) observe(bad bool, now time.Time) {
+	s.observedAt = now
+	s.results++
+	if bad {
+		s.bad++
+	}
+	if now.Sub(s.steppedAt) >= stepInterval && s.results >= minResults {
+		s.step(now)
+	}
+}
+
+// step changes the pressure by the results since the last step.
+func (s *service) step(now time.Time) {
+	if bad := s.bad / s.results; bad > badShare {
+		shed := maxShed * (bad - badShare) / (1 - badShare)
+		s.pressure = min(1-(1-s.pressure)*(1-shed), maxPressure)
+	} else {
+		s.pressure = max(s.pressure-recovery, 0)
+	}
+	s.pressure += consensus * (s.effective(now) - s.pressure)
+	s.results, s.bad, s.steppedAt = 0, 0, now
+}
+
+// own returns this VM's own pressure, which ages while there are no replies.
+func (s *service) own(now time.Time) float64 {
+	return s.pressure * freshness(now.Sub(s.observedAt)-silence)
+}
+
+// effective returns the pressure that applies: the mean of this VM's and of what other VMs
+// told lately, by the work that they offer.
+func (s *service) effective(now time.Time) float64 {
+	own := s.own(now)
+	if len(s.peers) == 0 {
+		return own
+	}
+	s.demand.decay(now)
+	sum, weight := own*s.demand.total, s.demand.total
+	for vm, p := range s.peers {
+		fresh := freshness(now.Sub(p.at))
+		if fresh == 0 {
+			delete(s.peers, vm)
+			continue
+		}
+		sum += p.pressure * p.demand * fresh
+		weight += p.demand * fresh
+	}
+	if weight <= 0 {
+		return own
+	}
+	return sum / weight
+}
+
+// age returns the time since anything contributed to the pressure.
+func (s *service) age(now time.Time) time.Duration {
+	at := s.observedAt
+	for _, p := range s.peers {
+		at = later(at, p.at)
+	}
+	return max(now.Sub(at), 0)
+}
+
+// freshness returns the weight of a pressure of the given age.
+func freshness(age time.Duration) float64 {
+	return min(max(1-float64(age)/float64(pressureTTL), 0), 1)
+}
+
+// admits reports whether a request of the rank is admitted under the pressure. It spreads the
+// admitted requests evenly: each request adds the share that is due, and an admitted one takes 1.
+func (s *service) admits(k rank, pressure float64, first bool, now time.Time) bool {
+	s.demand.decay(now)
+	share := s.demand.share(k, pressure)
+	if share >= certain {
+		return true
+	}
+	if first {
+		s.credit[k] += share
+	}
+	if s.credit[k] < 1 {
+		return false
+	}
+	s.credit[k]--
+	return true
+}
+
+// admittedIn returns when half of the requests of the rank are expected to be admitted.
+func (s *service) admittedIn(k rank, pressure float64, now time.Time) time.Duration {
+	s.demand.decay(now)
+	steps := math.Ceil((pressure - s.demand.pressureFor(k)) / recovery)
+	return time.Duration(max(steps, 1) * float64(stepInterval))
+}
--- /dev/null
+++ b/internal/admission/route.go
@@ -0,0 +1,97 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// firstSamples is the number of replies after which the usual reply time is known.
+	firstSamples = 30
+	// firstStep and usualStep are the relative changes of the usual reply time by one reply.
+	// The later one follows a change by half in about 150 replies.
+	firstStep = 0.1
+	usualStep = 0.005
+	// maxUsualShare bounds the usual reply time to a share of the goal, so that replies from
+	// full queues do not count as usual after a start under overload.
+	maxUsualShare = 0.4
+	// queuedFactor is the wait, in usual reply times, from which a reply counts as queued, and
+	// queuedGoalShare the share of the goal that it must take as well: shorter waits cost nothing.
+	queuedFactor    = 1.5
+	queuedGoalShare = 0.25
+	// recentWeight is the weight of one reply in the recent reply time, and recentTime the time
+	// after which the recent reply time is forgotten.
+	recentWeight = 0.1
+	recentTime   = 2 * time.Second
+	// minReplyTime is the shortest usual reply time; shorter ones are noise.
+	minReplyTime = 500 * time.Microsecond
+)
+
+// route is what is known of the reply times of one route's requests at targets.
+type route struct {
+	samples int
+	// usual is the median reply time without queueing, and recent the mean of late.
+	usual, recent float64
+	seenAt        time.Time
+}
+
+// route returns the state of a route, or nil if there are too many. c.mu must be held.
+func (c *Controller) route(name string) *route {
+	rt, ok := c.routes[name]
+	if !ok {
+		if len(c.routes) >= maxRoutes {
+			return nil
+		}
+		rt = &route{}
+		c.routes[name] = rt
+	}
+	return rt
+}
+
+// add records a reply time. The usual reply time rises only while there is no pressure.
+func (rt *route) add(took, goal time.Duration, calm bool, now time.Time) {
+	ns := float64(took)
+	rt.recent += recentWeight * (ns - rt.recent)
+	rt.seenAt = now
+	rt.samples++
+	step := usualStep
+	switch {
+	case rt.samples == 1:
+		rt.usual, rt.recent = ns, ns
+	case rt.samples <= firstSamples:
+		step = firstStep
+	}
+	if ns < rt.usual {
+		rt.usual /= 1 + step
+	} else if calm {
+		rt.usual *= 1 + step
+	}
+	if goal > 0 {
+		rt.usual = min(rt.usual, maxUsualShare*float64(goal))
+	}
+	rt.usual = max(rt.usual, float64(minReplyTime))
+}
+
+// queued reports whether a reply time shows that the request waited in a queue.
+func (rt *route) queued(took, goal time.Duration) bool {
+	wait := float64(took) - rt.usual
+	return rt.samples >= firstSamples && wait > max(queuedFactor*rt.usual, queuedGoalShare*float64(goal))
+}
+
+// work returns the work of one request at a service: the usual reply time in milliseconds.
+func (rt *route) work() float64 {
+	if rt.samples == 0 {
+		return 1
+	}
+	return rt.usual / float64(time.Millisecond)
+}
+
+// expected returns the expected reply time. What late replies showed is forgotten soon, since
+// there may be no more of them.
+func (rt *route) expected(now time.Time) time.Duration {
+	if rt.samples < firstSamples {
+		return 0
+	}
+	weight := math.Exp(-float64(now.Sub(rt.seenAt)) / float64(recentTime))
+	return time.Duration(rt.usual + weight*max(rt.recent-rt.usual, 0))
+}
--- a/internal/fanout/finish.go
+++ b/internal/fanout/finish.go
@@ -94,7 +94,7 @@
 		l := &m.legs[a.leg]
 		l.end(a.target.ID, false, now)
 		m.shared.refund(a.target)
-		a.target.Health.End(a.sentAt, now, health.Canceled, m.latencies.typical)
+		m.recordEnd(a, now, health.Canceled)
 		if l.running == 0 {
 			m.failLeg(l, cause)
 		}
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carawayreel/carawayreel/internal/admission"
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/health"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
@@ -75,6 +76,11 @@
 	// content decides whether the request may be sent, as its content may crash targets.
 	content content
 
+	// delayed is why admission control delayed the request, if it did, and delayedUntil when it
+	// decides again; zero while no decision is due.
+	delayed      admission.Reason
+	delayedUntil time.Time
+
 	legs     []leg
 	attempts []attempt
 	batches  []batch
@@ -103,70 +109,6 @@
 	return m
 }
 
-// Start sends the first attempts, or rejects the request when too few services are
-// reachable.
-func (m *Machine) Start(now time.Time) Actions {
-	m.startEvent(now)
-	if left := m.in.Deadline.Sub(now); left <= minTimeLeft {
-		m.reject("no time is left for an attempt")
-		return m.actions
-	} else if m.in.Stopping && float64(left) < stopReserve*float64(m.latencies.tail) {
-		m.reject("this VM stops before a reply can be expected")
-		return m.actions
-	}
-	admission, until := m.content.check(now)
-	if admission == quarantine.Refused || admission == quarantine.OnTrial && !m.content.beginTrial(now) {
-		m.refuseContent(admission, until)
-		return m.actions
-	}
-	chosen := make([]*routing.Target, len(m.legs))
-	reachable := 0
-	for i := range m.legs {
-		chosen[i] = m.chooseTarget(&m.legs[i])
-		if chosen[i] != nil {
-			reachable++
-		}
-	}
-	if !m.coverageMet(reachable) {
-		m.refund(chosen)
-		m.content.endTrial()
-		m.reject("too few services have a target that can be reached")
-		return m.actions
-	}
-	for i := range m.legs {
-		m.shared.deposit(m.legs[i].service.Name, m.now)
-	}
-	if admission != quarantine.Admitted {
-		m.startTrial(chosen)
-		return m.finishEvent()
-	}
-	m.sendFirst(chosen)
-	return m.finishEvent()
-}
-
-// refund takes back the requests that were counted for chosen targets.
-func (m *Machine) refund(chosen []*routing.Target) {
-	for _, target := range chosen {
-		if target != nil {
-			m.shared.refund(target)
-		}
-	}
-}
-
-// sendFirst sends the first attempts to the chosen targets. Legs without one fail.
-func (m *Machine) sendFirst(chosen []*routing.Target) {
-	m.sendBatches(chosen)
-	for i := range m.legs {
-		switch {
-		case m.legs[i].running > 0:
-		case chosen[i] == nil:
-			m.failLeg(&m.legs[i], "no target can be reached")
-		default:
-			m.send(i, chosen[i], FirstAttempt)
-		}
-	}
-}
-
 // Ended handles the end of an attempt.
 func (m *Machine) Ended(now time.Time, id int, reply *backend.Reply, err error) Actions {
 	m.startEvent(now)
@@ -191,7 +133,7 @@
 	if reply != nil && !reply.OtherTarget {
 		m.shared.advice.Observe(adviceKey(a.target), reply.Advice, a.sentAt, m.now)
 	}
-	a.target.Health.End(a.sentAt, at, outcome, m.latencies.typical)
+	m.recordEnd(a, at, outcome)
 	if outcome == health.Succeeded {
 		m.shared.recordReply(m.in.Route, at.Sub(a.sentAt))
 	}
@@ -204,13 +146,21 @@
 	a := &m.attempts[id]
 	a.ended = true
 	m.legs[a.leg].end(a.target.ID, true, now)
-	a.target.Health.End(a.sentAt, now, outcome, m.latencies.typical)
+	m.now = now
+	m.recordEnd(a, now, outcome)
 	m.content.abandoned(a, now)
 }
 
 // Tick handles the timers that are due.
 func (m *Machine) Tick(now time.Time) Actions {
 	m.startEvent(now)
+	if !m.delayedUntil.IsZero() {
+		if now.Before(m.delayedUntil) {
+			m.actions.WakeAt = m.delayedUntil
+			return m.actions
+		}
+		return m.startAdmitted()
+	}
 	for i := range m.legs {
 		l := &m.legs[i]
 		if l.reply != nil || l.done {
@@ -300,6 +250,11 @@
 	if m.heldBack(l, reason) {
 		return
 	}
+	if reason == Retry && m.retryPriority(l) == optionalPriority && m.shared.admission.Overloaded(l.service.Name, m.now) {
+		m.content.endTrial()
+		m.failLeg(l, l.cause+"; the service is overloaded")
+		return
+	}
 	target := m.chooseTarget(l)
 	if target == nil {
 		m.content.endTrial()
@@ -351,7 +306,7 @@
 		return
 	}
 	var target *routing.Target
-	if !m.in.Route.Gathers() || !m.content.unproven() {
+	if (!m.in.Route.Gathers() || !m.content.unproven()) && !m.shared.admission.Overloaded(l.service.Name, m.now) {
 		target = m.chooseTarget(l)
 	}
 	if target != nil && !m.shared.withdraw(l.service.Name, optionalPriority, m.now) {
@@ -386,7 +341,7 @@
 	l.begin(target.ID)
 	id := len(m.attempts)
 	m.attempts = append(m.attempts, attempt{leg: index, target: target, sentAt: m.now, trial: m.content.trial})
-	target.Health.Begin(m.now)
+	m.beginAttempt(&m.attempts[id])
 	if reason != Hedge {
 		l.hedgeAt = m.now.Add(m.hedgeDelay(l.service.Name))
 	}
--- a/internal/fanout/relay.go
+++ b/internal/fanout/relay.go
@@ -152,7 +152,7 @@
 func (m *Machine) handleNotRelayed(attempt int, err error, mayHaveRun bool) {
 	a := &m.attempts[attempt]
 	a.ended = true
-	a.target.Health.End(a.sentAt, m.now, health.Canceled, m.latencies.typical)
+	m.recordEnd(a, m.now, health.Canceled)
 	l := &m.legs[a.leg]
 	reason := Failover
 	if mayHaveRun {
--- a/internal/fanout/shared_state.go
+++ b/internal/fanout/shared_state.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/carawayreel/carawayreel/internal/admission"
 	"github.com/carawayreel/carawayreel/internal/advisory"
 	"github.com/carawayreel/carawayreel/internal/coordinator/latency"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
@@ -36,6 +37,8 @@
 type SharedState struct {
 	guard  *quarantine.Guard
 	advice *advisory.Board
+	// admission may be nil.
+	admission *admission.Controller
 
 	mu           sync.Mutex
 	limits       Limits
--- a/internal/fanout/types.go
+++ b/internal/fanout/types.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/carawayreel/carawayreel/internal/admission"
 	"github.com/carawayreel/carawayreel/internal/advisory"
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
@@ -27,6 +28,8 @@
 	Deadline time.Time
 	// Sharers are the VMs that share the limits of the targets; nil for this VM alone.
 	Sharers *advisory.Sharers
+	// Organisation is the name of the caller's organisation; empty if there is none.
+	Organisation string
 	// Content identifies what the request asks, apart from its ID: repeats of a request have
 	// the same content.
 	Content quarantine.Content
@@ -116,6 +119,8 @@
 	RetryAfter time.Duration
 	// ContentRefused is true if the content may crash targets; set only for NotRun.
 	ContentRefused bool
+	// Refusal is the decision of admission control that refused the request; nil if it did not.
+	Refusal *admission.Decision
 	// Cause is why the answer is not complete, for the log.
 	Cause string
 }
