admission: gateway, heartbeats, metrics and log lines

A refusal by a gatherer is passed on to the caller, since the other gatherers and the delegating VM would draw again for it.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -14,7 +14,7 @@
 
 const (
 	// delayGoalShare is the longest delay of a request, as a share of its response-time goal.
-	delayGoalShare = 0.25
+	delayGoalShare = 0.1
 	// maxDelay bounds the delay of requests: two control steps show whether pressure falls.
 	maxDelay = 2 * stepInterval
 	// delayReserve is the time that must be left after a delay, in expected reply times.
@@ -74,6 +74,8 @@
 	Pressure Reason = "pressure"
 	// Rush means that the request exceeds the usual load of its organisation.
 	Rush Reason = "rush"
+	// Delegated means that a gatherer refused the request, for one of the other reasons.
+	Delegated Reason = "delegated"
 	// Late means that the request cannot end in time.
 	Late Reason = "late"
 )
--- a/internal/admission/exchange.go
+++ b/internal/admission/exchange.go
@@ -101,16 +101,16 @@
 	InFlight int
 }
 
-// Load returns the load of a service.
-func (c *Controller) Load(name string, now time.Time) Load {
+// Loads returns the load of each service that this VM sends to.
+func (c *Controller) Loads(now time.Time) map[string]Load {
 	if !c.Enabled() {
-		return Load{}
+		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s, ok := c.services[name]
-	if !ok {
-		return Load{}
+	loads := make(map[string]Load, len(c.services))
+	for name, s := range c.services {
+		loads[name] = Load{Pressure: s.effective(now), InFlight: s.inFlight}
 	}
-	return Load{Pressure: s.effective(now), InFlight: s.inFlight}
+	return loads
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -55,6 +55,9 @@
 	// ContentRefusedFor is how long the VM that replied refuses requests with this content
 	// because it may crash targets; zero if it does not.
 	ContentRefusedFor time.Duration
+	// AdmissionRefusedFor is set if the VM that replied refused the request because its targets
+	// have too little capacity: the delay after which it expects to admit such a request.
+	AdmissionRefusedFor time.Duration
 	// Advice is what the target asks of its callers.
 	Advice advisory.Advice
 	// ColdFor is how long the target stays cold; zero if it is not stated.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -55,6 +55,14 @@
 	Merge(advice []*pb.TargetAdvice, now time.Time)
 }
 
+// ServicePressures exchanges the pressure of services with the other VMs. Implementations must be safe for
+// concurrent use.
+type ServicePressures interface {
+	// Updates returns this VM's pressures to send in heartbeats.
+	Updates(now time.Time) []*pb.ServicePressure
+	Merge(from string, pressures []*pb.ServicePressure, now time.Time)
+}
+
 // TargetReports exchanges reports of slow and failing targets with the other VMs of the failure domain, which use
 // the same targets. Implementations must be safe for concurrent use.
 type TargetReports interface {
@@ -78,6 +86,8 @@
 	Quarantine    Quarantine    // may be nil
 	TargetReports TargetReports // may be nil
 	TargetAdvice  TargetAdvice  // may be nil
+	// ServicePressures may be nil.
+	ServicePressures ServicePressures
 	// OnPublish is called after a configuration was put in force. It must not block. May be nil.
 	OnPublish func()
 	Logger    zerolog.Logger
@@ -399,7 +409,7 @@
 	c.mergeGossip(r.GetSender(), r, now)
 	// The trace records the event without quarantine entries and target reports.
 	stripped, _ := proto.Clone(r).(*pb.HeartbeatRequest)
-	stripped.Quarantine, stripped.TargetReports, stripped.TargetAdvice = nil, nil, nil
+	stripped.Quarantine, stripped.TargetReports, stripped.TargetAdvice, stripped.ServicePressures = nil, nil, nil, nil
 	response, ok := c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatReceived{HeartbeatReceived: stripped}})
 	if !ok || response == nil {
 		return &pb.HeartbeatResponse{}
@@ -407,6 +417,7 @@
 	response, _ = proto.Clone(response).(*pb.HeartbeatResponse)
 	gossip := c.gossipFor(r.GetSender().GetFailureDomain(), now)
 	response.Quarantine, response.TargetReports, response.TargetAdvice = gossip.quarantine, gossip.reports, gossip.advice
+	response.ServicePressures = gossip.pressures
 	c.traffic.count(response, r)
 	return response
 }
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -78,6 +78,7 @@
 	request, _ := proto.Clone(send.Request).(*pb.HeartbeatRequest)
 	gossip := c.gossipFor(c.domainOf(send.Vm), time.Now())
 	request.Quarantine, request.TargetReports, request.TargetAdvice = gossip.quarantine, gossip.reports, gossip.advice
+	request.ServicePressures = gossip.pressures
 	response, err := c.options.Peers.Heartbeat(callCtx, send.Address, request)
 	if err != nil {
 		failed := &pb.HeartbeatFailed{Vm: send.Vm, SentOffsetUs: sent, Denied: errors.Is(err, ErrDenied)}
@@ -87,7 +88,7 @@
 	c.traffic.count(request, response)
 	c.mergeGossip(response.GetResponder(), response, time.Now())
 	stripped, _ := proto.Clone(response).(*pb.HeartbeatResponse)
-	stripped.Quarantine, stripped.TargetReports, stripped.TargetAdvice = nil, nil, nil
+	stripped.Quarantine, stripped.TargetReports, stripped.TargetAdvice, stripped.ServicePressures = nil, nil, nil, nil
 	answered := &pb.HeartbeatAnswered{Vm: send.Vm, Response: stripped, SentOffsetUs: sent}
 	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatAnswered{HeartbeatAnswered: answered}})
 }
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -12,6 +12,7 @@
 	quarantine []*pb.QuarantineEntry
 	reports    []*pb.TargetReport
 	advice     []*pb.TargetAdvice
+	pressures  []*pb.ServicePressure
 }
 
 // gossipMessage is a heartbeat or the response to one.
@@ -19,6 +20,7 @@
 	GetQuarantine() []*pb.QuarantineEntry
 	GetTargetReports() []*pb.TargetReport
 	GetTargetAdvice() []*pb.TargetAdvice
+	GetServicePressures() []*pb.ServicePressure
 }
 
 // gossipFor returns the gossip to send to a VM of the given failure domain. Target reports are sent only to VMs of
@@ -34,6 +36,9 @@
 	if c.options.TargetAdvice != nil {
 		g.advice = c.options.TargetAdvice.Updates(now)
 	}
+	if c.options.ServicePressures != nil {
+		g.pressures = c.options.ServicePressures.Updates(now)
+	}
 	return g
 }
 
@@ -48,4 +53,7 @@
 	if c.options.TargetAdvice != nil {
 		c.options.TargetAdvice.Merge(message.GetTargetAdvice(), now)
 	}
+	if c.options.ServicePressures != nil {
+		c.options.ServicePressures.Merge(from.GetVm(), message.GetServicePressures(), now)
+	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/carawayreel/carawayreel/internal/admission"
 	"github.com/carawayreel/carawayreel/internal/advisory"
 	"github.com/carawayreel/carawayreel/internal/auth"
 	"github.com/carawayreel/carawayreel/internal/change"
@@ -44,6 +45,7 @@
 	quarantine   *quarantine.List
 	targetHealth *health.Tracker
 	advice       *advisory.Board
+	admission    *admission.Controller
 
 	control      *control.Control
 	owner        *owner.Owner
@@ -125,13 +127,15 @@
 	store, list, source := d.newPlatform(platformHTTP)
 	d.targetHealth = health.NewTracker()
 	d.advice = advisory.NewBoard()
+	d.admission = admission.New()
 	d.quarantine = quarantine.New(quarantine.DefaultLimits())
 	d.peers = peer.New(self.ID, client, settings.Limits.MaxRequestBytes)
 	var err error
 	d.control, err = control.New(control.Options{
 		Settings: settings, Self: self, Store: store, Source: source, VMList: list,
 		Peers: controlPeers{d.peers}, Quarantine: d.quarantine, TargetReports: d.targetHealth, TargetAdvice: d.advice,
-		OnPublish: d.notifyGateway, Logger: d.logger, Trace: d.traces.control.writer(),
+		ServicePressures: d.admission,
+		OnPublish:        d.notifyGateway, Logger: d.logger, Trace: d.traces.control.writer(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "control")
--- a/internal/delegation/dialect.go
+++ b/internal/delegation/dialect.go
@@ -28,6 +28,8 @@
 	// contentRefusedHeader is the time in microseconds for which a gatherer refuses the content
 	// of the request.
 	contentRefusedHeader = "Carawayreel-Content-Refused-Us"
+	// admissionRefusedHeader states the delay that admission control told the caller.
+	admissionRefusedHeader = "Carawayreel-Admission-Refused-Us"
 	// answerToHeader is the ID of the request that an answer belongs to.
 	answerToHeader = "Carawayreel-Answer-To"
 )
@@ -98,6 +100,12 @@
 	h.Set(contentRefusedHeader, strconv.FormatInt(length.Microseconds(), 10))
 }
 
+// SetAdmissionRefused states in the answer to a delegated request that admission control
+// refused it, and the delay after which such a request is expected to be admitted.
+func SetAdmissionRefused(h http.Header, retryAfter time.Duration) {
+	h.Set(admissionRefusedHeader, strconv.FormatInt(retryAfter.Microseconds(), 10))
+}
+
 // Dialect is the dialect between a delegating VM and a gatherer: requests carry the headers
 // of the embedded platform's dialect, and answers those of a gathered answer. The answer of
 // a relay is a RelayedReplies message.
@@ -114,6 +122,10 @@
 		// arrives by heartbeats.
 		metadata.ContentRefusedFor, _ = microseconds(refused)
 	}
+	if refused := take(h, admissionRefusedHeader); refused != "" {
+		// What cannot be read counts as a rejection by the gatherer.
+		metadata.AdmissionRefusedFor, _ = microseconds(refused)
+	}
 	metadata.NotRun = status == http.StatusServiceUnavailable || status >= 400 && status < 500
 	if status == http.StatusOK {
 		metadata.Receipt = id
--- a/internal/fanout/admission.go
+++ b/internal/fanout/admission.go
@@ -42,7 +42,7 @@
 	decision := m.shared.admission.Decide(m.admissionRequest(), m.now)
 	switch decision.Verdict {
 	case admission.Delay:
-		m.delayed = decision.Reason
+		m.delayed, m.delay = decision.Reason, decision
 		m.delayedUntil = m.now.Add(decision.Wait)
 		m.actions.WakeAt = m.delayedUntil
 		return false
@@ -58,8 +58,20 @@
 	return true
 }
 
-// Delayed reports whether the request was delayed by admission control.
-func (m *Machine) Delayed() bool { return m.delayed != "" }
+// refuseAs refuses a request that the VM it was delegated to has refused. Other gatherers of the
+// service would decide alike, and asking all of them would raise the chance of a repeated request.
+func (m *Machine) refuseAs(retryAfter time.Duration) {
+	m.answered = true
+	m.actions.Answer = &Answer{
+		Outcome: NotRun, Missing: len(m.legs), RetryAfter: retryAfter, Cause: "the gatherer refused: too little capacity",
+		Refusal: &admission.Decision{
+			Verdict: admission.Refuse, Reason: admission.Delegated, RetryAfter: retryAfter, Service: m.legs[0].service.Name,
+		},
+	}
+}
+
+// Delayed returns the decision that delayed the request, and whether there was one.
+func (m *Machine) Delayed() (admission.Decision, bool) { return m.delay, m.delayed != "" }
 
 // beginAttempt records that the attempt was sent.
 func (m *Machine) beginAttempt(a *attempt) {
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -79,6 +79,7 @@
 	// delayed is why admission control delayed the request, if it did, and delayedUntil when it
 	// decides again; zero while no decision is due.
 	delayed      admission.Reason
+	delay        admission.Decision
 	delayedUntil time.Time
 
 	legs     []leg
@@ -199,6 +200,9 @@
 		return health.Lost
 	case reply.OtherTarget:
 		return health.Unreachable
+	case reply.AdmissionRefusedFor > 0:
+		// The gatherer works; the targets of its service have too little capacity.
+		return health.Busy
 	case reply.NotRun:
 		return health.Rejected
 	case reply.Successful():
@@ -217,6 +221,9 @@
 		return
 	}
 	switch {
+	case reply != nil && reply.AdmissionRefusedFor > 0:
+		m.refuseAs(reply.AdmissionRefusedFor)
+		return
 	case reply == nil:
 		l.cause = err.Error()
 	case reply.Spoiled():
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/carawayreel/carawayreel/internal/backend"
+	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 )
 
@@ -21,6 +22,9 @@
 		if answer.ContentRefused {
 			c.recordContentRefused(answer.RetryAfter)
 		}
+		if answer.Refusal != nil && c.delegated {
+			delegation.SetAdmissionRefused(c.writer.Header(), answer.RetryAfter)
+		}
 		c.writeNotRun(answer.RetryAfter)
 	case answer.Outcome == fanout.TimedOut:
 		c.writer.WriteHeader(http.StatusGatewayTimeout)
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -132,7 +132,7 @@
 		},
 	})
 	answer := r.runMachine()
-	if answer != nil && answer.Outcome == fanout.NotRun && time.Since(c.received) < limit {
+	if answer != nil && answer.Outcome == fanout.NotRun && answer.Refusal == nil && time.Since(c.received) < limit {
 		c.gateway.counters.undelegated.Inc()
 		c.gateway.log.undelegated(c, &r.trace, answer.Cause)
 		r.cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/carawayreel/carawayreel/internal/admission"
 	"github.com/carawayreel/carawayreel/internal/advisory"
 	"github.com/carawayreel/carawayreel/internal/backend"
 	"github.com/carawayreel/carawayreel/internal/fanout"
@@ -73,6 +74,9 @@
 	Targets *health.Tracker
 	// Advice holds what targets ask of their callers; nil uses a board of the gateway's own.
 	Advice *advisory.Board
+	// Admission decides which requests are sent under pressure; nil uses a controller of the
+	// gateway's own.
+	Admission *admission.Controller
 	// Guard decides on requests that may crash targets; nil uses one of the gateway's own.
 	Guard *quarantine.Guard
 	// Announcer tells other VMs what the guard finds; may be nil.
@@ -107,7 +111,8 @@
 	compiledFrom *pb.Configuration
 	compiled     atomic.Pointer[compiledTable]
 
-	counters counters
+	counters  counters
+	admission *admissionMetrics
 	// changed signals that a new configuration must be compiled.
 	changed chan struct{}
 }
@@ -117,6 +122,9 @@
 	if options.Advice == nil {
 		options.Advice = advisory.NewBoard()
 	}
+	if options.Admission == nil {
+		options.Admission = admission.New()
+	}
 	if options.Guard == nil {
 		options.Guard = quarantine.NewGuard(quarantine.New(quarantine.DefaultLimits()))
 	}
@@ -127,6 +135,7 @@
 		delegates:       newDelegates(),
 		log:             newRequestLogger(options.Logger, options.Settings.GetLog(), options.Metrics),
 		counters:        newCounters(options.Metrics),
+		admission:       newAdmissionMetrics(options.Metrics),
 		changed:         make(chan struct{}, 1),
 		pauses:          options.Pauses,
 	}
@@ -139,7 +148,8 @@
 	location := routing.Location{VM: self.ID, FailureDomain: self.FailureDomain}
 	g.compiler = routing.NewCompiler(options.Targets, location, time.Duration(lapsedShare*float64(drain)))
 	options.Targets.Observe(g.log)
-	g.settings.Store(options.Settings.GetRoutes())
+	g.fanoutState.SetAdmission(options.Admission)
+	g.applySettings(options.Settings)
 	options.Metrics.NewGauge("carawayreel_route_requests_running", func() float64 { return float64(g.running.Load()) })
 	options.Metrics.NewGauge("carawayreel_route_targets_leaving", func() float64 { return float64(options.Advice.Counts(time.Now()).Leaving) })
 	options.Metrics.NewGauge("carawayreel_route_targets_paused", func() float64 { return float64(options.Advice.Counts(time.Now()).Paused) })
@@ -175,6 +185,7 @@
 			g.pauses.Tick(g.options.Views.Current(), now)
 			g.options.Guard.Tick(now)
 			g.options.Advice.Expire(now)
+			g.admission.publish(g.options.Admission, now)
 			g.reportFindings()
 			g.options.Client.CloseIdle(now)
 			if g.options.Gatherers != nil {
@@ -186,7 +197,7 @@
 
 // Reload applies new settings.
 func (g *Gateway) Reload(settings *pb.Settings) {
-	g.settings.Store(settings.GetRoutes())
+	g.applySettings(settings)
 	g.compiled.Store(nil)
 }
 
--- a/internal/gateway/request_logger.go
+++ b/internal/gateway/request_logger.go
@@ -131,7 +131,12 @@
 	if ordinary && !l.sampled(c.id) || !l.allow(ordinary) {
 		return
 	}
-	l.logger.Info().Str("request", c.id).Str("content", c.contentID()).Str("route", c.route.Name).
+	event := l.logger.Info()
+	if refusal := answer.Refusal; refusal != nil {
+		event = event.Str("organisation", c.organisationName()).Str("reason", string(refusal.Reason)).Str("service", refusal.Service).
+			Float64("pressure", refusal.Pressure).Int64("pressure_age_ms", refusal.PressureAge.Milliseconds())
+	}
+	event.Str("request", c.id).Str("content", c.contentID()).Str("route", c.route.Name).
 		Uint64("version", c.compiled.table.Version).Uint64("revision", c.compiled.table.Revision).
 		Int64("configuration_age_ms", c.compiled.view.ConfigurationAge(c.received).Milliseconds()).
 		Str("outcome", answer.Outcome.String()).Str("cause", answer.Cause).
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -64,7 +64,8 @@
 		client: c.gateway.options.Client, state: c.gateway.fanoutState, request: c.request,
 		input: fanout.Input{
 			Route: c.route, Legs: legs, Received: c.received, Deadline: c.gateway.deadline(c.arrived, c.timeLimit()),
-			Stopping: c.gateway.stopBy.Load() != 0, Sharers: c.compiled.sharersOf(c.route), Content: c.content, Relays: c.compiled.relays,
+			Stopping: c.gateway.stopBy.Load() != 0, Sharers: c.compiled.sharersOf(c.route),
+			Organisation: c.organisationName(), Content: c.content, Relays: c.compiled.relays,
 		},
 	})
 	r.conclude(r.runMachine())
@@ -92,6 +93,7 @@
 		c.gateway.log.finished(c, &r.trace, &fanout.Answer{Outcome: fanout.CallerGone, Cause: "the caller left"})
 		return
 	}
+	r.recordAdmission(answer)
 	c.write(answer)
 	c.gateway.counters.recordOutcome(answer.Outcome, time.Since(c.received))
 	c.gateway.log.finished(c, &r.trace, answer)
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -118,6 +118,7 @@
 	g.fanoutState.Retain(next.table)
 	g.delegationState.SetLimits(next.limits(g.settings.Load()))
 	g.delegationState.Retain(next.table)
+	g.options.Admission.Retain(next.table.HasService, next.table.HasRoute, now)
 	g.options.Client.Retain(next.table.HasTarget)
 	g.log.newTable(next, current.ConfigurationAge(now))
 }
