--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -138,11 +138,11 @@
 		return Decision{}
 	}
 	first := r.Delayed == ""
-	s := c.decisive(r, now)
+	s, pressure := c.decisive(r, now)
 	if s == nil {
 		return Decision{}
 	}
-	k := c.rank(r, rt, s, now)
+	k := rankOf(r, rt, now)
 	if r.Delayed == Rush || first && c.rushing(r.Organisation, now) {
 		k = rushRank
 	}
@@ -153,7 +153,6 @@
 			}
 		}
 	}
-	pressure := s.effective(now)
 	decision := Decision{Service: s.name, Pressure: pressure, PressureAge: s.age(now)}
 	if pressure < minPressure {
 		return decision
--- a/internal/admission/exchange.go
+++ b/internal/admission/exchange.go
@@ -58,11 +58,8 @@
 		if s == nil {
 			return
 		}
-		if _, known := s.peers[from]; !known && len(s.peers) >= maxPeers {
-			continue
-		}
 		at := now.Add(-time.Duration(u.GetAgeMs()) * time.Millisecond)
-		s.peers[from] = peerPressure{pressure: u.GetPressure(), demand: u.GetDemand(), at: at}
+		s.merge(peerPressure{vm: from, pressure: u.GetPressure(), demand: u.GetDemand(), at: at})
 	}
 }
 
--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -1,8 +1,10 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -24,7 +26,7 @@
 	// maxPressure keeps enough requests going to learn when a service recovers.
 	maxPressure = 0.9
 	// minPressure is the pressure below which all requests are admitted.
-	minPressure = 0.05
+	minPressure = 0.1
 	// consensus is the part of the difference to the pressure of all VMs that a VM takes over
 	// in one step, so that VMs with unequal callers shed alike.
 	consensus = 0.1
@@ -32,15 +34,12 @@
 	// until it has ended from then on. A pressure that another VM told ages from its receipt.
 	silence     = time.Second
 	pressureTTL = 3 * time.Second
-	// meanWorkWeight is the weight of one request in the mean work of a service.
-	meanWorkWeight = 0.02
 )
 
 // service is what is known of the load of one service.
 type service struct {
-	name     string
-	demand   demand
-	meanWork float64
+	name   string
+	demand demand
 	// credit holds, by rank, the shares of requests that were due and not admitted yet.
 	credit [ranks]float64
 	// results and bad count the results since steppedAt, and those that were queued or rejected.
@@ -51,11 +50,13 @@
 	// rising is true if the last step was overloaded.
 	rising   bool
 	inFlight int
-	peers    map[string]peerPressure
+	// peers are sorted by VM, so that sums over them do not depend on the order of arrival.
+	peers []peerPressure
 }
 
 // peerPressure is the pressure of a service at another VM.
 type peerPressure struct {
+	vm               string
 	pressure, demand float64
 	at               time.Time
 }
@@ -67,35 +68,31 @@
 		if len(c.services) >= maxServices {
 			return nil
 		}
-		s = &service{name: name, steppedAt: now, observedAt: now, peers: map[string]peerPressure{}}
+		s = &service{name: name, steppedAt: now, observedAt: now}
 		c.services[name] = s
 	}
 	return s
 }
 
-// decisive returns the service with the highest pressure that the answer cannot lack, or nil
-// if none is known. c.mu must be held.
-func (c *Controller) decisive(r Request, now time.Time) *service {
-	all := make([]*service, 0, len(r.Services))
+// decisive returns the service with the highest pressure that the answer cannot lack, and its
+// pressure, or nil if no service is known. c.mu must be held.
+func (c *Controller) decisive(r Request, now time.Time) (*service, float64) {
+	type pressed struct {
+		service  *service
+		pressure float64
+	}
+	all := make([]pressed, 0, len(r.Services))
 	for _, name := range r.Services {
 		if s := c.service(name, now); s != nil {
-			all = append(all, s)
+			all = append(all, pressed{service: s, pressure: s.effective(now)})
 		}
 	}
 	if len(all) == 0 {
-		return nil
+		return nil, 0
 	}
-	slices.SortStableFunc(all, func(a, b *service) int {
-		switch pa, pb := a.effective(now), b.effective(now); {
-		case pa > pb:
-			return -1
-		case pa < pb:
-			return 1
-		default:
-			return 0
-		}
-	})
-	return all[min(r.Spare, len(all)-1)]
+	slices.SortStableFunc(all, func(a, b pressed) int { return cmp.Compare(b.pressure, a.pressure) })
+	decisive := all[min(r.Spare, len(all)-1)]
+	return decisive.service, decisive.pressure
 }
 
 // Began records that an attempt was sent to a target of a service.
@@ -141,7 +138,6 @@
 	case Replied:
 		s.observe(rt.queued(took, goal), now)
 		rt.add(took, goal, s.effective(now) < minPressure, now)
-		s.meanWork += meanWorkWeight * (rt.work() - s.meanWork)
 	case Rejected:
 		s.observe(true, now)
 	case Unanswered:
@@ -208,12 +204,9 @@
 	}
 	s.demand.decay(now)
 	sum, weight := own*s.demand.total, s.demand.total
-	for vm, p := range s.peers {
+	s.peers = slices.DeleteFunc(s.peers, func(p peerPressure) bool { return freshness(now.Sub(p.at)) == 0 })
+	for _, p := range s.peers {
 		fresh := freshness(now.Sub(p.at))
-		if fresh == 0 {
-			delete(s.peers, vm)
-			continue
-		}
 		sum += p.pressure * p.demand * fresh
 		weight += p.demand * fresh
 	}
@@ -223,6 +216,17 @@
 	return sum / weight
 }
 
+// merge records the pressure at another VM.
+func (s *service) merge(p peerPressure) {
+	i, known := slices.BinarySearchFunc(s.peers, p.vm, func(known peerPressure, vm string) int { return strings.Compare(known.vm, vm) })
+	switch {
+	case known:
+		s.peers[i] = p
+	case len(s.peers) < maxPeers:
+		s.peers = slices.Insert(s.peers, i, p)
+	}
+}
+
 // age returns the time since anything contributed to the pressure.
 func (s *service) age(now time.Time) time.Duration {
 	at := s.observedAt
--- a/internal/admission/rank.go
+++ b/internal/admission/rank.go
@@ -13,11 +13,10 @@
 	// lowest of these.
 	priorities = 4
 	// slackClasses is the number of classes of time left, by whether a reply is expected before
-	// the goal, and workClasses that of work.
+	// the goal.
 	slackClasses = 2
-	workClasses  = 2
 	// rushRank is the rank of requests beyond the usual load of their organisation.
-	rushRank = rank(priorities * slackClasses * workClasses)
+	rushRank = rank(priorities * slackClasses)
 	ranks    = int(rushRank) + 1
 	// reservedShare is the share of the usual chance of admission that every rank keeps. The
 	// lowest priority has to be served at a quarter of the rate of all requests; the rest is a
@@ -29,16 +28,13 @@
 	certain = 0.999
 )
 
-// rank returns the rank of a request, without regard to its organisation. c.mu must be held.
-func (c *Controller) rank(r Request, rt *route, s *service, now time.Time) rank {
-	slack, work := 0, 0
+// rankOf returns the rank of a request, without regard to its organisation.
+func rankOf(r Request, rt *route, now time.Time) rank {
+	slack := 0
 	if r.Goal > 0 && r.GoalLeft < rt.expected(now) {
 		slack = 1
 	}
-	if rt.work() > s.meanWork {
-		work = 1
-	}
-	return rank((min(int(r.Priority), priorities-1)*slackClasses+slack)*workClasses + work)
+	return rank(min(int(r.Priority), priorities-1)*slackClasses + slack)
 }
 
 // demand is the work that was offered lately, by rank.
--- a/internal/fanout/admission_test.go
+++ b/internal/fanout/admission_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -346,21 +347,23 @@
 		seeds = seedCount(t)
 	}
 	for _, l := range loads() {
-		var worth [2]float64
-		for enabled := range 2 {
-			routes, organisations := sum(l, seeds, enabled == 1)
-			for i, r := range loadRoutes {
-				c := routes[i]
-				worth[enabled] += c.worth
-				t.Logf("%-34s %d %-14s n %6d in time %5.1f%% late %5.1f%% refused %5.1f%% worth %8.1f", l.name, enabled, r.name, c.requests,
-					percent(c.inTime, c.requests), percent(c.late, c.requests), percent(c.refused, c.requests), c.worth)
-			}
-			for i, c := range organisations {
-				t.Logf("      org %d n %d in time %.1f served %.1f", i, c.requests, percent(c.inTime, c.requests), percent(c.inTime+c.late, c.requests))
+		t.Run(strings.ReplaceAll(l.name, " ", "-"), func(t *testing.T) {
+			var worth [2]float64
+			for enabled := range 2 {
+				routes, organisations := sum(l, seeds, enabled == 1)
+				for i, r := range loadRoutes {
+					c := routes[i]
+					worth[enabled] += c.worth
+					t.Logf("%-34s %d %-14s n %6d in time %5.1f%% late %5.1f%% refused %5.1f%% worth %8.1f", l.name, enabled, r.name, c.requests,
+						percent(c.inTime, c.requests), percent(c.late, c.requests), percent(c.refused, c.requests), c.worth)
+				}
+				for i, c := range organisations {
+					t.Logf("      org %d n %d in time %.1f served %.1f", i, c.requests, percent(c.inTime, c.requests), percent(c.inTime+c.late, c.requests))
+				}
 			}
-		}
-		t.Logf("%s worth off %.0f on %.0f", l.name, worth[0], worth[1])
-		assert.GreaterOrEqual(t, worth[1], worth[0])
+			t.Logf("%s worth off %.0f on %.0f", l.name, worth[0], worth[1])
+			assert.GreaterOrEqual(t, worth[1], worth[0])
+		})
 	}
 }
 
