--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -16,7 +16,7 @@
 	minResults = 8
 	// badShare is the share of results that were queued or rejected from which the pressure
 	// rises. A slow or rejecting target in three stays below it: others take its requests.
-	badShare = 0.25
+	badShare = 0.3
 	// maxShed is the part of the admitted work that one step sheds if all results are bad.
 	maxShed = 0.12
 	// recovery is the pressure that one step takes off while the service is not overloaded.
--- a/internal/fanout/fixture_test.go
+++ b/internal/fanout/fixture_test.go
@@ -155,7 +155,15 @@
 // request simulates one request of the route.
 func (s *simulation) request(shared *fanout.SharedState, route *routing.Route) {
 	received := s.now
-	m := newMachine(shared, route, received)
+	serve := func(t *routing.Target) (time.Duration, *backend.Reply, error) { return s.serve(s, t) }
+	s.run(newMachine(shared, route, received), serve, func(answer *fanout.Answer) {
+		s.answers = append(s.answers, answered{at: received, took: s.now.Sub(received), answer: answer})
+	})
+}
+
+// run runs the machine of a request against targets that serve as given, and calls end with
+// its answer.
+func (s *simulation) run(m *fanout.Machine, serve func(*routing.Target) (time.Duration, *backend.Reply, error), end func(*fanout.Answer)) {
 	done := false
 	var carryOut func(fanout.Actions)
 	carryOut = func(actions fanout.Actions) {
@@ -165,12 +173,12 @@
 			if send.Reason == fanout.FirstAttempt {
 				s.firsts[service] = append(s.firsts[service], s.now)
 			}
-			took, reply, err := s.serve(s, send.Target)
+			took, reply, err := serve(send.Target)
 			s.after(took, func() { carryOut(m.Ended(s.now, send.Attempt, reply, err)) })
 		}
 		if actions.Answer != nil && !done {
 			done = true
-			s.answers = append(s.answers, answered{at: received, took: s.now.Sub(received), answer: actions.Answer})
+			end(actions.Answer)
 		}
 		if !done && !actions.WakeAt.IsZero() {
 			s.after(actions.WakeAt.Sub(s.now), func() {
