admission: a pressure begins on evidence of several steps; usual reply times follow by time

In calm, short queues behind long requests raised the pressure for a moment. The usual reply time moved by a step per reply, so that a fast VM took queues for usual within 0.2 s; it now moves with time.

--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -17,6 +17,10 @@
 	// badShare is the share of results that were queued or rejected from which the pressure
 	// rises. A slow or rejecting target in three stays below it: others take its requests.
 	badShare = 0.3
+	// minEvidence is the sum of shares beyond badShare, over consecutive steps, from which a
+	// pressure begins: three steps with bad results only, or more with some. Without it, the
+	// short queues of ordinary load delayed requests in calm.
+	minEvidence = 1.5
 	// maxShed is the part of the admitted work that one step sheds if all results are bad.
 	maxShed = 0.12
 	// recovery is the pressure that one step takes off while the service is not overloaded.
@@ -47,8 +51,8 @@
 	steppedAt    time.Time
 	observedAt   time.Time
 	pressure     float64
-	// rising is true if the last step was overloaded.
-	rising   bool
+	// evidence is the sum of the bad shares of the last steps beyond badShare.
+	evidence float64
 	inFlight int
 	// peers are sorted by VM, so that sums over them do not depend on the order of arrival.
 	peers []peerPressure
@@ -174,18 +178,17 @@
 // step changes the pressure by the results since the last step.
 func (s *service) step(now time.Time) {
 	bad := s.bad / s.results
-	rising := bad > badShare
+	s.evidence = max(s.evidence+bad-badShare, 0)
 	switch {
-	case rising && s.pressure == 0 && !s.rising:
-		// One step shows a burst, not an overload.
-	case rising:
+	case s.pressure == 0 && s.evidence < minEvidence:
+		// This may be a burst.
+	case bad > badShare:
 		shed := maxShed * (bad - badShare) / (1 - badShare)
 		s.pressure = min(1-(1-s.pressure)*(1-shed), maxPressure)
 	default:
 		ease := 1 - bad/badShare
 		s.pressure = max(s.pressure-recovery*(1+fastRecovery*ease*ease), 0)
 	}
-	s.rising = rising
 	s.pressure += consensus * (s.effective(now) - s.pressure)
 	s.results, s.bad, s.steppedAt = 0, 0, now
 }
--- a/internal/admission/route.go
+++ b/internal/admission/route.go
@@ -8,14 +8,15 @@
 const (
 	// firstSamples is the number of replies after which the usual reply time is known.
 	firstSamples = 30
-	// firstStep and usualStep are the relative changes of the usual reply time by one reply.
-	// The later one follows a change by half in about 150 replies.
+	// firstStep is the relative change of the usual reply time by each of the first replies.
 	firstStep = 0.1
-	usualStep = 0.005
-	// driftTime is the time in which the usual reply time may double under pressure. It then
-	// follows a low quantile of the replies: if targets have become slower, shedding cannot make
+	// driftTime is the time constant with which the usual reply time follows the median. It
+	// exceeds the time in which the pressure of an overload rises, so that queues do not become
+	// usual. Under pressure the usual reply time falls pressureFall times faster than it rises,
+	// so that it follows a low quantile: if targets have become slower, shedding cannot make
 	// them as fast as before.
-	driftTime = 10 * time.Second
+	driftTime    = 10 * time.Second
+	pressureFall = 10
 	// maxUsualShare bounds the usual reply time to a share of the goal, so that replies from
 	// full queues do not count as usual after a start under overload.
 	maxUsualShare = 0.4
@@ -34,7 +35,7 @@
 // route is what is known of the reply times of one route's requests at targets.
 type route struct {
 	samples int
-	// usual is the median reply time without queueing, and recent the mean of late.
+	// usual is the reply time without queueing, and recent the mean of late.
 	usual, recent float64
 	seenAt        time.Time
 }
@@ -52,27 +53,27 @@
 	return rt
 }
 
-// add records a reply time. The usual reply time rises slowly under pressure.
+// add records a reply time. The usual reply time is the median, and a low quantile under pressure.
 func (rt *route) add(took, goal time.Duration, calm bool, now time.Time) {
 	ns := float64(took)
 	rt.recent += recentWeight * (ns - rt.recent)
 	passed := min(max(now.Sub(rt.seenAt), 0), stepInterval)
 	rt.seenAt = now
 	rt.samples++
-	step := usualStep
+	rise := float64(passed) / float64(driftTime)
+	fall := rise
 	switch {
 	case rt.samples == 1:
 		rt.usual, rt.recent = ns, ns
 	case rt.samples <= firstSamples:
-		step = firstStep
+		rise, fall = firstStep, firstStep
+	case !calm:
+		fall *= pressureFall
 	}
-	switch {
-	case ns < rt.usual:
-		rt.usual /= 1 + step
-	case calm:
-		rt.usual *= 1 + step
-	default:
-		rt.usual *= 1 + float64(passed)/float64(driftTime)
+	if ns < rt.usual {
+		rt.usual /= 1 + fall
+	} else {
+		rt.usual *= 1 + rise
 	}
 	if goal > 0 {
 		rt.usual = min(rt.usual, maxUsualShare*float64(goal))
--- a/internal/fanout/admission_test.go
+++ b/internal/fanout/admission_test.go
@@ -185,31 +185,34 @@
 	}
 	s.after(wait, func() {
 		s.tallies[route][organisation].requests++
-		s.send(route, organisation, s.now, 0)
+		// Each request has its own random numbers, so that a decision on one changes no other.
+		s.send(route, organisation, s.now, 0, rand.New(rand.NewPCG(random.Uint64(), 0)))
 		s.arrive(route, organisation, random)
 	})
 }
 
 // send sends a request, for the given time after the first one, to any VM.
-func (s *loadSimulation) send(route, organisation int, first time.Time, repeats int) {
-	r, vm := loadRoutes[route], s.vms[s.random.IntN(loadVMs)]
+func (s *loadSimulation) send(route, organisation int, first time.Time, repeats int, random *rand.Rand) {
+	r, vm := loadRoutes[route], s.vms[random.IntN(loadVMs)]
 	compiled := vm.routes[route]
 	legs := compiled.Shards
 	if !r.gathers {
-		legs = []*routing.Service{compiled.WeightedServices[s.random.IntN(2)].Service}
+		legs = []*routing.Service{compiled.WeightedServices[random.IntN(2)].Service}
 	}
 	m := fanout.New(vm.shared, loadVMs, fanout.Input{
 		Route: compiled, Legs: legs, Received: s.now, Deadline: first.Add(r.limit), Organisation: fmt.Sprint(organisation),
 	})
-	serve := func(t *routing.Target) (time.Duration, *backend.Reply, error) { return s.serveQueued(t.ID, r.work) }
-	s.run(m, serve, func(answer *fanout.Answer) { s.answered(route, organisation, first, repeats, answer) })
+	serve := func(t *routing.Target) (time.Duration, *backend.Reply, error) {
+		return s.serveQueued(t.ID, r.work, random)
+	}
+	s.run(m, serve, func(answer *fanout.Answer) { s.answered(route, organisation, first, repeats, answer, random) })
 }
 
 // serveQueued returns the reply of a target, which takes a lognormal time for the work and 1 to
 // 2 ms for the way, and its queue before that.
-func (s *loadSimulation) serveQueued(target string, work time.Duration) (time.Duration, *backend.Reply, error) {
-	way := time.Millisecond + time.Duration(s.random.Float64()*float64(time.Millisecond))
-	took := math.Exp(0.3*s.random.NormFloat64()) * float64(work)
+func (s *loadSimulation) serveQueued(target string, work time.Duration, random *rand.Rand) (time.Duration, *backend.Reply, error) {
+	way := time.Millisecond + time.Duration(random.Float64()*float64(time.Millisecond))
+	took := math.Exp(0.3*random.NormFloat64()) * float64(work)
 	if s.troubled() {
 		took *= s.load.slow(target)
 	}
@@ -234,7 +237,7 @@
 
 // answered counts an answer. Refused callers repeat twice after the delay that they are told,
 // or five times at once, while there is time.
-func (s *loadSimulation) answered(route, organisation int, first time.Time, repeats int, answer *fanout.Answer) {
+func (s *loadSimulation) answered(route, organisation int, first time.Time, repeats int, answer *fanout.Answer, random *rand.Rand) {
 	r, counted, took := loadRoutes[route], &s.tallies[route][organisation], s.now.Sub(first)
 	if answer.Outcome == fanout.Complete || answer.Outcome == fanout.Partial {
 		share := float64(len(answer.Replies)) / float64(len(answer.Replies)+answer.Missing)
@@ -252,7 +255,7 @@
 		wait, most = 2*time.Millisecond, 5
 	}
 	if repeats < most && took+wait < r.limit {
-		s.after(wait, func() { s.send(route, organisation, first, repeats+1) })
+		s.after(wait, func() { s.send(route, organisation, first, repeats+1, random) })
 		return
 	}
 	counted.refused++
