--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -18,9 +18,11 @@
 	// rises. A slow or rejecting target in three stays below it: others take its requests.
 	badShare = 0.3
 	// minEvidence is the sum of shares beyond badShare, over consecutive steps, from which a
-	// pressure begins: three steps with bad results only, or more with some. Without it, the
-	// short queues of ordinary load delayed requests in calm.
-	minEvidence = 1.5
+	// pressure begins: three steps with long waits only, or more with some. Without it, the
+	// short queues of ordinary load delayed requests in calm. Full queues are no ordinary load,
+	// so that the share of rejections counts rejectionEvidence times in addition.
+	minEvidence       = 2.0
+	rejectionEvidence = 2.0
 	// maxShed is the part of the admitted work that one step sheds if all results are bad.
 	maxShed = 0.12
 	// recovery is the pressure that one step takes off while the service is not overloaded.
@@ -46,8 +48,9 @@
 	demand demand
 	// credit holds, by rank, the shares of requests that were due and not admitted yet.
 	credit [ranks]float64
-	// results and bad count the results since steppedAt, and those that were queued or rejected.
-	results, bad float64
+	// results, bad and rejected count the results since steppedAt, those that were queued or
+	// rejected, and those that were rejected.
+	results, bad, rejected float64
 	steppedAt    time.Time
 	observedAt   time.Time
 	pressure     float64
@@ -143,6 +146,7 @@
 		s.observe(rt.queued(took, goal), now)
 		rt.add(took, goal, s.effective(now) < minPressure, now)
 	case Rejected:
+		s.rejected++
 		s.observe(true, now)
 	case Unanswered:
 		if rt.queued(took, goal) {
@@ -178,7 +182,7 @@
 // step changes the pressure by the results since the last step.
 func (s *service) step(now time.Time) {
 	bad := s.bad / s.results
-	s.evidence = max(s.evidence+bad-badShare, 0)
+	s.evidence = max(s.evidence+bad-badShare+rejectionEvidence*s.rejected/s.results, 0)
 	switch {
 	case s.pressure == 0 && s.evidence < minEvidence:
 		// This may be a burst.
@@ -190,7 +194,7 @@
 		s.pressure = max(s.pressure-recovery*(1+fastRecovery*ease*ease), 0)
 	}
 	s.pressure += consensus * (s.effective(now) - s.pressure)
-	s.results, s.bad, s.steppedAt = 0, 0, now
+	s.results, s.bad, s.rejected, s.steppedAt = 0, 0, 0, now
 }
 
 // own returns this VM's own pressure, which ages while there are no replies.
