--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -55,6 +55,14 @@
 	Merge(advice []*pb.TargetAdvice, now time.Time)
 }
 
+// ServicePressures exchanges the pressure of services with the other VMs. Implementations must be safe for
+// concurrent use.
+type ServicePressures interface {
+	// Updates returns this VM's pressures to send in heartbeats.
+	Updates(now time.Time) []*pb.ServicePressure
+	Merge(from string, pressures []*pb.ServicePressure, now time.Time)
+}
+
 // TargetReports exchanges reports of slow and failing targets with the other VMs of the failure domain, which use
 // the same targets. Implementations must be safe for concurrent use.
 type TargetReports interface {
@@ -80,6 +88,8 @@
 	TargetAdvice  TargetAdvice  // may be nil
 	// VersionEvidence may be nil.
 	VersionEvidence VersionEvidence
+	// ServicePressures may be nil.
+	ServicePressures ServicePressures
 	// OnPublish is called after a configuration was put in force. It must not block. May be nil.
 	OnPublish func()
 	Logger    zerolog.Logger
@@ -402,6 +412,7 @@
 	// The trace records the event without quarantine entries and target reports.
 	stripped, _ := proto.Clone(r).(*pb.HeartbeatRequest)
 	stripped.Quarantine, stripped.TargetReports, stripped.TargetAdvice, stripped.VersionEvidence = nil, nil, nil, nil
+	stripped.ServicePressures = nil
 	response, ok := c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatReceived{HeartbeatReceived: stripped}})
 	if !ok || response == nil {
 		return &pb.HeartbeatResponse{}
@@ -410,6 +421,7 @@
 	gossip := c.gossipFor(r.GetSender().GetFailureDomain(), now)
 	response.Quarantine, response.TargetReports, response.TargetAdvice = gossip.quarantine, gossip.reports, gossip.advice
 	response.VersionEvidence = gossip.evidence
+	response.ServicePressures = gossip.pressures
 	c.traffic.count(response, r)
 	return response
 }
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -79,6 +79,7 @@
 	gossip := c.gossipFor(c.domainOf(send.Vm), time.Now())
 	request.Quarantine, request.TargetReports, request.TargetAdvice = gossip.quarantine, gossip.reports, gossip.advice
 	request.VersionEvidence = gossip.evidence
+	request.ServicePressures = gossip.pressures
 	response, err := c.options.Peers.Heartbeat(callCtx, send.Address, request)
 	if err != nil {
 		failed := &pb.HeartbeatFailed{Vm: send.Vm, SentOffsetUs: sent, Denied: errors.Is(err, ErrDenied)}
@@ -89,6 +90,7 @@
 	c.mergeGossip(response.GetResponder(), response, time.Now())
 	stripped, _ := proto.Clone(response).(*pb.HeartbeatResponse)
 	stripped.Quarantine, stripped.TargetReports, stripped.TargetAdvice, stripped.VersionEvidence = nil, nil, nil, nil
+	stripped.ServicePressures = nil
 	answered := &pb.HeartbeatAnswered{Vm: send.Vm, Response: stripped, SentOffsetUs: sent}
 	c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_HeartbeatAnswered{HeartbeatAnswered: answered}})
 }
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -13,6 +13,7 @@
 	reports    []*pb.TargetReport
 	advice     []*pb.TargetAdvice
 	evidence   []*pb.VersionEvidence
+	pressures  []*pb.ServicePressure
 }
 
 // VersionEvidence exchanges evidence on roll-outs with the other VMs. The data passes through control only and does
@@ -29,6 +30,7 @@
 	GetTargetReports() []*pb.TargetReport
 	GetTargetAdvice() []*pb.TargetAdvice
 	GetVersionEvidence() []*pb.VersionEvidence
+	GetServicePressures() []*pb.ServicePressure
 }
 
 // gossipFor returns the gossip to send to a VM of the given failure domain. Target reports are sent only to VMs of
@@ -47,6 +49,9 @@
 	if c.options.VersionEvidence != nil {
 		g.evidence = c.options.VersionEvidence.Updates(now)
 	}
+	if c.options.ServicePressures != nil {
+		g.pressures = c.options.ServicePressures.Updates(now)
+	}
 	return g
 }
 
@@ -64,4 +69,7 @@
 	if c.options.VersionEvidence != nil {
 		c.options.VersionEvidence.Merge(message.GetVersionEvidence(), now)
 	}
+	if c.options.ServicePressures != nil {
+		c.options.ServicePressures.Merge(from.GetVm(), message.GetServicePressures(), now)
+	}
 }
--- a/internal/fanout/shared_state.go
+++ b/internal/fanout/shared_state.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/carawayreel/carawayreel/internal/admission"
 	"github.com/carawayreel/carawayreel/internal/advisory"
 	"github.com/carawayreel/carawayreel/internal/coordinator/latency"
 	"github.com/carawayreel/carawayreel/internal/quarantine"
@@ -39,6 +40,8 @@
 	advice *advisory.Board
 	// rollouts holds the orders to move services to another version; nil if there are none.
 	rollouts *rollout.Board
+	// admission may be nil.
+	admission *admission.Controller
 
 	mu           sync.Mutex
 	limits       Limits
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -49,63 +49,74 @@
 const pauseRetryAfter = 200 * time.Millisecond
 
 func (c *call) serve() {
-	g := c.gateway
-	c.id = g.options.Dialect.RequestID(c.http.Header)
-	c.compiled = g.table(c.arrived)
+	c.id = c.gateway.options.Dialect.RequestID(c.http.Header)
+	c.compiled = c.gateway.table(c.arrived)
 	c.organisation = c.identify()
-	table := c.compiled.table
-	if !intake.FromContext(c.http.Context()).Admitted() {
-		c.notRun(intake.ErrNoMemory.Error(), intake.RetryAfter)
+	if !c.mayTake() || !c.match() || !c.authenticate() {
 		return
 	}
-	if g.paused(c.arrived) {
-		c.notRun("this VM was paused and its configuration is not confirmed yet", pauseRetryAfter)
+	body, err := c.readBody(c.compiled.table.Limits.GetMaxBodyBytes())
+	if err != nil || !c.renewRoute() {
 		return
 	}
-	if !table.HasRouteTable() {
-		c.notRun("no configuration is known yet", startupRetryAfter)
+	c.setRequest(body)
+	if admission, until := c.gateway.options.Guard.Check(c.content, c.arrived); admission == quarantine.Refused {
+		c.recordContentRefused(until.Sub(c.arrived))
+		c.notRun("targets crashed while they ran requests with this content", until.Sub(c.arrived))
 		return
 	}
+	switch {
+	case c.relay != nil:
+		c.runRelay()
+	case !c.runDelegated():
+		c.run()
+	}
+}
+
+// mayTake reports whether this VM can take a request now. If not, the caller has been answered.
+func (c *call) mayTake() bool {
+	switch {
+	case !intake.FromContext(c.http.Context()).Admitted():
+		c.notRun(intake.ErrNoMemory.Error(), intake.RetryAfter)
+	case c.gateway.paused(c.arrived):
+		c.notRun("this VM was paused and its configuration is not confirmed yet", pauseRetryAfter)
+	case !c.compiled.table.HasRouteTable():
+		c.notRun("no configuration is known yet", startupRetryAfter)
+	default:
+		return true
+	}
+	return false
+}
+
+// match finds the route and checks the head of the request. If it reports false, the caller has
+// been answered.
+func (c *call) match() bool {
+	g, table := c.gateway, c.compiled.table
 	c.route = table.Match(hostOf(c.http.Host), pathOf(c.http.RequestURI))
 	switch {
 	case c.route == nil:
 		c.refuseIfConfirmed(http.StatusNotFound, "no route for the host and path")
-		return
 	case c.id == "":
 		c.refuse(http.StatusBadRequest, "the request has no identity")
-		return
 	case !c.delegated && c.headBytes() > int(table.Limits.GetMaxHeaderBytes()) && table.Limits.GetMaxHeaderBytes() > 0:
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
-		return
 	case g.running.Load() > int64(g.settings.Load().GetMaxWaitingRequests()):
 		c.notRun("too many requests are running", overloadRetryAfter)
-		return
-	}
-	if !c.authenticate() {
-		return
-	}
-	body, err := c.readBody(table.Limits.GetMaxBodyBytes())
-	if err != nil || !c.renewRoute() {
-		return
+	default:
+		return true
 	}
+	return false
+}
+
+// setRequest sets the request to targets and its content.
+func (c *call) setRequest(body []byte) {
 	c.request = &backend.Request{
 		ID: c.id, Method: c.http.Method, URI: c.http.RequestURI, Host: c.http.Host,
 		Header: endToEndHeaders(c.http.Header), Body: body,
 	}
-	g.options.Dialect.RemoveAttemptHeaders(c.request.Header)
+	c.gateway.options.Dialect.RemoveAttemptHeaders(c.request.Header)
 	c.stateOrganisation()
 	c.content = contentOf(c.request)
-	if admission, until := g.options.Guard.Check(c.content, c.arrived); admission == quarantine.Refused {
-		c.recordContentRefused(until.Sub(c.arrived))
-		c.notRun("targets crashed while they ran requests with this content", until.Sub(c.arrived))
-		return
-	}
-	switch {
-	case c.relay != nil:
-		c.runRelay()
-	case !c.runDelegated():
-		c.run()
-	}
 }
 
 // renewRoute replaces the route if the configuration has changed while the body arrived, and
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -66,7 +66,7 @@
 		input: fanout.Input{
 			Route: c.route, Legs: legs, Received: c.received, Deadline: c.gateway.deadline(c.arrived, c.timeLimit()),
 			Stopping: c.gateway.stopBy.Load() != 0, Sharers: c.compiled.sharersOf(c.route), Content: c.content, Relays: c.compiled.relays,
-			Priority: c.priority(),
+			Organisation: c.organisationName(), Priority: c.priority(),
 		},
 	})
 	r.conclude(r.runMachine())
@@ -94,6 +94,7 @@
 		c.gateway.log.finished(c, &r.trace, &fanout.Answer{Outcome: fanout.CallerGone, Cause: "the caller left"})
 		return
 	}
+	r.recordAdmission(answer)
 	c.write(answer)
 	c.recordOutcome(answer.Outcome)
 	c.gateway.log.finished(c, &r.trace, answer)
