cli: config review checks routes and organisations before they are sent

Operators had no check of routes: config validate knows the schema only, and config diff compares fronts. The review lists errors, entries that can never match, limits that contradict each other, and the difference to the routes in force, for this product's form and for that of the users' platform.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -21,6 +21,7 @@
 	Get      configGetCommand      `cmd:"" help:"Print a revision as JSON."`
 	Diff     configDiffCommand     `cmd:"" help:"Compare a file with the configuration in force."`
 	Validate configValidateCommand `cmd:"" help:"Check a file without applying it."`
+	Review   configReviewCommand   `cmd:"" help:"Check the routes of a file: errors, entries that never match, contradictions, changes."`
 	Apply    configApplyCommand    `cmd:"" help:"Apply a file by compare-and-swap on its revision."`
 	History  configHistoryCommand  `cmd:"" help:"List accepted revisions."`
 	Push     configPushCommand     `cmd:"" help:"Hand an accepted revision straight to VMs."`
--- a/internal/cli/difference.go
+++ b/internal/cli/difference.go
@@ -19,6 +19,11 @@
 // diffConfigurations returns the diff of two configurations: one line for each removed
 // or added value, with its path. Metadata of the revision is not compared.
 func diffConfigurations(before, after *pb.Configuration) ([]string, error) {
+	return diffMessages(comparableContent(before), comparableContent(after))
+}
+
+// diffMessages returns the diff of two messages.
+func diffMessages(before, after proto.Message) ([]string, error) {
 	oldLines, err := flatten(before)
 	if err != nil {
 		return nil, err
@@ -48,15 +53,20 @@
 	return slices.Compact(all)
 }
 
-// flatten returns a sorted list with one "path = value" line for each value of a
-// configuration.
-func flatten(c *pb.Configuration) ([]string, error) {
+// comparableContent returns the part of a configuration that is compared: no metadata of the
+// revision.
+func comparableContent(c *pb.Configuration) *pb.Configuration {
 	content := &pb.Configuration{FailureDomains: c.GetFailureDomains()}
 	for _, front := range c.GetFronts() {
 		front = proto.CloneOf(front)
 		front.Revision = 0
 		content.Fronts = append(content.Fronts, front)
 	}
+	return content
+}
+
+// flatten returns a sorted list with one "path = value" line for each value of a message.
+func flatten(content proto.Message) ([]string, error) {
 	encoded, err := protojson.Marshal(content)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode configuration")
