rollout: an order begins without the credit of the one before; the final state outlives its writer

A VM could spend under a new order what it had not sent under an earlier one, beyond the bound on requests. The process test with the killed decider also kills the VM that wrote the completion and repeats the order.

--- a/internal/e2e/rollout_test.go
+++ b/internal/e2e/rollout_test.go
@@ -195,6 +195,30 @@
 		}
 	}
 	require.Equal(t, 1, final, "a final state is written once")
+	requireFinalStateOutlivesItsWriter(t, d)
+}
+
+// requireFinalStateOutlivesItsWriter kills the VM that wrote the completion. All VMs go on using
+// the ordered version only, and a repeated order is completed at once.
+func requireFinalStateOutlivesItsWriter(t *testing.T, d *testkit.UsersDeployment) {
+	t.Helper()
+	for _, vm := range d.VMs {
+		if strings.Contains(d.Log(vm), `"state":"ROLLOUT_STATE_COMPLETED"`) && strings.Contains(d.Log(vm), "status of a roll-out written") {
+			vm.Process().Kill()
+			require.NoError(t, d.StartVM(vm))
+		}
+	}
+	require.NoError(t, d.AwaitReady(context.Background()))
+	written := len(d.Store.RolloutStatuses("old"))
+	d.Store.Order("old", "v2", rolloutRamp)
+	require.NoError(t, testkit.Poll(context.Background(), 5*time.Second, func() bool {
+		return len(d.Store.RolloutStatuses("old")) > written && d.Store.RolloutState("old") == "completed"
+	}))
+	for _, vm := range d.VMs {
+		status, _, body := sendRequest(vm, newClient(), "GET", "/i/x")
+		require.Equal(t, 200, status)
+		require.Equal(t, "next", body)
+	}
 }
 
 // Guards against requests to an ordered version that no decider can judge, because the store
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -47,7 +47,9 @@
 	// requests are moved: the guard share of the service's requests since the order, less
 	// those sent.
 	credit float64
-	// replies, bad and expected count the ordered version's replies since the last answer:
+	// slack is the credit that an order begins with.
+	slack float64
+	// bad and expected count the ordered version's replies since the last answer:
 	// expected is the number of bad ones that the other versions lead to expect.
 	bad      int
 	expected float64
@@ -57,7 +59,8 @@
 // NewGate returns the gate of an order that sends nothing to the ordered version yet.
 // The given number of VMs serve requests.
 func NewGate(rollout *pb.Rollout, vms int) *Gate {
-	return &Gate{rollout: rollout, credit: guardSlack / float64(max(vms, 1))}
+	slack := guardSlack / float64(max(vms, 1))
+	return &Gate{rollout: rollout, slack: slack, credit: slack}
 }
 
 // Update takes the newest state of the order, or a newer order, and the age of the
@@ -66,11 +69,8 @@
 	before := g.rollout
 	g.rollout = next
 	if next.OrderRevision != before.OrderRevision {
-		// Requests to the version count on if it is the same.
-		if next.Version != before.Version {
-			g.credit = 0
-		}
-		g.share = 0
+		// What an earlier order left over must not be spent under this one.
+		g.credit, g.share = min(g.credit, g.slack), 0
 	}
 	if next.OrderRevision != before.OrderRevision || next.Answer != before.Answer {
 		g.bad, g.expected, g.stopped = 0, 0, false
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -216,4 +216,15 @@
 		}
 	}
 	require.InDelta(t, guardShare*10_000, ordered, 10)
+	for range 10_000 {
+		g.Draw(0, 0.99)
+	}
+	g.Update(&pb.Rollout{OrderRevision: 9, Version: "v2", State: pb.RolloutState_ROLLOUT_STATE_RUNNING, Share: maxLoadShare}, 0)
+	ordered = 0
+	for range 100 {
+		if g.Draw(0, 0) == UseOrdered {
+			ordered++
+		}
+	}
+	require.LessOrEqual(t, ordered, 12, "an order begins without what the one before left over")
 }
