--- a/internal/rollout/comparison.go
+++ b/internal/rollout/comparison.go
@@ -34,8 +34,12 @@
 	// soon outweigh those that one event lost, as the crash of a target. The counts of the VMs
 	// arrive over a second, so that the evidence must last for provenAfter.
 	windowEvidence = 7.0
-	maxEvidence    = 15.0
-	provenAfter    = 1500 * time.Millisecond
+	// windowRelief bounds what the good replies of one window take away: with thousands of
+	// replies a second, a version that is bad under load only is good again as soon as some VMs
+	// have stopped sending to it.
+	windowRelief = 3.5
+	maxEvidence  = 15.0
+	provenAfter  = 1500 * time.Millisecond
 )
 
 // comparison tests whether the ordered version is worse than the others. For each route, and
@@ -128,7 +132,8 @@
 }
 
 func (c *comparison) add(t Test, gain float64) {
-	c.sums[t] = min(max(c.sums[t]+min(gain, windowEvidence), 0), maxEvidence)
+	gain = min(max(gain, -windowRelief), windowEvidence)
+	c.sums[t] = min(max(c.sums[t]+gain, 0), maxEvidence)
 }
 
 // gain returns the logarithm of the odds of a window's replies: that of the ordered version
