rollout: an order for the version in use is completed at once

Change: the registry presents such orders as completed, and the decider writes it: the version had targets while the order before ran (base_versions in the status), or it is the only one with targets and they are older than the order. This is how an operator rolls back by hand.

--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -125,6 +125,9 @@
 			d.Evidence(c.Origin, c.Group, c.Counts)
 		}
 	}
+	if configured.State == pb.RolloutState_ROLLOUT_STATE_COMPLETED && configured.StatusOrderRevision != configured.OrderRevision {
+		d.SetInUse()
+	}
 	d.SetRank(r.rank(current, configured.Service))
 	d.Observe(rollout.StatusOf(configured), targetsOf(current.Configuration, configured), now)
 	if d.calling {
@@ -231,7 +234,10 @@
 			targets.Ordered++
 		case !slices.Contains(r.RefusedVersions, registration.SoftwareVersion):
 			targets.Others++
+			targets.OtherVersions = append(targets.OtherVersions, registration.SoftwareVersion)
 		}
 	}
+	slices.Sort(targets.OtherVersions)
+	targets.OtherVersions = slices.Compact(targets.OtherVersions)
 	return targets
 }
--- a/internal/e2e/rollout_test.go
+++ b/internal/e2e/rollout_test.go
@@ -238,3 +238,23 @@
 		require.Contains(t, d.Log(vm), "roll-out step in force", fmt.Sprintf("%s knows the order", vm.ID))
 	}
 }
+
+// Guards against an operator who goes back to the present version while a roll-out runs and
+// causes an outage, or whose order does not end the requests to the new version.
+func TestRolloutIsEndedByAnOrderForThePresentVersion(t *testing.T) {
+	d := startUsers(t)
+	l := orderUnderLoad(t, d, users.Behavior{Delay: 8 * time.Millisecond})
+	time.Sleep(4 * time.Second)
+	ordered, _ := l.exposure(0, time.Hour)
+	require.Positive(t, ordered)
+	d.Store.Order("old", "v1", rolloutRamp)
+	back := time.Since(l.started)
+	state, at := l.await(t, 4*time.Second)
+	time.Sleep(2 * time.Second)
+	l.end()
+	require.Equal(t, "completed", state)
+	require.Less(t, at, back+3*time.Second)
+	late, _ := l.exposure(at+time.Second, time.Hour)
+	require.Zero(t, late)
+	require.Zero(t, l.failed.Load())
+}
--- a/internal/registry/rollouts.go
+++ b/internal/registry/rollouts.go
@@ -49,8 +49,9 @@
 	return order || status
 }
 
-// configuration returns the roll-outs in ascending order of their services.
-func (r rollouts) configuration() []*pb.Rollout {
+// configuration returns the roll-outs in ascending order of their services. onlyVersion
+// reports whether a service had targets of one version only before a revision.
+func (r rollouts) configuration(onlyVersion func(service, version string, before uint64) bool) []*pb.Rollout {
 	byService := map[string]*pb.Rollout{}
 	for _, status := range r.statuses {
 		// Without its order, only a roll-back has an effect: the version that it refused.
@@ -61,7 +62,11 @@
 		}
 	}
 	for _, order := range r.orders {
-		byService[order.Service] = r.withStatus(order)
+		joined := r.withStatus(order)
+		if joined.StatusOrderRevision != order.OrderRevision && onlyVersion(order.Service, order.Version, order.OrderRevision) {
+			joined.State, joined.Share = pb.RolloutState_ROLLOUT_STATE_COMPLETED, 1
+		}
+		byService[order.Service] = joined
 	}
 	list := make([]*pb.Rollout, 0, len(byService))
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
@@ -94,6 +99,9 @@
 	case same && status.State == pb.RolloutState_ROLLOUT_STATE_COMPLETED:
 		// The order is repeated. Only the version that it names is left.
 		joined.State, joined.Share = status.State, 1
+	case !same && status.State != pb.RolloutState_ROLLOUT_STATE_COMPLETED && slices.Contains(status.BaseVersions, order.Version):
+		// The operator goes back to a version that was in use.
+		joined.State, joined.Share = pb.RolloutState_ROLLOUT_STATE_COMPLETED, 1
 	case !same && status.State != pb.RolloutState_ROLLOUT_STATE_COMPLETED:
 		// It was rolled back, or not decided when the operator replaced the order.
 		joined.RefusedVersions = append(joined.RefusedVersions, status.Version)
--- a/internal/registry/rollouts_test.go
+++ b/internal/registry/rollouts_test.go
@@ -52,3 +52,38 @@
 	store.remove("o/s")
 	require.Empty(t, read(), "a service without an order uses all its targets")
 }
+
+// Guards against an outage because an operator orders the version that is in use: there is no
+// other version that may serve while the share is low.
+func TestOrderForTheVersionInUseIsCompleted(t *testing.T) {
+	store := &fakeStore{pageSize: 2}
+	store.putRoutes(1)
+	version := func(v string) func(*pb.Registration, *registry.Entry) {
+		return func(r *pb.Registration, _ *registry.Entry) { r.SoftwareVersion = v }
+	}
+	order := func(v string) uint64 {
+		store.put(registry.Entry{Key: "o/s", Rollout: &pb.Rollout{Service: "s", Version: v, RampMs: 12000}})
+		return store.revision()
+	}
+	source := registry.NewSource(store, zerolog.Nop())
+	state := func() pb.RolloutState {
+		result, err := source.Watch(context.Background(), 0)
+		require.NoError(t, err)
+		return result.Configuration.GetRollouts()[0].State
+	}
+	store.register("one", version("v1"))
+	order("v1")
+	require.Equal(t, pb.RolloutState_ROLLOUT_STATE_COMPLETED, state(), "it is the only version")
+
+	second := order("v2")
+	store.register("two", version("v2"))
+	require.Equal(t, pb.RolloutState_ROLLOUT_STATE_RUNNING, state())
+	store.put(registry.Entry{Key: "st/s", RolloutStatus: &pb.Rollout{
+		Service: "s", Version: "v2", StatusOrderRevision: second, State: pb.RolloutState_ROLLOUT_STATE_RUNNING, BaseVersions: []string{"v1"},
+	}})
+	require.Equal(t, pb.RolloutState_ROLLOUT_STATE_RUNNING, state())
+	order("v1")
+	require.Equal(t, pb.RolloutState_ROLLOUT_STATE_COMPLETED, state(), "the operator goes back")
+	order("v3")
+	require.Equal(t, pb.RolloutState_ROLLOUT_STATE_RUNNING, state(), "v3 has never been in use")
+}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -188,7 +188,7 @@
 		Registrations: make([]*pb.Registration, 0, len(s.registrations)),
 		Removals:      slices.Clone(s.removals),
 		RemovalsSince: s.removalsSince,
-		Rollouts:      s.rollouts.configuration(),
+		Rollouts:      s.rollouts.configuration(s.onlyVersion),
 	}
 	for _, registration := range s.registrations {
 		c.Registrations = append(c.Registrations, registration.Registration)
@@ -206,3 +206,19 @@
 	slices.SortFunc(c.FailureDomains, func(a, b *pb.FailureDomain) int { return strings.Compare(a.Name, b.Name) })
 	return c
 }
+
+// onlyVersion reports whether all targets of a service have the given version and were
+// registered before a revision.
+func (s *storeState) onlyVersion(service, version string, before uint64) bool {
+	found := false
+	for _, r := range s.registrations {
+		if r.Service != service {
+			continue
+		}
+		if r.SoftwareVersion != version || r.Revision >= before {
+			return false
+		}
+		found = true
+	}
+	return found
+}
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -13,6 +13,8 @@
 type Targets struct {
 	Ordered int
 	Others  int
+	// OtherVersions are the versions of the others, in ascending order.
+	OtherVersions []string
 }
 
 // Action is what the runtime of a Decider must do next.
@@ -54,8 +56,8 @@
 	// suspectSince is since when the evidence speaks against the version; zero while it does
 	// not.
 	suspectSince time.Time
-	// repeated is true if the version was completed by the order before this one.
-	repeated bool
+	// inUse is true if the version was the one in use when the order was given.
+	inUse bool
 }
 
 // NewDecider returns the decider of an order that this VM first saw at the given time.
@@ -89,7 +91,9 @@
 	d.unconfirmed, d.dueSince = false, time.Time{}
 	if status.OrderRevision != d.order.Revision {
 		d.status = Status{Revision: status.Revision, Refused: refusedBefore(status, d.order.Version)}
-		d.repeated = status.State == pb.RolloutState_ROLLOUT_STATE_COMPLETED && status.Version == d.order.Version
+		if status.State == pb.RolloutState_ROLLOUT_STATE_COMPLETED && status.Version == d.order.Version {
+			d.inUse = true
+		}
 		return
 	}
 	if status.Answer > d.status.Answer {
@@ -111,7 +115,7 @@
 		refused = append(refused, status.Version)
 	}
 	refused = slices.DeleteFunc(refused, func(v string) bool { return v == version })
-	return refused[max(len(refused)-maxRefused, 0):]
+	return refused[max(len(refused)-maxVersions, 0):]
 }
 
 // SeenBefore states that some VM had known the order for the given time.
@@ -157,11 +161,24 @@
 	if now.Sub(d.dueSince) < time.Duration(d.rank+d.handicap(now))*takeoverDelay {
 		return Nothing, Status{}
 	}
+	next.Base = d.base()
 	next.Elapsed, next.Evidence = now.Sub(d.seenAt), d.comparison.findings()
 	d.writtenAt, d.unconfirmed, d.pendingBad = now, true, d.badReplies()
 	return Write, next
 }
 
+// SetInUse states that the version was the one in use when the order was given, so that there
+// is nothing to compare it with.
+func (d *Decider) SetInUse() { d.inUse = true }
+
+// base returns the other versions that had targets since the order.
+func (d *Decider) base() []string {
+	base := slices.Concat(d.status.Base, d.targets.OtherVersions)
+	slices.Sort(base)
+	base = slices.Compact(base)
+	return base[:min(len(base), maxVersions)]
+}
+
 // handicap returns by how many places a decider that started late stands back: the other
 // candidates know more about the version.
 func (d *Decider) handicap(now time.Time) int {
@@ -214,8 +231,8 @@
 	evidence, where := d.comparison.strongest()
 	gone := d.hadTargets && !d.goneSince.IsZero() && now.Sub(d.goneSince) >= goneAfter
 	switch {
-	case d.repeated:
-		next.State, next.Share, next.Reason = pb.RolloutState_ROLLOUT_STATE_COMPLETED, 1, "the order before this one completed the same version"
+	case d.inUse:
+		next.State, next.Share, next.Reason = pb.RolloutState_ROLLOUT_STATE_COMPLETED, 1, "the ordered version was in use before the order"
 		return next
 	case d.proven(evidence, now):
 		return rolledBack(next, where.describe(evidence))
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -24,7 +24,7 @@
 	status := Status{
 		OrderRevision: r.StatusOrderRevision, Version: r.Version, State: r.State, Share: r.Share,
 		Elapsed: time.Duration(r.ElapsedMs) * time.Millisecond, Answer: r.Answer,
-		Refused: r.RefusedVersions, Reason: r.Reason, Revision: r.StatusRevision,
+		Refused: r.RefusedVersions, Base: r.BaseVersions, Reason: r.Reason, Revision: r.StatusRevision,
 	}
 	for _, e := range r.Evidence {
 		status.Evidence = append(status.Evidence, Finding{Test: Test{Route: e.Route, Slow: e.Slow}, Sum: e.Sum})
@@ -37,7 +37,7 @@
 	r := &pb.Rollout{
 		Service: service, Version: s.Version, State: s.State, Share: s.Share, StatusRevision: s.Revision,
 		StatusOrderRevision: s.OrderRevision, ElapsedMs: uint32(s.Elapsed.Milliseconds()), Answer: s.Answer,
-		Reason: s.Reason, RefusedVersions: s.Refused,
+		Reason: s.Reason, RefusedVersions: s.Refused, BaseVersions: s.Base,
 	}
 	for _, f := range s.Evidence {
 		r.Evidence = append(r.Evidence, &pb.RolloutEvidence{Route: f.Route, Slow: f.Slow, Sum: f.Sum})
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -38,6 +38,8 @@
 	Answer uint64
 	// Refused are the versions of earlier orders that were rolled back.
 	Refused []string
+	// Base are the other versions that had targets while the order ran.
+	Base []string
 	// Evidence is what the decider knew at the write.
 	Evidence []Finding
 	// Reason says why the status was written.
@@ -102,8 +104,8 @@
 	// back for handicapTime, in which it gathers evidence.
 	handicapRanks = 1
 	handicapTime  = 3 * time.Second
-	// maxRefused bounds the versions that a status names as refused.
-	maxRefused = 8
+	// maxVersions bounds the versions that a status names as refused, or as in use.
+	maxVersions = 8
 	// goneAfter is how long the ordered version must have had no target before the order is
 	// rolled back: a target that is replaced is missing for a moment.
 	goneAfter = 1500 * time.Millisecond
