--- a/internal/e2e/rollout_test.go
+++ b/internal/e2e/rollout_test.go
@@ -195,6 +195,30 @@
 		}
 	}
 	require.Equal(t, 1, final, "a final state is written once")
+	requireFinalStateOutlivesItsWriter(t, d)
+}
+
+// requireFinalStateOutlivesItsWriter kills the VM that wrote the completion. All VMs go on using
+// the ordered version only, and a repeated order is completed at once.
+func requireFinalStateOutlivesItsWriter(t *testing.T, d *testkit.UsersDeployment) {
+	t.Helper()
+	for _, vm := range d.VMs {
+		if strings.Contains(d.Log(vm), `"state":"ROLLOUT_STATE_COMPLETED"`) && strings.Contains(d.Log(vm), "status of a roll-out written") {
+			vm.Process().Kill()
+			require.NoError(t, d.StartVM(vm))
+		}
+	}
+	require.NoError(t, d.AwaitReady(context.Background()))
+	written := len(d.Store.RolloutStatuses("old"))
+	d.Store.Order("old", "v2", rolloutRamp)
+	require.NoError(t, testkit.Poll(context.Background(), 5*time.Second, func() bool {
+		return len(d.Store.RolloutStatuses("old")) > written && d.Store.RolloutState("old") == "completed"
+	}))
+	for _, vm := range d.VMs {
+		status, _, body := sendRequest(vm, newClient(), "GET", "/i/x")
+		require.Equal(t, 200, status)
+		require.Equal(t, "next", body)
+	}
 }
 
 // Guards against requests to an ordered version that no decider can judge, because the store
@@ -214,3 +238,23 @@
 		require.Contains(t, d.Log(vm), "roll-out step in force", fmt.Sprintf("%s knows the order", vm.ID))
 	}
 }
+
+// Guards against an operator who goes back to the present version while a roll-out runs and
+// causes an outage, or whose order does not end the requests to the new version.
+func TestRolloutIsEndedByAnOrderForThePresentVersion(t *testing.T) {
+	d := startUsers(t)
+	l := orderUnderLoad(t, d, users.Behavior{Delay: 8 * time.Millisecond})
+	time.Sleep(4 * time.Second)
+	ordered, _ := l.exposure(0, time.Hour)
+	require.Positive(t, ordered)
+	d.Store.Order("old", "v1", rolloutRamp)
+	back := time.Since(l.started)
+	state, at := l.await(t, 4*time.Second)
+	time.Sleep(2 * time.Second)
+	l.end()
+	require.Equal(t, "completed", state)
+	require.Less(t, at, back+3*time.Second)
+	late, _ := l.exposure(at+time.Second, time.Hour)
+	require.Zero(t, late)
+	require.Zero(t, l.failed.Load())
+}
