--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -51,9 +51,9 @@
 	// results, bad and rejected count the results since steppedAt, those that were queued or
 	// rejected, and those that were rejected.
 	results, bad, rejected float64
-	steppedAt    time.Time
-	observedAt   time.Time
-	pressure     float64
+	steppedAt              time.Time
+	observedAt             time.Time
+	pressure               float64
 	// evidence is the sum of the bad shares of the last steps beyond badShare.
 	evidence float64
 	inFlight int
