rollout: a decider of an older order writes nothing; failed calls are logged each 5 s

Cause: a VM that did not know the newest order took the status of that order for one of an earlier order, and would have written over it. A store that is down would have led to three log lines a second for each order.

--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -22,6 +22,9 @@
 	// readBackInterval is the minimum time between two reads of a status after a write whose
 	// answer was lost, so that a store in trouble gets few calls.
 	readBackInterval = 300 * time.Millisecond
+	// failureLogInterval is the minimum time between two log lines of failed calls for an
+	// order, as a store that is down fails several a second.
+	failureLogInterval = 5 * time.Second
 )
 
 // rolloutStore reads and writes the status of orders. Errors of a write leave open whether it
@@ -54,6 +57,8 @@
 	*rollout.Decider
 	calling bool
 	readAt  time.Time
+	// failureLoggedAt is when a failed call was last logged.
+	failureLoggedAt time.Time
 }
 
 // rolloutResult is the result of a call to the store.
@@ -167,13 +172,18 @@
 // ended takes the result of a call to the store. After an error, the decider reads the status
 // back.
 func (r *rolloutRunner) ended(result rolloutResult, now time.Time) {
-	result.decider.calling = false
-	order := result.decider.Order()
+	d := result.decider
+	d.calling = false
+	order := d.Order()
 	event := r.logger.Info()
-	if result.err != nil {
+	switch {
+	case result.err == nil:
+		d.Stored(rollout.StatusOf(result.stored), now)
+	case now.Sub(d.failureLoggedAt) < failureLogInterval:
+		return
+	default:
+		d.failureLoggedAt = now
 		event = r.logger.Warn().Err(result.err)
-	} else {
-		result.decider.Stored(rollout.StatusOf(result.stored), now)
 	}
 	event = event.Str("service", result.service).Str("version", order.Version).Uint64("order", order.Revision).
 		Uint64("status", result.stored.GetStatusRevision()).Stringer("state", result.stored.GetState()).
@@ -187,7 +197,7 @@
 		event.Str("reason", result.wrote.Reason).Msg("status of a roll-out not written: another VM was first")
 	default:
 		event.Str("reason", result.wrote.Reason).Dur("elapsed", result.wrote.Elapsed).
-			Interface("evidence", result.wrote.Evidence).Interface("counts", result.decider.Totals()).
+			Interface("evidence", result.wrote.Evidence).Interface("counts", d.Totals()).
 			Msg("status of a roll-out written")
 	}
 }
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -56,6 +56,9 @@
 	// suspectSince is since when the evidence speaks against the version; zero while it does
 	// not.
 	suspectSince time.Time
+	// superseded is true once the stored status belongs to a later order, which this VM does
+	// not know yet.
+	superseded bool
 	// inUse is true if the version was the one in use when the order was given.
 	inUse bool
 }
@@ -89,6 +92,10 @@
 
 func (d *Decider) adopt(status Status, now time.Time) {
 	d.unconfirmed, d.dueSince = false, time.Time{}
+	if status.OrderRevision > d.order.Revision {
+		d.superseded = true
+		return
+	}
 	if status.OrderRevision != d.order.Revision {
 		d.status = Status{Revision: status.Revision, Refused: refusedBefore(status, d.order.Version)}
 		if status.State == pb.RolloutState_ROLLOUT_STATE_COMPLETED && status.Version == d.order.Version {
@@ -147,7 +154,7 @@
 	if d.unconfirmed {
 		return ReadBack, Status{}
 	}
-	if final(d.status.State) || d.rank >= maxCandidates {
+	if final(d.status.State) || d.superseded || d.rank >= maxCandidates {
 		return Nothing, Status{}
 	}
 	next := d.decide(now)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -160,6 +160,21 @@
 	require.Equal(t, Nothing, action, "the other decider's final status holds")
 }
 
+// Guards against a VM that does not know the newest order yet and writes the status of an older
+// one over that of the newest.
+func TestDeciderOfAnOlderOrderWritesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDecider(Order{Service: "s", Version: "v2", Ramp: simRamp, Revision: 7}, now)
+	d.Observe(Status{}, Targets{Ordered: 1, Others: 1}, now)
+	action, _ := d.Next(now)
+	require.Equal(t, Write, action)
+	d.Stored(Status{OrderRevision: 9, Version: "v3", State: pb.RolloutState_ROLLOUT_STATE_RUNNING, Revision: 10}, now)
+	for i := range 20 {
+		action, _ = d.Next(now.Add(time.Duration(i) * time.Second))
+		require.Equal(t, Nothing, action)
+	}
+}
+
 // Guards against an order that is never ended, or completed, without targets.
 func TestOrderWithoutTargets(t *testing.T) {
 	now := time.Unix(1000, 0)
