rollout: reply times are compared with those of the other versions of the same service

Cause: the usual time was that of the route over all its services. Change: each VM keeps the usual times of the other versions by service, route and whether the target is in another failure domain.

--- a/internal/fanout/version.go
+++ b/internal/fanout/version.go
@@ -94,11 +94,14 @@
 // that shows nothing about the version is left out: a request that did not run, or a slow
 // reply of a target that is cold.
 func (m *Machine) recordVersion(a *attempt, reply *backend.Reply, outcome health.Outcome, took time.Duration) {
-	name := a.target.Service
-	if !m.shared.rollouts.Observes(name) {
+	if !m.shared.rollouts.Observes(a.target.Service) {
 		return
 	}
-	r := rollout.Reply{Service: name, Route: m.in.Route.Name, Version: a.target.Version}
+	r := m.versionReply(a, took)
+	if reply != nil && reply.Took > 0 {
+		// A relay near the target measured the time.
+		r.Far = false
+	}
 	switch outcome {
 	case health.Lost:
 		// A failure domain that is cut off shows nothing about a version.
@@ -112,9 +115,6 @@
 	default:
 		return
 	}
-	if !m.now.Before(a.target.ColdUntil) {
-		r.Class = rollout.ClassOf(took, m.latencies.typical)
-	}
 	m.shared.rollouts.Record(r, m.now)
 }
 
@@ -124,13 +124,18 @@
 // recordAbandoned counts an attempt that was given up if it was slow by then, unless its
 // target cannot be reached.
 func (m *Machine) recordAbandoned(a *attempt, now time.Time) {
-	name := a.target.Service
-	if !m.shared.rollouts.Observes(name) || now.Before(a.target.ColdUntil) ||
+	if !m.shared.rollouts.Observes(a.target.Service) || now.Before(a.target.ColdUntil) ||
 		a.target.Health.DomainUnreachable(now) || a.target.Health.Unreached() {
 		return
 	}
-	class := rollout.ClassOf(now.Sub(a.sentAt), m.latencies.typical)
-	if class >= rollout.SlowClass {
-		m.shared.rollouts.Record(rollout.Reply{Service: name, Route: m.in.Route.Name, Version: a.target.Version, Class: class}, now)
+	r := m.versionReply(a, now.Sub(a.sentAt))
+	r.Abandoned = true
+	m.shared.rollouts.Record(r, now)
+}
+
+func (m *Machine) versionReply(a *attempt, took time.Duration) rollout.Reply {
+	return rollout.Reply{
+		Service: a.target.Service, Route: m.in.Route.Name, Version: a.target.Version, Took: took,
+		Cold: m.now.Before(a.target.ColdUntil), Far: a.target.Distance == routing.Far,
 	}
 }
--- a/internal/rollout/board.go
+++ b/internal/rollout/board.go
@@ -31,8 +31,14 @@
 	Version string
 	// Failed is true for a server failure of a request that ran, and for a lost reply.
 	Failed bool
-	// Class is the class of the reply time of an attempt that did not fail.
-	Class int
+	// Took is the reply time, or the time after which the attempt was given up.
+	Took time.Duration
+	// Abandoned is true if the attempt was given up: it counts if it was slow by then.
+	Abandoned bool
+	// Cold is true if the reply time shows nothing, as the target is cold.
+	Cold bool
+	// Far is true if the target is in another failure domain.
+	Far bool
 }
 
 // service is the state of a service with an order.
@@ -43,6 +49,7 @@
 	// own are this VM's counts, and others those of other VMs.
 	own    map[Group]*report
 	others map[Origin]map[Group]*report
+	usual  usualTimes
 }
 
 // report is the counts of one VM, and when this one last learned of a change.
@@ -135,7 +142,7 @@
 }
 
 func (s *service) forget() {
-	s.own, s.others = map[Group]*report{}, map[Origin]map[Group]*report{}
+	s.own, s.others, s.usual = map[Group]*report{}, map[Origin]map[Group]*report{}, usualTimes{}
 }
 
 // running returns the state of a service with a running order, or nil. b.mu must be held.
@@ -209,6 +216,10 @@
 	if s == nil {
 		return
 	}
+	class := s.usual.classOf(r, r.Version == s.rollout.Version)
+	if r.Abandoned && class < SlowClass {
+		return
+	}
 	group := Group{Route: r.Route, Version: r.Version}
 	own := s.own[group]
 	if own == nil {
@@ -216,11 +227,11 @@
 		s.own[group] = own
 	}
 	own.Replies++
-	bad := r.Failed || r.Class >= SlowClass
+	bad := r.Failed || class >= SlowClass
 	if r.Failed {
 		own.Failures++
 	} else {
-		own.Times[min(max(r.Class, 0), Classes-1)]++
+		own.Times[class]++
 	}
 	own.changedAt = now
 	b.countMetric(r, bad)
