e2e: a crowd and an ordinary caller behind one address

Cause: no process test had all callers behind one address, as a balancer may present them.

Change: one more test with the crowd and bounds of the others. The crowd of the other tests is unchanged.

--- a/internal/e2e/hostile_callers_test.go
+++ b/internal/e2e/hostile_callers_test.go
@@ -62,19 +62,30 @@
 	withstandCrowd(t, testkit.EndlessEmptyLines())
 }
 
-// withstandCrowd starts a VM of little memory and few descriptors and a crowd of hostile
-// callers. It checks that the VM lives and stays within both, and that an ordinary caller of
-// another address is answered while the crowd is still there.
+// Guards against a VM that tells callers apart by their addresses only, and shuts out all of them
+// when a balancer hides them behind one.
+func TestUnfinishedBodiesFromOneAddressDoNotExhaustAVM(t *testing.T) {
+	withstandCrowdFrom(t, testkit.UnfinishedBody(), "127.0.0.1", "127.0.0.1")
+}
+
 func withstandCrowd(t *testing.T, request testkit.HostileRequest) {
+	t.Helper()
+	withstandCrowdFrom(t, request, "127.0.0.2",
+		"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4", "127.0.1.5", "127.0.1.6", "127.0.1.7")
+}
+
+// withstandCrowdFrom starts a VM of little memory and few descriptors and a crowd of hostile
+// callers. It checks that the VM lives and stays within both, and that an ordinary caller of
+// the given address is answered while the crowd is still there.
+func withstandCrowdFrom(t *testing.T, request testkit.HostileRequest, ordinaryAddress string, crowdAddresses ...string) {
 	t.Helper()
 	d, vm := startSmallVM(t)
-	ordinary := newClientFrom("127.0.0.2")
+	ordinary := newClientFrom(ordinaryAddress)
 	status, _, text := sendRequest(vm, ordinary, "POST", "/e/x")
 	require.Equal(t, 200, status, "before the crowd: %s", text)
 
 	descriptors := watchDescriptors(t, vm)
-	crowd := testkit.StartHostileCrowd(vm.RouteAddress, request, hostileCallers,
-		"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4", "127.0.1.5", "127.0.1.6", "127.0.1.7")
+	crowd := testkit.StartHostileCrowd(vm.RouteAddress, request, hostileCallers, crowdAddresses...)
 	stopped := false
 	t.Cleanup(func() {
 		if !stopped {
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -140,6 +140,19 @@
 	require.Empty(t, l.closed)
 }
 
+// Load: connections that were told to close do not end, while others ask for what they hold.
+func TestConnectionsThatDoNotEndAreCounted(t *testing.T) {
+	b := NewBudget(Limits{Memory: 1 << 30, Connections: 80})
+	now, evicted := time.Unix(1000, 0), 0
+	for id := range uint64(400) {
+		_, evictions := b.Open(now, id, caller(int(id)))
+		evicted += len(evictions)
+		now = now.Add(stallTime)
+	}
+	require.NotZero(t, evicted)
+	require.LessOrEqual(t, b.Held().Connections, int64(90))
+}
+
 // Load: callers that send a byte now and then, each on a connection of its own.
 func TestSingleBytesAreNoProgress(t *testing.T) {
 	l := newLoad(Limits{Memory: 2 << 20, Connections: 1000})
