admission: pressure of the services of a gathered request as a group

In trials with 24 and 100 VMs, a VM has few results of each service, reacts late and recovers late. The services of a gathered request now have a common pressure beside their own, results older than 1 s count for no change, and a pressure falls with time.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -89,7 +89,7 @@
 	RetryAfter time.Duration
 	// Reason is set for Delay and Refuse.
 	Reason Reason
-	// Service is the service whose pressure decided, and Pressure its pressure, which is the
+	// Service is the service, or the group of services, whose pressure decided, and Pressure its pressure, which is the
 	// share of the work that has to be shed.
 	Service  string
 	Pressure float64
@@ -138,7 +138,7 @@
 		return Decision{}
 	}
 	first := r.Delayed == ""
-	s, pressure := c.decisive(r, now)
+	s, pressure := c.decisive(r, rt, now)
 	if s == nil {
 		return Decision{}
 	}
@@ -152,6 +152,9 @@
 				other.demand.add(k, rt.work(), now)
 			}
 		}
+		if g, ok := c.services[rt.group]; ok {
+			g.demand.add(k, rt.work(), now)
+		}
 	}
 	decision := Decision{Service: s.name, Pressure: pressure, PressureAge: s.age(now)}
 	if pressure < minPressure {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -112,9 +112,9 @@
 	c.SetEnabled(true)
 	now := results(c, 200, Replied, 10*time.Millisecond, start)
 	now = results(c, 1000, Replied, 40*time.Millisecond, now)
-	require.True(t, c.Overloaded("s", now))
+	require.True(t, c.Overloaded("u", "s", now))
 	now = results(c, 20000, Replied, 40*time.Millisecond, now)
-	require.False(t, c.Overloaded("s", now))
+	require.False(t, c.Overloaded("u", "s", now))
 }
 
 // The rush of an organisation is told from its usual load, and not from a slow rise.
--- a/internal/admission/exchange.go
+++ b/internal/admission/exchange.go
@@ -76,7 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name := range c.services {
-		if !hasService(name) {
+		if !hasService(firstOf(name)) {
 			delete(c.services, name)
 		}
 	}
--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -14,6 +15,12 @@
 	stepInterval = 100 * time.Millisecond
 	// minResults is the number of results that a change needs. Fewer are noise.
 	minResults = 8
+	// groupResults is the number of results that a change of the pressure of a group needs for
+	// each of its services. The results of one request are alike, so that this counts requests.
+	groupResults = 3
+	// maxStep is the time after which results are too old for a change. A VM with few requests
+	// goes by what other VMs tell.
+	maxStep = time.Second
 	// badShare is the share of results that were queued or rejected from which the pressure
 	// rises. A slow or rejecting target in three stays below it: others take its requests.
 	badShare = 0.3
@@ -25,7 +32,7 @@
 	rejectionEvidence = 2.0
 	// maxShed is the part of the admitted work that one step sheds if all results are bad.
 	maxShed = 0.12
-	// recovery is the pressure that one step takes off while the service is not overloaded.
+	// recovery is the pressure that a stepInterval takes off while the service is not overloaded.
 	recovery = 0.015
 	// fastRecovery is how many times more the pressure falls if no result is bad.
 	fastRecovery = 10
@@ -51,9 +58,11 @@
 	// results, bad and rejected count the results since steppedAt, those that were queued or
 	// rejected, and those that were rejected.
 	results, bad, rejected float64
-	steppedAt              time.Time
-	observedAt             time.Time
-	pressure               float64
+	// needed is the number of results that a step needs.
+	needed     float64
+	steppedAt  time.Time
+	observedAt time.Time
+	pressure   float64
 	// evidence is the sum of the bad shares of the last steps beyond badShare.
 	evidence float64
 	inFlight int
@@ -75,7 +84,11 @@
 		if len(c.services) >= maxServices {
 			return nil
 		}
-		s = &service{name: name, steppedAt: now, observedAt: now}
+		s = &service{name: name, needed: minResults, steppedAt: now, observedAt: now}
+		if first := firstOf(name); first != name {
+			others, _ := strconv.Atoi(name[len(first)+len(groupMark):])
+			s.needed = max(minResults, groupResults*float64(others+1))
+		}
 		c.services[name] = s
 	}
 	return s
@@ -83,7 +96,7 @@
 
 // decisive returns the service with the highest pressure that the answer cannot lack, and its
 // pressure, or nil if no service is known. c.mu must be held.
-func (c *Controller) decisive(r Request, now time.Time) (*service, float64) {
+func (c *Controller) decisive(r Request, rt *route, now time.Time) (*service, float64) {
 	type pressed struct {
 		service  *service
 		pressure float64
@@ -99,9 +112,35 @@
 	}
 	slices.SortStableFunc(all, func(a, b pressed) int { return cmp.Compare(b.pressure, a.pressure) })
 	decisive := all[min(r.Spare, len(all)-1)]
+	if rt.group = groupName(r.Services); rt.group != "" {
+		if g := c.service(rt.group, now); g != nil && g.effective(now) > decisive.pressure {
+			return g, g.effective(now)
+		}
+	}
 	return decisive.service, decisive.pressure
 }
 
+// groupMark separates, in the name of a group, its first service from the number of others.
+const groupMark = "+"
+
+// groupName returns the name of the services of a gathered request as a group; empty for a
+// single service. The group has a pressure of its own: a VM among many has too few results of
+// each service to see an overload in time, but enough of all of them.
+func groupName(services []string) string {
+	if len(services) < 2 {
+		return ""
+	}
+	return services[0] + groupMark + strconv.Itoa(len(services)-1)
+}
+
+// firstOf returns the first service of a group, or the name of a service itself.
+func firstOf(name string) string {
+	if i := strings.LastIndex(name, groupMark); i >= 0 {
+		return name[:i]
+	}
+	return name
+}
+
 // Began records that an attempt was sent to a target of a service.
 func (c *Controller) Began(name string, now time.Time) {
 	if !c.Enabled() {
@@ -141,41 +180,54 @@
 		return
 	}
 	s.inFlight = max(s.inFlight-1, 0)
-	switch result {
-	case Replied:
-		s.observe(rt.queued(took, goal), now)
-		rt.add(took, goal, s.effective(now) < minPressure, now)
-	case Rejected:
-		s.rejected++
-		s.observe(true, now)
-	case Unanswered:
-		if rt.queued(took, goal) {
-			s.observe(true, now)
-		}
-	case Other:
+	bad := result == Rejected || rt.queued(took, goal)
+	if result == Other || result == Unanswered && !bad {
+		return
+	}
+	s.observe(bad, result == Rejected, now)
+	calm := s.effective(now) < minPressure
+	if g, ok := c.services[rt.group]; ok {
+		g.observe(bad, result == Rejected, now)
+		calm = calm && g.effective(now) < minPressure
+	}
+	if result == Replied {
+		rt.add(took, goal, calm, now)
 	}
 }
 
-// Overloaded reports whether the service is under pressure, so that it gets no optional
-// requests.
-func (c *Controller) Overloaded(name string, now time.Time) bool {
+// Overloaded reports whether the service, or the group of services of the route, is under
+// pressure, so that it gets no optional requests.
+func (c *Controller) Overloaded(routeName, name string, now time.Time) bool {
 	if !c.Enabled() {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if rt, ok := c.routes[routeName]; ok {
+		if g, ok := c.services[rt.group]; ok && g.effective(now) >= minPressure {
+			return true
+		}
+	}
 	s, ok := c.services[name]
 	return ok && s.effective(now) >= minPressure
 }
 
-func (s *service) observe(bad bool, now time.Time) {
+func (s *service) observe(bad, rejected bool, now time.Time) {
 	s.observedAt = now
 	s.results++
 	if bad {
 		s.bad++
 	}
-	if now.Sub(s.steppedAt) >= stepInterval && s.results >= minResults {
+	if rejected {
+		s.rejected++
+	}
+	passed := now.Sub(s.steppedAt)
+	switch {
+	case passed >= stepInterval && s.results >= s.needed:
 		s.step(now)
+	case passed >= maxStep:
+		s.evidence = 0
+		s.ease(0, now)
 	}
 }
 
@@ -190,13 +242,21 @@
 		shed := maxShed * (bad - badShare) / (1 - badShare)
 		s.pressure = min(1-(1-s.pressure)*(1-shed), maxPressure)
 	default:
-		ease := 1 - bad/badShare
-		s.pressure = max(s.pressure-recovery*(1+fastRecovery*ease*ease), 0)
+		calm := 1 - bad/badShare
+		s.ease(fastRecovery*calm*calm, now)
 	}
 	s.pressure += consensus * (s.effective(now) - s.pressure)
 	s.results, s.bad, s.rejected, s.steppedAt = 0, 0, 0, now
 }
 
+// ease lets the pressure fall for the time since the last step, faster by the given factor, and
+// begins a new step.
+func (s *service) ease(faster float64, now time.Time) {
+	steps := float64(now.Sub(s.steppedAt)) / float64(stepInterval)
+	s.pressure = max(s.pressure-recovery*steps*(1+faster), 0)
+	s.results, s.bad, s.rejected, s.steppedAt = 0, 0, 0, now
+}
+
 // own returns this VM's own pressure, which ages while there are no replies.
 func (s *service) own(now time.Time) float64 {
 	return s.pressure * freshness(now.Sub(s.observedAt)-silence)
--- a/internal/admission/route.go
+++ b/internal/admission/route.go
@@ -34,6 +34,8 @@
 
 // route is what is known of the reply times of one route's requests at targets.
 type route struct {
+	// group is the name of the services of a gathering route as a group; empty for other routes.
+	group   string
 	samples int
 	// usual is the reply time without queueing, and recent the mean of late.
 	usual, recent float64
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -257,7 +257,7 @@
 	if m.heldBack(l, reason) {
 		return
 	}
-	if reason == Retry && m.retryPriority(l) == optionalPriority && m.shared.admission.Overloaded(l.service.Name, m.now) {
+	if reason == Retry && m.retryPriority(l) == optionalPriority && m.shared.admission.Overloaded(m.in.Route.Name, l.service.Name, m.now) {
 		m.content.endTrial()
 		m.failLeg(l, l.cause+"; the service is overloaded")
 		return
@@ -313,7 +313,7 @@
 		return
 	}
 	var target *routing.Target
-	if (!m.in.Route.Gathers() || !m.content.unproven()) && !m.shared.admission.Overloaded(l.service.Name, m.now) {
+	if (!m.in.Route.Gathers() || !m.content.unproven()) && !m.shared.admission.Overloaded(m.in.Route.Name, l.service.Name, m.now) {
 		target = m.chooseTarget(l)
 	}
 	if target != nil && !m.shared.withdraw(l.service.Name, optionalPriority, m.now) {
