testkit: hostile requests take the identity line of the caller

Cause: TestWireNamesStayInPlatformPackage failed, as the test kit named a header of the users' platform.

Change: the functions that build hostile requests take the header line that identifies a request from the test. The bytes sent, the crowd and the bounds are unchanged.

--- a/internal/e2e/hostile_callers_test.go
+++ b/internal/e2e/hostile_callers_test.go
@@ -22,38 +22,41 @@
 	hostileDescriptors = 500
 )
 
+// hostileIdentity is the header line that identifies the requests of the crowd.
+const hostileIdentity = "X-Attempt-Id: hostile"
+
 // Guards against a VM that runs out of memory or descriptors through bodies of legal size
 // that stop just short of their end.
 func TestUnfinishedBodiesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.UnfinishedBody())
+	withstandCrowd(t, testkit.UnfinishedBody(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through bodies of legal size
 // that arrive in chunks, piece by piece, and stop just short of their end.
 func TestUnfinishedChunksDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.UnfinishedChunks())
+	withstandCrowd(t, testkit.UnfinishedChunks(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through heads of legal size with
 // thousands of names, of requests whose bodies are left open.
 func TestManyHeaderLinesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.ManyHeaderLines())
+	withstandCrowd(t, testkit.ManyHeaderLines(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through heads of legal size with
 // thousands of empty lines of one name, of requests whose bodies are left open.
 func TestEmptyHeaderLinesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.EmptyHeaderLines())
+	withstandCrowd(t, testkit.EmptyHeaderLines(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through header lines without end.
 func TestEndlessHeadsDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.EndlessHead())
+	withstandCrowd(t, testkit.EndlessHead(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through a header line without end.
 func TestEndlessHeaderLineDoesNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, testkit.EndlessHeaderLine())
+	withstandCrowd(t, testkit.EndlessHeaderLine(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through empty lines without end
@@ -65,7 +68,7 @@
 // Guards against a VM that tells callers apart by their addresses only, and shuts out all of them
 // when a balancer hides them behind one.
 func TestUnfinishedBodiesFromOneAddressDoNotExhaustAVM(t *testing.T) {
-	withstandCrowdFrom(t, testkit.UnfinishedBody(), "127.0.0.1", "127.0.0.1")
+	withstandCrowdFrom(t, testkit.UnfinishedBody(hostileIdentity), "127.0.0.1", "127.0.0.1")
 }
 
 func withstandCrowd(t *testing.T, request testkit.HostileRequest) {
--- a/internal/testkit/hostile.go
+++ b/internal/testkit/hostile.go
@@ -30,22 +30,27 @@
 	hostileChunkBytes = 8192
 )
 
-const hostileHead = "POST /e/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: hostile\r\n"
+// hostileHead returns the beginning of a head with the header line that identifies a request.
+func hostileHead(identity string) string {
+	return "POST /e/x HTTP/1.1\r\nHost: h\r\n" + identity + "\r\n"
+}
+
+// The functions below take the header line that identifies a request.
 
 // UnfinishedBody returns a request with a body of legal size that lacks its last byte.
-func UnfinishedBody() HostileRequest {
+func UnfinishedBody(identity string) HostileRequest {
 	return HostileRequest{
-		Prefix: fmt.Sprintf("%sContent-Length: %d\r\n\r\n", hostileHead, hostileBodyBytes),
+		Prefix: fmt.Sprintf("%sContent-Length: %d\r\n\r\n", hostileHead(identity), hostileBodyBytes),
 		Filler: "a", Count: hostileBodyBytes - 1,
 	}
 }
 
 // UnfinishedChunks returns a request with a body of legal size that arrives chunk by chunk
 // and lacks its last chunk.
-func UnfinishedChunks() HostileRequest {
+func UnfinishedChunks(identity string) HostileRequest {
 	const interval = 20 * time.Millisecond
 	return HostileRequest{
-		Prefix: hostileHead + "Transfer-Encoding: chunked\r\n\r\n",
+		Prefix: hostileHead(identity) + "Transfer-Encoding: chunked\r\n\r\n",
 		Filler: fmt.Sprintf("%x\r\n%s\r\n", hostileChunkBytes, strings.Repeat("a", hostileChunkBytes)),
 		Count:  hostileBodyBytes/hostileChunkBytes - 1, Interval: interval,
 	}
@@ -53,12 +58,12 @@
 
 // ManyHeaderLines returns a request with a head of legal size that consists of header lines
 // with names of two characters and no value, and with a body of which nothing is sent.
-func ManyHeaderLines() HostileRequest {
+func ManyHeaderLines(identity string) HostileRequest {
 	// The characters that header names may have, except upper-case letters, which stand for
 	// the same names as lower-case ones.
 	const characters = "abcdefghijklmnopqrstuvwxyz0123456789!#$%&'*+-.^_`|~"
 	head := strings.Builder{}
-	head.WriteString(hostileHead + "Content-Length: 1000\r\n")
+	head.WriteString(hostileHead(identity) + "Content-Length: 1000\r\n")
 	for i := range hostileLines {
 		_, _ = fmt.Fprintf(&head, "%c%c:\r\n", characters[i/len(characters)], characters[i%len(characters)])
 	}
@@ -67,20 +72,20 @@
 
 // EmptyHeaderLines returns a request with a head of legal size that consists of header lines
 // of one and the same name, and with a body of which nothing is sent.
-func EmptyHeaderLines() HostileRequest {
+func EmptyHeaderLines(identity string) HostileRequest {
 	const line = "a:\r\n"
-	head := hostileHead + "Content-Length: 1000\r\n"
+	head := hostileHead(identity) + "Content-Length: 1000\r\n"
 	return HostileRequest{Prefix: head + strings.Repeat(line, (hostileHeadBytes-len(head))/len(line)) + "\r\n"}
 }
 
 // EndlessHead returns a request with header lines without end.
-func EndlessHead() HostileRequest {
-	return HostileRequest{Prefix: hostileHead, Filler: "X-Many: a\r\n"}
+func EndlessHead(identity string) HostileRequest {
+	return HostileRequest{Prefix: hostileHead(identity), Filler: "X-Many: a\r\n"}
 }
 
 // EndlessHeaderLine returns a request with a header line without end.
-func EndlessHeaderLine() HostileRequest {
-	return HostileRequest{Prefix: hostileHead + "X-Long: ", Filler: "a"}
+func EndlessHeaderLine(identity string) HostileRequest {
+	return HostileRequest{Prefix: hostileHead(identity) + "X-Long: ", Filler: "a"}
 }
 
 // EndlessEmptyLines returns empty lines without end in place of a request.
