e2e: the largest legal request is served in calm

Cause: no process test showed that the bounds of callers leave a single request inside the limits alone.

Change: a head of thousands of lines with a body of 262,144 bytes is sent to the VM of the hostile callers.

--- a/internal/e2e/hostile_callers_test.go
+++ b/internal/e2e/hostile_callers_test.go
@@ -1,10 +1,13 @@
 package e2e_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -65,6 +68,26 @@
 	withstandCrowd(t, testkit.EndlessEmptyLines())
 }
 
+// Guards against bounds that refuse a single request inside the limits of the configuration: a head
+// of thousands of lines and a body of the greatest size, at the VM of the hostile callers.
+func TestLargestLegalRequestIsServedInCalm(t *testing.T) {
+	_, vm := startSmallVM(t)
+	const bodyBytes = 262144
+	for _, hostile := range []testkit.HostileRequest{testkit.ManyHeaderLines(hostileIdentity), testkit.EmptyHeaderLines(hostileIdentity)} {
+		conn, err := net.Dial("tcp", vm.RouteAddress)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		head := strings.Replace(hostile.Prefix, "Content-Length: 1000", fmt.Sprintf("Content-Length: %d", bodyBytes), 1)
+		_, err = io.WriteString(conn, head+strings.Repeat("a", bodyBytes))
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+}
+
 // Guards against a VM that tells callers apart by their addresses only, and shuts out all of them
 // when a balancer hides them behind one.
 func TestUnfinishedBodiesFromOneAddressDoNotExhaustAVM(t *testing.T) {
