--- a/internal/e2e/hostile_callers_test.go
+++ b/internal/e2e/hostile_callers_test.go
@@ -1,10 +1,13 @@
 package e2e_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,53 +25,76 @@
 	hostileDescriptors = 500
 )
 
+// hostileIdentity is the header line that identifies the requests of the crowd.
+const hostileIdentity = "X-Attempt-Id: hostile"
+
 // Guards against a VM that runs out of memory or descriptors through bodies of legal size
 // that stop just short of their end.
 func TestUnfinishedBodiesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, UnfinishedBody())
+	withstandCrowd(t, testkit.UnfinishedBody(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through bodies of legal size
 // that arrive in chunks, piece by piece, and stop just short of their end.
 func TestUnfinishedChunksDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, UnfinishedChunks())
+	withstandCrowd(t, testkit.UnfinishedChunks(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through heads of legal size with
 // thousands of names, of requests whose bodies are left open.
 func TestManyHeaderLinesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, ManyHeaderLines())
+	withstandCrowd(t, testkit.ManyHeaderLines(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through heads of legal size with
 // thousands of empty lines of one name, of requests whose bodies are left open.
 func TestEmptyHeaderLinesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, EmptyHeaderLines())
+	withstandCrowd(t, testkit.EmptyHeaderLines(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through header lines without end.
 func TestEndlessHeadsDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, EndlessHead())
+	withstandCrowd(t, testkit.EndlessHead(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through a header line without end.
 func TestEndlessHeaderLineDoesNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, EndlessHeaderLine())
+	withstandCrowd(t, testkit.EndlessHeaderLine(hostileIdentity))
 }
 
 // Guards against a VM that runs out of memory or descriptors through empty lines without end
 // where a request should begin.
 func TestEndlessEmptyLinesDoNotExhaustAVM(t *testing.T) {
-	withstandCrowd(t, EndlessEmptyLines())
+	withstandCrowd(t, testkit.EndlessEmptyLines())
+}
+
+// Guards against bounds that refuse a single request inside the limits of the configuration: a head
+// of thousands of lines and a body of the greatest size, at the VM of the hostile callers.
+func TestLargestLegalRequestIsServedInCalm(t *testing.T) {
+	_, vm := startSmallVM(t)
+	const bodyBytes = 262144
+	for _, hostile := range []testkit.HostileRequest{testkit.ManyHeaderLines(hostileIdentity), testkit.EmptyHeaderLines(hostileIdentity)} {
+		conn, err := net.Dial("tcp", vm.RouteAddress)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		head := strings.Replace(hostile.Prefix, "Content-Length: 1000", fmt.Sprintf("Content-Length: %d", bodyBytes), 1)
+		_, err = io.WriteString(conn, head+strings.Repeat("a", bodyBytes))
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
 }
 
 // Guards against a VM that tells callers apart by their addresses only, and shuts out all of them
 // when a balancer hides them behind one.
 func TestUnfinishedBodiesFromOneAddressDoNotExhaustAVM(t *testing.T) {
-	withstandCrowdFrom(t, UnfinishedBody(), "127.0.0.1", "127.0.0.1")
+	withstandCrowdFrom(t, testkit.UnfinishedBody(hostileIdentity), "127.0.0.1", "127.0.0.1")
 }
 
-func withstandCrowd(t *testing.T, request HostileRequest) {
+func withstandCrowd(t *testing.T, request testkit.HostileRequest) {
 	t.Helper()
 	withstandCrowdFrom(t, request, "127.0.0.2",
 		"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4", "127.0.1.5", "127.0.1.6", "127.0.1.7")
@@ -77,7 +103,7 @@
 // withstandCrowdFrom starts a VM of little memory and few descriptors and a crowd of hostile
 // callers. It checks that the VM lives and stays within both, and that an ordinary caller of
 // the given address is answered while the crowd is still there.
-func withstandCrowdFrom(t *testing.T, request HostileRequest, ordinaryAddress string, crowdAddresses ...string) {
+func withstandCrowdFrom(t *testing.T, request testkit.HostileRequest, ordinaryAddress string, crowdAddresses ...string) {
 	t.Helper()
 	d, vm := startSmallVM(t)
 	ordinary := newClientFrom(ordinaryAddress)
@@ -85,7 +111,7 @@
 	require.Equal(t, 200, status, "before the crowd: %s", text)
 
 	descriptors := watchDescriptors(t, vm)
-	crowd := StartHostileCrowd(vm.RouteAddress, request, hostileCallers, crowdAddresses...)
+	crowd := testkit.StartHostileCrowd(vm.RouteAddress, request, hostileCallers, crowdAddresses...)
 	stopped := false
 	t.Cleanup(func() {
 		if !stopped {
