--- /dev/null
+++ b/internal/allowance/accountant.go
@@ -0,0 +1,247 @@
+package allowance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
+	"github.com/carawayreel/carawayreel/internal/organisation"
+)
+
+const (
+	// maxUnaskedGrants bounds the grants for limited organisations that an answer holds beyond
+	// the reported ones.
+	maxUnaskedGrants = 32
+	// accountRetention is how long an account without reports is kept. A bucket is full again
+	// by then, unless its burst is more than a minute's requests.
+	accountRetention = time.Minute
+	// anticipatedShare is the part of the tolerated excess that a rush may be expected to use
+	// before the organisation is limited although its bucket is not low.
+	anticipatedShare = 0.25
+)
+
+// Lookup returns the organisation with a name, or nil if there is none.
+type Lookup func(name string) *organisation.Organisation
+
+// Transition is a change of an organisation between limited and not limited.
+type Transition struct {
+	Organisation string
+	Limited      bool
+	// Level is the number of requests left in the bucket; negative if more were admitted.
+	Level float64
+	// Demand and Rate are in requests per second, over all VMs that report to this one.
+	Demand, Rate float64
+	// LiveShare is the part of the allowance that this accountant grants.
+	LiveShare float64
+}
+
+// Accountant keeps the buckets of the organisations that a VM accounts for. It is not safe for
+// concurrent use.
+type Accountant struct {
+	self      string
+	tenures   tenures
+	liveShare float64
+	accounts  map[string]*account
+	senders   map[string]*sender
+	expiredAt time.Time
+}
+
+// account is the bucket of an organisation with the demand for it.
+type account struct {
+	name    string
+	since   time.Time
+	level   float64
+	at      time.Time
+	limited bool
+	// demand counts admitted and refused requests by VM; total is their sum. rush is the same
+	// sum with a shorter memory.
+	demand      map[string]*decaying
+	total, rush decaying
+}
+
+// sender is what is known of a VM that reports.
+type sender struct {
+	incarnation, sequence uint64
+	at                    time.Time
+}
+
+// NewAccountant returns an Accountant of the VM with the ID self that accounts for nothing yet.
+func NewAccountant(self string) *Accountant {
+	return &Accountant{self: self, liveShare: 1, accounts: map[string]*account{}, senders: map[string]*sender{}}
+}
+
+// SetMembers sets the VMs that may be accountants, and the live part of the known VMs.
+func (a *Accountant) SetMembers(candidates []string, liveShare float64, now time.Time) {
+	a.liveShare = liveShare
+	if !a.tenures.update(candidates, now) {
+		return
+	}
+	for name, account := range a.accounts {
+		if vm, since := a.tenures.of(name); vm != a.self || since.After(account.since) {
+			delete(a.accounts, name)
+		}
+	}
+}
+
+// Report charges a VM's usage to the buckets and returns what the VM may admit. An organisation
+// without a grant in the answer was not charged, because another VM accounts for it. A grant
+// that is valid for 0 ms says that the usage was charged and that the VM goes on as before.
+func (a *Accountant) Report(r *pb.ReportUsageRequest, lookup Lookup, now time.Time) (*pb.ReportUsageResponse, []Transition) {
+	a.expire(now)
+	response := &pb.ReportUsageResponse{Accepted: a.tenures.has(a.self)}
+	repeated, outdated := a.receive(r, now)
+	if outdated || !response.Accepted {
+		response.Accepted = false
+		return response, nil
+	}
+	var transitions []Transition
+	reported := make(map[string]bool, len(r.Usage))
+	for _, usage := range r.Usage {
+		o := lookup(usage.Organisation)
+		vm, since := a.tenures.of(usage.Organisation)
+		if o == nil || vm != a.self {
+			continue
+		}
+		reported[o.Name] = true
+		account := a.account(o, since, now)
+		account.refill(o, a.liveShare, now)
+		if !repeated {
+			account.charge(r.Vm, usage, now)
+		}
+		if transition, changed := account.decide(o, a.liveShare, now); changed {
+			transitions = append(transitions, transition)
+		}
+		response.Grants = append(response.Grants, account.grant(o, r.Vm, a.liveShare, now))
+	}
+	response.Grants = append(response.Grants, a.unaskedGrants(r.Vm, reported, lookup, now)...)
+	return response, transitions
+}
+
+// receive records that a VM reported. It tells whether the report was counted before, and
+// whether it comes from an earlier incarnation of the VM.
+func (a *Accountant) receive(r *pb.ReportUsageRequest, now time.Time) (repeated, outdated bool) {
+	known := a.senders[r.Vm]
+	switch {
+	case known == nil || known.incarnation < r.Incarnation:
+		a.senders[r.Vm] = &sender{incarnation: r.Incarnation, sequence: r.Sequence, at: now}
+		return false, false
+	case known.incarnation > r.Incarnation:
+		return false, true
+	}
+	known.at = now
+	if r.Sequence <= known.sequence {
+		return true, false
+	}
+	known.sequence = r.Sequence
+	return false, false
+}
+
+// account returns the account of an organisation. A new bucket holds what has come in since this
+// VM accounts for the organisation: nothing after a start.
+func (a *Accountant) account(o *organisation.Organisation, since, now time.Time) *account {
+	known := a.accounts[o.Name]
+	if known == nil {
+		known = &account{name: o.Name, since: since, at: since, demand: map[string]*decaying{}}
+		a.accounts[o.Name] = known
+	}
+	return known
+}
+
+// unaskedGrants returns grants for limited organisations that the VM did not report, so that it
+// does not admit their first requests freely.
+func (a *Accountant) unaskedGrants(vm string, reported map[string]bool, lookup Lookup, now time.Time) []*pb.OrganisationGrant {
+	var grants []*pb.OrganisationGrant
+	for name, account := range a.accounts {
+		o := lookup(name)
+		if reported[name] || !account.limited || o == nil || len(grants) == maxUnaskedGrants {
+			continue
+		}
+		account.refill(o, a.liveShare, now)
+		grants = append(grants, account.grant(o, vm, a.liveShare, now))
+	}
+	slices.SortFunc(grants, func(a, b *pb.OrganisationGrant) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	return grants
+}
+
+// expire drops accounts and VMs without reports.
+func (a *Accountant) expire(now time.Time) {
+	if now.Sub(a.expiredAt) < activeTime {
+		return
+	}
+	a.expiredAt = now
+	for name, account := range a.accounts {
+		for vm, demand := range account.demand {
+			if now.Sub(demand.at) > activeTime {
+				delete(account.demand, vm)
+			}
+		}
+		if now.Sub(account.total.at) > accountRetention {
+			delete(a.accounts, name)
+		}
+	}
+	for vm, sender := range a.senders {
+		if now.Sub(sender.at) > accountRetention {
+			delete(a.senders, vm)
+		}
+	}
+}
+
+func (c *account) refill(o *organisation.Organisation, liveShare float64, now time.Time) {
+	if elapsed := now.Sub(c.at); elapsed > 0 {
+		c.level += o.RequestsPerSecond * liveShare * elapsed.Seconds()
+		c.at = now
+	}
+	c.level = math.Min(c.level, bucketSize(o)*liveShare)
+}
+
+func (c *account) charge(vm string, usage *pb.OrganisationUsage, now time.Time) {
+	c.level -= float64(usage.Admitted)
+	requests := math.Max(float64(usage.Admitted), 0) + float64(usage.Refused)
+	if c.demand[vm] == nil {
+		c.demand[vm] = &decaying{at: now}
+	}
+	c.demand[vm].add(requests, demandTime, now)
+	c.total.add(requests, demandTime, now)
+	c.rush.add(requests, rushTime, now)
+}
+
+// decide limits the organisation or sets it free.
+func (c *account) decide(o *organisation.Organisation, liveShare float64, now time.Time) (Transition, bool) {
+	rate := o.RequestsPerSecond * liveShare
+	// What was admitted beyond a window's allowance is forgiven: it left every window long
+	// before it would be paid back.
+	c.level = math.Max(c.level, -(rate*window.Seconds() + o.Burst))
+	demand := c.rush.perSecond(rushTime, now)
+	expected := c.level - (demand-rate)*feedbackTime.Seconds()
+	limited := o.RequestsPerSecond > 0 &&
+		(c.level < limitedShare*o.Burst*liveShare || expected < -anticipatedShare*tolerated(o)*liveShare)
+	if limited == c.limited {
+		return Transition{}, false
+	}
+	c.limited = limited
+	return Transition{
+		Organisation: c.name, Limited: limited, Level: c.level, Demand: demand, Rate: rate, LiveShare: liveShare,
+	}, true
+}
+
+// grant returns what the VM may admit: of the rate, and of what the bucket holds or lacks, a part
+// in proportion to its part of the demand.
+func (c *account) grant(o *organisation.Organisation, vm string, liveShare float64, now time.Time) *pb.OrganisationGrant {
+	grant := &pb.OrganisationGrant{Organisation: c.name}
+	if now.Sub(c.since) < adoptionTime {
+		return grant
+	}
+	grant.ValidMs = uint32(grantValidity.Milliseconds())
+	if !c.limited {
+		return grant
+	}
+	grant.Limited = true
+	total := c.total.perSecond(demandTime, now)
+	if demand := c.demand[vm]; demand != nil && total > 0 {
+		left := math.Max(o.RequestsPerSecond*liveShare+c.level/levelTime.Seconds(), 0)
+		grant.RequestsPerS = left * math.Min(demand.perSecond(demandTime, now)/total, 1)
+	}
+	return grant
+}
