--- a/internal/allowance/accountant.go
+++ b/internal/allowance/accountant.go
@@ -245,3 +245,9 @@
 	}
 	return grant
 }
+
+// Accounts reports whether this VM accounts for the organisation.
+func (a *Accountant) Accounts(organisation string) bool {
+	vm, _ := a.tenures.of(organisation)
+	return vm == a.self
+}
--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -192,15 +192,20 @@
 		u = &usage{basis: Unlimited, tokensAt: now, lastRequest: now, recent: decaying{at: now}}
 		l.usages[o.Name] = u
 	}
+	l.assign(u, o.Name)
+	return u
+}
+
+// assign sets the organisation's current accountant.
+func (l *Limiter) assign(u *usage, name string) {
 	if latest := l.tenures.changes; u.pools != latest {
 		u.pools = latest
-		accountant, since := l.tenures.of(o.Name)
+		accountant, since := l.tenures.of(name)
 		if accountant != u.accountant || since.After(u.since) {
 			u.accountant, u.since = accountant, since
 			u.limited, u.answeredAt = false, time.Time{}
 		}
 	}
-	return u
 }
 
 // freeRequests returns the number of requests that a VM may admit between two answers while the
@@ -222,11 +227,11 @@
 		return
 	}
 	switch {
-	case before == Free:
+	case before == Free && next == Held:
 		// Requests have been within the allowance, so that the next one probably is, too.
 		u.tokens = 1
-	case before == Unlimited:
-		// VMs that start together must not all admit a request at once.
+	case before == Free, before == Unlimited:
+		// VMs that change together must not all admit a request at once.
 		u.tokens = l.random()
 	}
 	u.basis, u.tokensAt = next, now
@@ -236,6 +241,8 @@
 	switch contact := l.contacts[u.accountant]; {
 	case u.limited && now.Sub(u.answeredAt) <= grantValidity:
 		return Granted
+	case u.limited:
+		return Held
 	case contact == nil || now.Sub(contact.answeredAt) > contactValidity:
 		return Held
 	case u.answeredAt.IsZero() && now.Sub(u.since) < adoptionTime+contactValidity:
@@ -258,7 +265,6 @@
 	default:
 		u.heldRate = equalShare
 	}
-	u.heldRate = math.Max(u.heldRate, math.Min(equalShare, u.heldRate))
 }
 
 // equalShare returns this VM's part of the rate if all known VMs have the same, at least its part
--- a/internal/allowance/reports.go
+++ b/internal/allowance/reports.go
@@ -51,27 +51,29 @@
 		report := due[u.accountant]
 		if report == nil {
 			report = &pb.ReportUsageRequest{Vm: l.self, Incarnation: l.incarnation, RouteVersion: routeVersion}
-			due[u.accountant], from[u.accountant] = report, u.reportFrom
+			due[u.accountant], from[u.accountant] = report, now
 		}
 		if len(report.Usage) < maxReported {
 			report.Usage = append(report.Usage, &pb.OrganisationUsage{Organisation: name, Admitted: u.admitted, Refused: u.refused})
 		}
-		if u.reportFrom.Before(from[u.accountant]) {
+		if (u.admitted != 0 || u.refused != 0) && u.reportFrom.Before(from[u.accountant]) {
 			from[u.accountant] = u.reportFrom
 		}
 	}
-	l.addPolls(due, routeVersion, now)
+	l.addPolls(due, from, routeVersion, now)
 	return l.send(due, urgent, from, now)
 }
 
-// addPolls adds reports without usage to accountants that this VM has not heard of for a while.
-func (l *Limiter) addPolls(due map[string]*pb.ReportUsageRequest, routeVersion uint64, now time.Time) {
+// addPolls adds reports without usage to accountants that this VM has not heard of for a while, or
+// that did not answer the last report.
+func (l *Limiter) addPolls(due map[string]*pb.ReportUsageRequest, from map[string]time.Time, routeVersion uint64, now time.Time) {
 	if l.lastRequest.IsZero() || now.Sub(l.lastRequest) > activeTime {
 		return
 	}
 	for _, vm := range l.tenures.current() {
-		if c := l.contacts[vm]; due[vm] == nil && (c == nil || now.Sub(c.sentAt) >= pollInterval) {
+		if c := l.contacts[vm]; due[vm] == nil && (c == nil || c.pending != nil || now.Sub(c.sentAt) >= pollInterval) {
 			due[vm] = &pb.ReportUsageRequest{Vm: l.self, Incarnation: l.incarnation, RouteVersion: routeVersion}
+			from[vm] = now
 		}
 	}
 }
@@ -137,6 +139,12 @@
 		l.take(accountant, grant, now)
 	}
 	l.restore(report, counted, c.pendingFrom)
+	for name, u := range l.usages {
+		// Each answer names the limited organisations.
+		if u.accountant == accountant && u.limited && !counted[name] {
+			u.limited, u.answeredAt = false, now
+		}
+	}
 }
 
 // take puts a grant in force.
@@ -147,17 +155,17 @@
 			return
 		}
 		u = &usage{basis: Unlimited, tokensAt: now, recent: decaying{at: now}, lastRequest: now.Add(-activeTime)}
-		u.accountant, u.since = l.tenures.of(grant.Organisation)
-		u.pools = l.tenures.changes
 		l.usages[grant.Organisation] = u
 	}
+	l.assign(u, grant.Organisation)
 	if u.accountant != accountant || grant.ValidMs == 0 {
 		return
 	}
 	if u.basis == Granted {
 		u.refill(u.rate, max(u.rate*bucketTime.Seconds(), 1), now)
 	}
-	u.limited, u.rate, u.answeredAt, u.freeUsed = grant.Limited, grant.RequestsPerS, now, 0
+	u.limited, u.rate, u.answeredAt = grant.Limited, grant.RequestsPerS, now
+	u.freeUsed = float64(max(u.admitted, 0))
 }
 
 // restore adds the counts of a report that were not counted to the next one.
