allowance: runtime, metrics and the gateway's check of the allowance

The daemon runs a Service, which takes members and organisations from the view and sends reports to the accountants. The gateway answers 429 with a retry delay before it reads the body, and gives back requests that no target ran. A deployment without organisations sends no reports.

--- a/internal/allowance/accountant.go
+++ b/internal/allowance/accountant.go
@@ -193,7 +193,12 @@
 		c.level += o.RequestsPerSecond * liveShare * elapsed.Seconds()
 		c.at = now
 	}
-	c.level = math.Min(c.level, bucketSize(o)*liveShare)
+	size := bucketSize(o)
+	if now.Sub(c.since) < adoptionTime {
+		// What VMs admitted before may fill the window, so that there is no burst yet.
+		size = limitedShare * o.Burst
+	}
+	c.level = math.Min(c.level, size*liveShare)
 }
 
 func (c *account) charge(vm string, usage *pb.OrganisationUsage, now time.Time) {
--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -68,12 +68,16 @@
 	self        string
 	incarnation uint64
 	// random returns a number in [0, 1).
-	random   func() float64
-	tenures  tenures
-	known    int
-	usages   map[string]*usage
-	contacts map[string]*contact
-	sequence uint64
+	random  func() float64
+	tenures tenures
+	known   int
+	// startedAt is when this VM first saw the members, and answered whether an accountant has
+	// answered since.
+	startedAt time.Time
+	answered  bool
+	usages    map[string]*usage
+	contacts  map[string]*contact
+	sequence  uint64
 	// lastRequest is when the last request of any limited organisation arrived.
 	lastRequest time.Time
 	expiredAt   time.Time
@@ -98,6 +102,8 @@
 	limited    bool
 	rate       float64
 	answeredAt time.Time
+	// adoptingUntil is set if the accountant has said since that it grants nothing yet.
+	adoptingUntil time.Time
 
 	basis     Basis
 	heldRate  float64
@@ -107,6 +113,8 @@
 	// promisedAt is the time of the last token that was promised to a refused caller.
 	promisedAt  time.Time
 	lastRequest time.Time
+	// prompt asks for a report as soon as possible.
+	prompt bool
 }
 
 // NewLimiter returns the Limiter of the VM with the ID self. The incarnation grows with each
@@ -122,6 +130,9 @@
 // while there is no accountant.
 func (l *Limiter) SetMembers(candidates []string, known int, now time.Time) {
 	l.known = max(known, 1)
+	if l.startedAt.IsZero() {
+		l.startedAt = now
+	}
 	l.tenures.update(candidates, now)
 }
 
@@ -141,7 +152,7 @@
 		decision.Admitted = u.freeUsed < freeRequests(o)
 		u.freeUsed++
 	} else {
-		rate, size := l.share(u, o)
+		rate, size := l.share(u, o, now)
 		u.refill(rate, size, now)
 		if decision.Admitted = u.tokens >= 1; decision.Admitted {
 			u.tokens--
@@ -174,15 +185,15 @@
 	u.tokens++
 }
 
-// Urgent reports whether a report should not wait for the report interval: there is no valid
-// answer, or half of what may be admitted between two answers is used.
+// Urgent reports whether a report should not wait for the report interval: there has just become
+// no valid answer, or half of what may be admitted between two answers is used.
 func (l *Limiter) Urgent(o *organisation.Organisation) bool {
 	u := l.usages[o.Name]
 	return u != nil && u.urgent(o)
 }
 
 func (u *usage) urgent(o *organisation.Organisation) bool {
-	return u.basis == Free && u.freeUsed >= freeRequests(o)/2 || u.basis == Held && u.answeredAt.IsZero()
+	return u.basis == Free && u.freeUsed >= freeRequests(o)/2 || u.prompt
 }
 
 // usage returns the state of an organisation, with its current accountant.
@@ -203,7 +214,7 @@
 		accountant, since := l.tenures.of(name)
 		if accountant != u.accountant || since.After(u.since) {
 			u.accountant, u.since = accountant, since
-			u.limited, u.answeredAt = false, time.Time{}
+			u.limited, u.adoptingUntil, u.answeredAt = false, time.Time{}, time.Time{}
 		}
 	}
 }
@@ -217,19 +228,23 @@
 // setBasis decides what the decision on the next request is based on.
 func (l *Limiter) setBasis(u *usage, o *organisation.Organisation, now time.Time) {
 	before, next := u.basis, l.basisOf(u, now)
-	if next == Held && before != Held && before != EqualShare {
-		u.hold(o, l.equalShare(o), now)
+	if next == Held && (before == Granted || before == Free) {
+		u.hold(o, l.equalShare(o, now), now)
 	}
-	if next == Held && now.After(u.heldUntil) {
+	if next == Held && !now.Before(u.heldUntil) {
 		next = EqualShare
 	}
 	if next == before {
 		return
 	}
+	u.prompt = next == Held || next == EqualShare
 	switch {
 	case before == Free && next == Held:
 		// Requests have been within the allowance, so that the next one probably is, too.
 		u.tokens = 1
+	case before == Unlimited && next == EqualShare && l.answered:
+		// The first request of an organisation at a VM that has heard of accountants.
+		u.tokens = 1
 	case before == Free, before == Unlimited:
 		// VMs that change together must not all admit a request at once.
 		u.tokens = l.random()
@@ -243,7 +258,7 @@
 		return Granted
 	case u.limited:
 		return Held
-	case contact == nil || now.Sub(contact.answeredAt) > contactValidity:
+	case now.Before(u.adoptingUntil), contact == nil || now.Sub(contact.answeredAt) > contactValidity:
 		return Held
 	case u.answeredAt.IsZero() && now.Sub(u.since) < adoptionTime+contactValidity:
 		// The accountant may be a new one, which grants nothing yet.
@@ -256,25 +271,25 @@
 // hold keeps the VM's last rate for a while.
 func (u *usage) hold(o *organisation.Organisation, equalShare float64, now time.Time) {
 	u.heldUntil = now.Add(holdTime)
-	switch u.basis {
-	case Granted:
-		u.heldRate = math.Min(u.rate, o.RequestsPerSecond)
-	case Free:
-		recent := heldHeadroom * u.recent.perSecond(demandTime, now)
-		u.heldRate = math.Min(math.Max(recent, equalShare/2), o.RequestsPerSecond)
-	default:
-		u.heldRate = equalShare
+	u.heldRate = u.rate
+	if u.basis == Free {
+		u.heldRate = math.Max(heldHeadroom*u.recent.perSecond(demandTime, now), equalShare/2)
 	}
 }
 
 // equalShare returns this VM's part of the rate if all known VMs have the same, at least its part
-// of the floor.
-func (l *Limiter) equalShare(o *organisation.Organisation) float64 {
-	return math.Max(o.RequestsPerSecond, floorPerSecond) / float64(l.known)
+// of the floor. A VM that no accountant has answered since its start has less at first: when all
+// VMs start at once, each knows only some of the others.
+func (l *Limiter) equalShare(o *organisation.Organisation, now time.Time) float64 {
+	share := math.Max(o.RequestsPerSecond, floorPerSecond) / float64(l.known)
+	if age := now.Sub(l.startedAt); !l.answered && age < holdTime {
+		return share * math.Max(age.Seconds(), 0) / holdTime.Seconds()
+	}
+	return share
 }
 
 // share returns the rate and the size of this VM's own bucket.
-func (l *Limiter) share(u *usage, o *organisation.Organisation) (rate, size float64) {
+func (l *Limiter) share(u *usage, o *organisation.Organisation, now time.Time) (rate, size float64) {
 	switch u.basis {
 	case Granted:
 		rate = math.Min(u.rate, o.RequestsPerSecond)
@@ -283,7 +298,7 @@
 		rate = math.Max(math.Min(u.heldRate, o.RequestsPerSecond), floorPerSecond/float64(l.known))
 		return rate, math.Max(rate*heldBucketTime.Seconds(), 1)
 	default:
-		rate = l.equalShare(o)
+		rate = l.equalShare(o, now)
 		return rate, math.Max(o.Burst/float64(l.known), 1)
 	}
 }
@@ -298,9 +313,9 @@
 
 // retryAfter returns the time until this VM has a token that is not promised to another caller.
 func (l *Limiter) retryAfter(u *usage, o *organisation.Organisation, now time.Time) time.Duration {
-	rate := math.Max(l.equalShare(o), u.rate)
+	rate := math.Max(l.equalShare(o, now), u.rate)
 	if u.basis != Free && u.basis != Granted {
-		rate, _ = l.share(u, o)
+		rate, _ = l.share(u, o, now)
 	}
 	if u.promisedAt.Before(now) {
 		u.promisedAt = now
--- a/internal/allowance/reports.go
+++ b/internal/allowance/reports.go
@@ -111,7 +111,7 @@
 	slices.SortFunc(report.Usage, func(a, b *pb.OrganisationUsage) int { return cmp.Compare(a.Organisation, b.Organisation) })
 	for _, reported := range report.Usage {
 		u := l.usages[reported.Organisation]
-		u.admitted, u.refused = 0, 0
+		u.admitted, u.refused, u.prompt = 0, 0, false
 	}
 }
 
@@ -132,7 +132,7 @@
 		l.restore(report, nil, c.pendingFrom)
 		return
 	}
-	c.answeredAt = now
+	c.answeredAt, l.answered = now, true
 	counted := make(map[string]bool, len(answer.Grants))
 	for _, grant := range answer.Grants {
 		counted[grant.Organisation] = true
@@ -158,7 +158,12 @@
 		l.usages[grant.Organisation] = u
 	}
 	l.assign(u, grant.Organisation)
-	if u.accountant != accountant || grant.ValidMs == 0 {
+	if u.accountant != accountant {
+		return
+	}
+	u.adoptingUntil = time.Time{}
+	if grant.ValidMs == 0 {
+		u.adoptingUntil = now.Add(adoptionTime)
 		return
 	}
 	if u.basis == Granted {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/carawayreel/carawayreel/internal/advisory"
+	"github.com/carawayreel/carawayreel/internal/allowance"
 	"github.com/carawayreel/carawayreel/internal/auth"
 	"github.com/carawayreel/carawayreel/internal/change"
 	"github.com/carawayreel/carawayreel/internal/control"
@@ -44,6 +45,7 @@
 	quarantine   *quarantine.List
 	targetHealth *health.Tracker
 	advice       *advisory.Board
+	allowances   *allowance.Service
 
 	control      *control.Control
 	owner        *owner.Owner
@@ -137,6 +139,11 @@
 		return errors.Wrap(err, "control")
 	}
 	metrics.RegisterSet(d.control.Metrics())
+	allowanceMetrics := metrics.NewSet()
+	metrics.RegisterSet(allowanceMetrics)
+	d.allowances = allowance.New(allowance.Options{
+		Views: d.control, Reporter: d.peers, Logger: d.logger, Metrics: allowanceMetrics,
+	})
 	d.owner = owner.New(owner.Options{
 		Views: d.control, Limits: settings.Limits, Decisions: decisions, Logger: d.logger,
 		SourceAddress: settings.Listen.SourceAddress, Quarantine: d.quarantine,
@@ -213,7 +220,7 @@
 	})
 	roles := server.Roles{
 		Searcher: d.coordinator, Changes: d.changes, Owner: d.owner, Control: d.control,
-		Quarantine: d.quarantine, Admin: admin,
+		Quarantine: d.quarantine, Admin: admin, Allowances: d.allowances,
 	}
 	admin.SetExecutor(statement.New(statement.Options{
 		Caller: server.NewCaller(roles), Admin: admin, Author: d.settings.Vm.Id, Now: time.Now,
@@ -249,6 +256,7 @@
 	}
 	if d.gateway != nil {
 		supervisor.Add(d.gateway)
+		supervisor.Add(d.allowances)
 	}
 	for _, service := range extra {
 		supervisor.Add(service)
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -30,7 +30,7 @@
 		metrics.RegisterSet(set)
 		d.gateway = gateway.New(gateway.Options{
 			Views: d.control, Dialect: platform.Headers{}, Settings: d.settings, Logger: d.logger, Metrics: set,
-			Targets: d.targetHealth, Advice: d.advice, Guard: quarantine.NewGuard(d.quarantine),
+			Targets: d.targetHealth, Advice: d.advice, Guard: quarantine.NewGuard(d.quarantine), Allowances: d.allowances,
 			Announcer: contentAnnouncer{views: d.control, peers: d.peers, list: d.quarantine, logger: d.logger},
 			Client:    backend.NewClient(platform.Headers{}, listen.SourceAddress, set, backend.MetricPrefix),
 			Gatherers: backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -36,8 +35,10 @@
 	route    *routing.Route
 	// organisation is the one that the caller's key belongs to; nil if there is none.
 	organisation *organisation.Organisation
-	request      *backend.Request
-	content      quarantine.Content
+	// charged is true while the request counts towards the organisation's allowance.
+	charged bool
+	request *backend.Request
+	content quarantine.Content
 }
 
 // startupRetryAfter is the retry delay told to callers of a VM that has no routes yet:
@@ -75,6 +76,8 @@
 	case g.running.Load() > int64(g.settings.Load().GetMaxWaitingRequests()):
 		c.notRun("too many requests are running", overloadRetryAfter)
 		return
+	case !c.withinAllowance():
+		return
 	}
 	body, err := c.readBody(table.Limits.GetMaxBodyBytes())
 	if err != nil || !c.renewRoute() {
@@ -152,6 +155,7 @@
 
 // refuse answers an invalid request with a 4xx status. The request is sent to no target.
 func (c *call) refuse(status int, cause string) {
+	c.refund()
 	c.gateway.log.refused(c, status, cause)
 	c.gateway.counters.refused.Inc()
 	c.writer.WriteHeader(status)
@@ -160,6 +164,7 @@
 // notRun answers a request that can't be sent to any target now, with 503 and a
 // retry delay.
 func (c *call) notRun(cause string, retryAfter time.Duration) {
+	c.refund()
 	c.gateway.log.refused(c, http.StatusServiceUnavailable, cause)
 	c.gateway.counters.recordOutcome(fanout.NotRun, time.Since(c.received))
 	c.writeNotRun(retryAfter)
@@ -175,8 +180,7 @@
 }
 
 func (c *call) writeNotRun(retryAfter time.Duration) {
-	seconds := strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)
-	c.writer.Header().Set("Retry-After", seconds)
+	c.writer.Header().Set("Retry-After", formatRetryAfter(retryAfter))
 	c.writer.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,8 @@
 	Guard *quarantine.Guard
 	// Announcer tells other VMs what the guard finds; may be nil.
 	Announcer Announcer
+	// Allowances decides on the requests of organisations; nil refuses none.
+	Allowances Allowances
 	// Pauses detects pauses of this process; nil uses a detector of the gateway's own.
 	Pauses   *pause.Detector
 	Dialect  backend.Dialect
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -92,6 +92,9 @@
 		c.gateway.log.finished(c, &r.trace, &fanout.Answer{Outcome: fanout.CallerGone, Cause: "the caller left"})
 		return
 	}
+	if answer.Outcome == fanout.NotRun {
+		c.refund()
+	}
 	c.write(answer)
 	c.gateway.counters.recordOutcome(answer.Outcome, time.Since(c.received))
 	c.gateway.log.finished(c, &r.trace, answer)
