allowance: charge for silent VMs, adopt anew while starting

A VM that is cut off goes on at its last rate. The accountant now charges its bucket for that until the members lack the VM.

--- a/internal/allowance/accountant.go
+++ b/internal/allowance/accountant.go
@@ -20,6 +20,11 @@
 	// anticipatedShare is the part of the tolerated excess that a rush may be expected to use
 	// before the organisation is limited although its bucket is not low.
 	anticipatedShare = 0.25
+	// silentTime is the time without a report after which a limited VM counts as silent: three
+	// report intervals, so that one late report does not.
+	silentTime = 3 * reportInterval
+	// startTime is the time after a start in which the members are still becoming known.
+	startTime = 10 * time.Second
 )
 
 // Lookup returns the organisation with a name, or nil if there is none.
@@ -42,10 +47,14 @@
 type Accountant struct {
 	self      string
 	tenures   tenures
+	live      map[string]bool
 	liveShare float64
-	accounts  map[string]*account
-	senders   map[string]*sender
-	expiredAt time.Time
+	// startedAt is when this VM first saw the members. While it has just started, it may have
+	// seen only some of them, and each change of the accountants begins its adoption anew.
+	startedAt, adoptedAt time.Time
+	accounts             map[string]*account
+	senders              map[string]*sender
+	expiredAt            time.Time
 }
 
 // account is the bucket of an organisation with the demand for it.
@@ -55,12 +64,25 @@
 	level   float64
 	at      time.Time
 	limited bool
-	// demand counts admitted and refused requests by VM; total is their sum. rush is the same
-	// sum with a shorter memory.
-	demand      map[string]*decaying
+	// silentAt is when silent VMs were last charged for.
+	silentAt time.Time
+	// reporters holds the VMs that reported requests. total is their demand, and rush the same
+	// with a shorter memory.
+	reporters   map[string]*reporter
 	total, rush decaying
 }
 
+// reporter is a VM that reported requests of an organisation.
+type reporter struct {
+	// demand counts admitted and refused requests.
+	demand decaying
+	// at is when the VM last reported the organisation, and granted the rate that it was told.
+	at      time.Time
+	granted float64
+	// assumed is what the bucket was charged since, because the VM is silent.
+	assumed float64
+}
+
 // sender is what is known of a VM that reports.
 type sender struct {
 	incarnation, sequence uint64
@@ -72,14 +94,24 @@
 	return &Accountant{self: self, liveShare: 1, accounts: map[string]*account{}, senders: map[string]*sender{}}
 }
 
-// SetMembers sets the VMs that may be accountants, and the live part of the known VMs.
-func (a *Accountant) SetMembers(candidates []string, liveShare float64, now time.Time) {
+// SetMembers sets the members and the live part of the known VMs.
+func (a *Accountant) SetMembers(m Members, liveShare float64, now time.Time) {
 	a.liveShare = liveShare
-	if !a.tenures.update(candidates, now) {
+	a.live = make(map[string]bool, len(m.Live))
+	for _, vm := range m.Live {
+		a.live[vm] = true
+	}
+	if a.startedAt.IsZero() {
+		a.startedAt = now
+	}
+	if !a.tenures.update(m.Candidates, now) {
 		return
 	}
-	for name, account := range a.accounts {
-		if vm, since := a.tenures.of(name); vm != a.self || since.After(account.since) {
+	if now.Sub(a.startedAt) < startTime {
+		a.adoptedAt = now
+	}
+	for name := range a.accounts {
+		if vm, _ := a.tenures.of(name); vm != a.self {
 			delete(a.accounts, name)
 		}
 	}
@@ -107,6 +139,7 @@
 		reported[o.Name] = true
 		account := a.account(o, since, now)
 		account.refill(o, a.liveShare, now)
+		account.chargeSilent(a.live, now)
 		if !repeated {
 			account.charge(r.Vm, usage, now)
 		}
@@ -143,9 +176,10 @@
 func (a *Accountant) account(o *organisation.Organisation, since, now time.Time) *account {
 	known := a.accounts[o.Name]
 	if known == nil {
-		known = &account{name: o.Name, since: since, at: since, demand: map[string]*decaying{}}
+		known = &account{name: o.Name, at: since, reporters: map[string]*reporter{}}
 		a.accounts[o.Name] = known
 	}
+	known.since = latest(known.since, since, a.adoptedAt)
 	return known
 }
 
@@ -172,9 +206,9 @@
 	}
 	a.expiredAt = now
 	for name, account := range a.accounts {
-		for vm, demand := range account.demand {
-			if now.Sub(demand.at) > activeTime {
-				delete(account.demand, vm)
+		for vm, reporter := range account.reporters {
+			if now.Sub(reporter.at) > activeTime {
+				delete(account.reporters, vm)
 			}
 		}
 		if now.Sub(account.total.at) > accountRetention {
@@ -204,14 +238,37 @@
 func (c *account) charge(vm string, usage *pb.OrganisationUsage, now time.Time) {
 	c.level -= float64(usage.Admitted)
 	requests := math.Max(float64(usage.Admitted), 0) + float64(usage.Refused)
-	if c.demand[vm] == nil {
-		c.demand[vm] = &decaying{at: now}
+	r := c.reporters[vm]
+	if r == nil {
+		r = &reporter{}
+		c.reporters[vm] = r
 	}
-	c.demand[vm].add(requests, demandTime, now)
+	c.level += r.assumed
+	r.assumed, r.at = 0, now
+	r.demand.add(requests, demandTime, now)
 	c.total.add(requests, demandTime, now)
 	c.rush.add(requests, rushTime, now)
 }
 
+// chargeSilent charges the bucket for VMs that were told a rate and have not reported since. They
+// may be cut off, and go on at that rate for holdTime. Once the members lack them, the live share
+// accounts for them.
+func (c *account) chargeSilent(live map[string]bool, now time.Time) {
+	if !c.limited || now.Sub(c.silentAt) < reportInterval {
+		return
+	}
+	c.silentAt = now
+	for vm, r := range c.reporters {
+		silent := now.Sub(r.at)
+		if r.granted == 0 || silent < silentTime || silent > holdTime || !live[vm] {
+			continue
+		}
+		owed := r.granted * silent.Seconds()
+		c.level -= owed - r.assumed
+		r.assumed = owed
+	}
+}
+
 // decide limits the organisation or sets it free.
 func (c *account) decide(o *organisation.Organisation, liveShare float64, now time.Time) (Transition, bool) {
 	rate := o.RequestsPerSecond * liveShare
@@ -240,13 +297,17 @@
 	}
 	grant.ValidMs = uint32(grantValidity.Milliseconds())
 	if !c.limited {
+		if r := c.reporters[vm]; r != nil {
+			r.granted = 0
+		}
 		return grant
 	}
 	grant.Limited = true
 	total := c.total.perSecond(demandTime, now)
-	if demand := c.demand[vm]; demand != nil && total > 0 {
+	if r := c.reporters[vm]; r != nil && total > 0 {
 		left := math.Max(o.RequestsPerSecond*liveShare+c.level/levelTime.Seconds(), 0)
-		grant.RequestsPerS = left * math.Min(demand.perSecond(demandTime, now)/total, 1)
+		grant.RequestsPerS = left * math.Min(r.demand.perSecond(demandTime, now)/total, 1)
+		r.granted = grant.RequestsPerS
 	}
 	return grant
 }
@@ -256,3 +317,7 @@
 	vm, _ := a.tenures.of(organisation)
 	return vm == a.self
 }
+
+func latest(times ...time.Time) time.Time {
+	return slices.MaxFunc(times, time.Time.Compare)
+}
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -78,6 +78,25 @@
 		}
 		calm(s)
 	}},
+	{name: "kill-in-calm", loads: func() []*load { return powerLaw(76, 300) }, maxFaults: 0.01, run: func(s *simulation) {
+		s.run(10 * time.Second)
+		accountant := s.accountantOf("org-00")
+		accountant.up = false
+		s.changed()
+		s.run(15 * time.Second)
+		s.start(accountant)
+		s.changed()
+		calm(s)
+	}},
+	{name: "cut-in-calm", loads: func() []*load { return powerLaw(76, 300) }, maxFaults: 0.1, run: func(s *simulation) {
+		s.run(10 * time.Second)
+		s.cut = true
+		s.changed()
+		s.run(20 * time.Second)
+		s.cut = false
+		s.changed()
+		calm(s)
+	}},
 	{name: "cut", loads: rushOf(0, 7.5, -1), maxFaults: 0.2, run: func(s *simulation) {
 		s.run(9 * time.Second)
 		s.cut = true
--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -242,8 +242,8 @@
 	case before == Free && next == Held:
 		// Requests have been within the allowance, so that the next one probably is, too.
 		u.tokens = 1
-	case before == Unlimited && next == EqualShare && l.answered:
-		// The first request of an organisation at a VM that has heard of accountants.
+	case before == Unlimited && next == EqualShare && !l.starting(now):
+		// The first request of an organisation at a VM that has run for a while.
 		u.tokens = 1
 	case before == Free, before == Unlimited:
 		// VMs that change together must not all admit a request at once.
@@ -282,12 +282,17 @@
 // VMs start at once, each knows only some of the others.
 func (l *Limiter) equalShare(o *organisation.Organisation, now time.Time) float64 {
 	share := math.Max(o.RequestsPerSecond, floorPerSecond) / float64(l.known)
-	if age := now.Sub(l.startedAt); !l.answered && age < holdTime {
-		return share * math.Max(age.Seconds(), 0) / holdTime.Seconds()
+	if l.starting(now) {
+		return share * max(now.Sub(l.startedAt).Seconds(), 0) / holdTime.Seconds()
 	}
 	return share
 }
 
+// starting reports whether this VM has just started and no accountant has answered it.
+func (l *Limiter) starting(now time.Time) bool {
+	return !l.answered && now.Sub(l.startedAt) < holdTime
+}
+
 // share returns the rate and the size of this VM's own bucket.
 func (l *Limiter) share(u *usage, o *organisation.Organisation, now time.Time) (rate, size float64) {
 	switch u.basis {
--- a/internal/allowance/service.go
+++ b/internal/allowance/service.go
@@ -150,7 +150,7 @@
 	members := membersOf(current)
 	s.roster.Update(members, now)
 	s.limiter.SetMembers(members.Candidates, s.roster.Known(), now)
-	s.accountant.SetMembers(members.Candidates, s.roster.LiveShare(), now)
+	s.accountant.SetMembers(members, s.roster.LiveShare(), now)
 }
 
 // membersOf returns the members of a view. The gatherers are the accountants where there are any:
--- a/internal/allowance/simulation_test.go
+++ b/internal/allowance/simulation_test.go
@@ -258,7 +258,7 @@
 	live := vm.live
 	vm.roster.Update(allowance.Members{Live: live}, s.time())
 	vm.limiter.SetMembers(live, vm.roster.Known(), s.time())
-	vm.accountant.SetMembers(live, vm.roster.LiveShare(), s.time())
+	vm.accountant.SetMembers(allowance.Members{Candidates: live, Live: live}, vm.roster.LiveShare(), s.time())
 }
 
 func (s *simulation) send(from *machine, report allowance.Report) {
