--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -72,7 +72,7 @@
 	tenures tenures
 	known   int
 	// startedAt is when this VM first saw the members, and answered whether an accountant has
-	// answered since.
+	// granted anything since.
 	startedAt time.Time
 	answered  bool
 	usages    map[string]*usage
@@ -240,8 +240,8 @@
 	u.prompt = next == Held || next == EqualShare
 	switch {
 	case before == Free && next == Held:
-		// Requests have been within the allowance, so that the next one probably is, too.
-		u.tokens = 1
+		// Requests have been within the allowance, so that the next ones probably are, too.
+		u.tokens = minFree
 	case before == Unlimited && next == EqualShare && !l.starting(now):
 		// The first request of an organisation at a VM that has run for a while.
 		u.tokens = 1
@@ -278,7 +278,7 @@
 }
 
 // equalShare returns this VM's part of the rate if all known VMs have the same, at least its part
-// of the floor. A VM that no accountant has answered since its start has less at first: when all
+// of the floor. A VM that no accountant has granted anything since its start has less at first: when all
 // VMs start at once, each knows only some of the others.
 func (l *Limiter) equalShare(o *organisation.Organisation, now time.Time) float64 {
 	share := math.Max(o.RequestsPerSecond, floorPerSecond) / float64(l.known)
@@ -288,7 +288,7 @@
 	return share
 }
 
-// starting reports whether this VM has just started and no accountant has answered it.
+// starting reports whether this VM has just started and no accountant has granted anything.
 func (l *Limiter) starting(now time.Time) bool {
 	return !l.answered && now.Sub(l.startedAt) < holdTime
 }
@@ -301,7 +301,7 @@
 		return rate, math.Max(rate*bucketTime.Seconds(), 1)
 	case Held:
 		rate = math.Max(math.Min(u.heldRate, o.RequestsPerSecond), floorPerSecond/float64(l.known))
-		return rate, math.Max(rate*heldBucketTime.Seconds(), 1)
+		return rate, math.Max(rate*heldBucketTime.Seconds(), minFree)
 	default:
 		rate = l.equalShare(o, now)
 		return rate, math.Max(o.Burst/float64(l.known), 1)
--- a/internal/allowance/reports.go
+++ b/internal/allowance/reports.go
@@ -132,7 +132,7 @@
 		l.restore(report, nil, c.pendingFrom)
 		return
 	}
-	c.answeredAt, l.answered = now, true
+	c.answeredAt = now
 	counted := make(map[string]bool, len(answer.Grants))
 	for _, grant := range answer.Grants {
 		counted[grant.Organisation] = true
@@ -166,6 +166,7 @@
 		u.adoptingUntil = now.Add(adoptionTime)
 		return
 	}
+	l.answered = true
 	if u.basis == Granted {
 		u.refill(u.rate, max(u.rate*bucketTime.Seconds(), 1), now)
 	}
