--- a/internal/allowance/accountant.go
+++ b/internal/allowance/accountant.go
@@ -20,9 +20,9 @@
 	// anticipatedShare is the part of the tolerated excess that a rush may be expected to use
 	// before the organisation is limited although its bucket is not low.
 	anticipatedShare = 0.25
-	// silentTime is the time without a report after which a limited VM counts as silent: three
-	// report intervals, so that one late report does not.
-	silentTime = 3 * reportInterval
+	// silentTime is the time without a report after which a limited VM counts as silent. A late
+	// report corrects the charge, so that half a report interval of patience is enough.
+	silentTime = reportInterval + reportInterval/2
 	// startTime is the time after a start in which the members are still becoming known.
 	startTime = 10 * time.Second
 )
--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -49,6 +49,9 @@
 	// retryJitter is the part by which the told time varies, so that callers that were refused
 	// together do not return together.
 	retryJitter = 0.25
+	// rampTime is the time in which the share of a VM that has just started rises to the whole
+	// one. Members are known after two seconds.
+	rampTime = 3 * time.Second
 	// usageRetention is how long the state of an organisation without requests is kept.
 	usageRetention = time.Minute
 )
@@ -108,6 +111,8 @@
 	basis     Basis
 	heldRate  float64
 	heldUntil time.Time
+	// heldFinal is the rate at the end of the hold, to which the held rate declines.
+	heldFinal float64
 	tokens    float64
 	tokensAt  time.Time
 	// promisedAt is the time of the last token that was promised to a refused caller.
@@ -271,19 +276,27 @@
 // hold keeps the VM's last rate for a while.
 func (u *usage) hold(o *organisation.Organisation, equalShare float64, now time.Time) {
 	u.heldUntil = now.Add(holdTime)
-	u.heldRate = u.rate
+	u.heldRate, u.heldFinal = u.rate, math.Min(u.rate, equalShare)
 	if u.basis == Free {
 		u.heldRate = math.Max(heldHeadroom*u.recent.perSecond(demandTime, now), equalShare/2)
+		u.heldFinal = u.heldRate
 	}
 }
 
+// held returns the rate in force during a hold. In its second half, a granted rate declines to an
+// equal share at most: VMs whose holds have ended already use equal shares.
+func (u *usage) held(now time.Time) float64 {
+	left := u.heldUntil.Sub(now).Seconds() / (holdTime - adoptionTime).Seconds()
+	return u.heldFinal + (u.heldRate-u.heldFinal)*min(max(left, 0), 1)
+}
+
 // equalShare returns this VM's part of the rate if all known VMs have the same, at least its part
 // of the floor. A VM that no accountant has granted anything since its start has less at first: when all
 // VMs start at once, each knows only some of the others.
 func (l *Limiter) equalShare(o *organisation.Organisation, now time.Time) float64 {
 	share := math.Max(o.RequestsPerSecond, floorPerSecond) / float64(l.known)
 	if l.starting(now) {
-		return share * max(now.Sub(l.startedAt).Seconds(), 0) / holdTime.Seconds()
+		return share * min(max(now.Sub(l.startedAt).Seconds(), 0)/rampTime.Seconds(), 1)
 	}
 	return share
 }
@@ -300,7 +313,7 @@
 		rate = math.Min(u.rate, o.RequestsPerSecond)
 		return rate, math.Max(rate*bucketTime.Seconds(), 1)
 	case Held:
-		rate = math.Max(math.Min(u.heldRate, o.RequestsPerSecond), floorPerSecond/float64(l.known))
+		rate = math.Max(math.Min(u.held(now), o.RequestsPerSecond), floorPerSecond/float64(l.known))
 		return rate, math.Max(rate*heldBucketTime.Seconds(), minFree)
 	default:
 		rate = l.equalShare(o, now)
