allowance: charge for the rate of lost VMs beyond the live share; tests

The live share takes an equal part of the rate for each lost VM, but a cut-off VM with most callers holds more.

--- a/internal/allowance/accountant.go
+++ b/internal/allowance/accountant.go
@@ -137,9 +137,9 @@
 			continue
 		}
 		reported[o.Name] = true
-		account := a.account(o, since, now)
+		account := a.account(o, since)
 		account.refill(o, a.liveShare, now)
-		account.chargeSilent(a.live, now)
+		account.chargeSilent(o, a.live, a.liveShare, now)
 		if !repeated {
 			account.charge(r.Vm, usage, now)
 		}
@@ -173,7 +173,7 @@
 
 // account returns the account of an organisation. A new bucket holds what has come in since this
 // VM accounts for the organisation: nothing after a start.
-func (a *Accountant) account(o *organisation.Organisation, since, now time.Time) *account {
+func (a *Accountant) account(o *organisation.Organisation, since time.Time) *account {
 	known := a.accounts[o.Name]
 	if known == nil {
 		known = &account{name: o.Name, at: since, reporters: map[string]*reporter{}}
@@ -252,21 +252,28 @@
 
 // chargeSilent charges the bucket for VMs that were told a rate and have not reported since. They
 // may be cut off, and go on at that rate for holdTime. Once the members lack them, the live share
-// accounts for them.
-func (c *account) chargeSilent(live map[string]bool, now time.Time) {
-	if !c.limited || now.Sub(c.silentAt) < reportInterval {
+// accounts for them, and the bucket is charged for what they had beyond that.
+func (c *account) chargeSilent(o *organisation.Organisation, live map[string]bool, liveShare float64, now time.Time) {
+	elapsed := min(now.Sub(c.silentAt), 2*reportInterval)
+	if !c.limited || elapsed < reportInterval {
 		return
 	}
 	c.silentAt = now
+	lost := 0.0
 	for vm, r := range c.reporters {
 		silent := now.Sub(r.at)
-		if r.granted == 0 || silent < silentTime || silent > holdTime || !live[vm] {
+		if r.granted == 0 || silent < silentTime || silent > holdTime {
+			continue
+		}
+		if !live[vm] {
+			lost += r.granted
 			continue
 		}
 		owed := r.granted * silent.Seconds()
 		c.level -= owed - r.assumed
 		r.assumed = owed
 	}
+	c.level -= math.Max(lost-o.RequestsPerSecond*(1-liveShare), 0) * elapsed.Seconds()
 }
 
 // decide limits the organisation or sets it free.
--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -234,7 +234,7 @@
 func (l *Limiter) setBasis(u *usage, o *organisation.Organisation, now time.Time) {
 	before, next := u.basis, l.basisOf(u, now)
 	if next == Held && (before == Granted || before == Free) {
-		u.hold(o, l.equalShare(o, now), now)
+		u.hold(l.equalShare(o, now), now)
 	}
 	if next == Held && !now.Before(u.heldUntil) {
 		next = EqualShare
@@ -274,7 +274,7 @@
 }
 
 // hold keeps the VM's last rate for a while.
-func (u *usage) hold(o *organisation.Organisation, equalShare float64, now time.Time) {
+func (u *usage) hold(equalShare float64, now time.Time) {
 	u.heldUntil = now.Add(holdTime)
 	u.heldRate, u.heldFinal = u.rate, math.Min(u.rate, equalShare)
 	if u.basis == Free {
--- a/internal/allowance/metrics.go
+++ b/internal/allowance/metrics.go
@@ -24,13 +24,20 @@
 	set *metrics.Set
 	// labelled are the organisations that have metrics of their own, and ever those that had.
 	labelled, ever map[string]bool
+	requests       map[requestLabels]*metrics.Counter
 
 	sent, failed, received, limitations, refunded *metrics.Counter
 }
 
+// requestLabels are the labels of a counter of requests.
+type requestLabels struct {
+	organisation, result string
+	basis                Basis
+}
+
 func newCounts(set *metrics.Set) *counts {
 	return &counts{
-		set: set, labelled: map[string]bool{}, ever: map[string]bool{},
+		set: set, labelled: map[string]bool{}, ever: map[string]bool{}, requests: map[requestLabels]*metrics.Counter{},
 		sent:        set.NewCounter("carawayreel_allowance_reports_total"),
 		failed:      set.NewCounter("carawayreel_allowance_reports_failed_total"),
 		received:    set.NewCounter("carawayreel_allowance_reports_received_total"),
@@ -57,12 +64,18 @@
 
 // record counts a decision.
 func (c *counts) record(organisation string, d Decision) {
-	label, result := otherLabel, "refused"
+	labels := requestLabels{organisation: otherLabel, result: "refused", basis: d.Basis}
 	if c.labelled[organisation] {
-		label = organisation
+		labels.organisation = organisation
 	}
 	if d.Admitted {
-		result = "admitted"
+		labels.result = "admitted"
+	}
+	counter := c.requests[labels]
+	if counter == nil {
+		counter = c.set.GetOrCreateCounter(fmt.Sprintf("carawayreel_allowance_requests_total{organisation=%q,result=%q,basis=%q}",
+			labels.organisation, labels.result, labels.basis))
+		c.requests[labels] = counter
 	}
-	c.set.GetOrCreateCounter(fmt.Sprintf("carawayreel_allowance_requests_total{organisation=%q,result=%q,basis=%q}", label, result, d.Basis)).Inc()
+	counter.Inc()
 }
--- a/internal/allowance/reports.go
+++ b/internal/allowance/reports.go
@@ -44,7 +44,9 @@
 		}
 		u = l.usage(o, now)
 		u.dropOutdated(now)
-		if u.accountant == "" || u.admitted == 0 && u.refused == 0 && !(u.limited && now.Sub(u.lastRequest) < activeTime) {
+		// A VM with recent requests of a limited organisation asks for its rate.
+		asks := u.limited && now.Sub(u.lastRequest) < activeTime
+		if u.accountant == "" || u.admitted == 0 && u.refused == 0 && !asks {
 			continue
 		}
 		urgent[u.accountant] = urgent[u.accountant] || u.urgent(o)
--- a/internal/allowance/service.go
+++ b/internal/allowance/service.go
@@ -20,6 +20,9 @@
 	// checkInterval is the interval between two looks at what is due. It divides the report
 	// interval and costs 20 wake-ups a second while there are organisations with allowances.
 	checkInterval = 50 * time.Millisecond
+	// refreshInterval is the interval at which members are applied although they did not change,
+	// so that lost ones are forgotten in time.
+	refreshInterval = time.Second
 	// reportTimeout is the timeout of one report. Answers usually take a few milliseconds; a
 	// report that takes longer than grants hold is of no use.
 	reportTimeout = 500 * time.Millisecond
@@ -53,7 +56,9 @@
 	limiter    *Limiter
 	accountant *Accountant
 	roster     *Roster
-	seen       *view.View
+	// seen is the view that was applied last, at seenAt.
+	seen   *view.View
+	seenAt time.Time
 	// routes is the route table that directory was built from.
 	routes    *pb.RouteTable
 	directory *organisation.Directory
@@ -79,7 +84,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refresh(now)
 	decision := s.limiter.Admit(o, now)
 	if s.limiter.Urgent(o) {
 		s.wake()
@@ -103,14 +107,7 @@
 func (s *Service) ReportUsage(r *pb.ReportUsageRequest) *pb.ReportUsageResponse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.refresh(now)
-	return s.account(r, now)
-}
-
-// account must be called with s.mu held.
-func (s *Service) account(r *pb.ReportUsageRequest, now time.Time) *pb.ReportUsageResponse {
-	response, transitions := s.accountant.Report(r, s.directory.ByName, now)
+	response, transitions := s.accountant.Report(r, s.directory.ByName, time.Now())
 	s.counts.received.Inc()
 	for _, t := range transitions {
 		message := "organisation not limited any more"
@@ -135,10 +132,10 @@
 // refresh applies the latest view. s.mu must be held.
 func (s *Service) refresh(now time.Time) {
 	current := s.options.Views.Current()
-	if current == s.seen {
+	if current == s.seen && now.Sub(s.seenAt) < refreshInterval {
 		return
 	}
-	s.seen = current
+	s.seen, s.seenAt = current, now
 	if routes := current.Configuration.GetRouteTable(); routes != s.routes || s.directory == nil {
 		s.routes, s.directory = routes, organisation.NewDirectory(routes.GetOrganisations())
 		s.enabled = s.counts.setOrganisations(routes.GetOrganisations())
--- a/internal/allowance/simulation_test.go
+++ b/internal/allowance/simulation_test.go
@@ -66,7 +66,6 @@
 	alone          map[string]float64
 	needed, served map[string]int
 	byBasis        map[string]int
-	reportsPerStep int
 	// history holds the changes of the live VMs.
 	history []change
 }
