--- a/internal/allowance/reports.go
+++ b/internal/allowance/reports.go
@@ -37,16 +37,19 @@
 	urgent := map[string]bool{}
 	from := map[string]time.Time{}
 	for name, u := range l.usages {
+		// A VM with recent requests of a limited organisation asks for its rate.
+		asks := u.limited && now.Sub(u.lastRequest) < activeTime
+		if u.admitted == 0 && u.refused == 0 && !asks {
+			continue
+		}
 		o := lookup(name)
 		if o == nil || o.RequestsPerSecond <= 0 {
 			u.admitted, u.refused = 0, 0
 			continue
 		}
-		u = l.usage(o, now)
+		l.assign(u, name)
 		u.dropOutdated(now)
-		// A VM with recent requests of a limited organisation asks for its rate.
-		asks := u.limited && now.Sub(u.lastRequest) < activeTime
-		if u.accountant == "" || u.admitted == 0 && u.refused == 0 && !asks {
+		if u.accountant == "" {
 			continue
 		}
 		urgent[u.accountant] = urgent[u.accountant] || u.urgent(o)
