allowance: rates by demand and a few requests at once after a start

After a restart of all VMs with the usual load, 12 to 17 % of the requests of the following 18 s were refused although the worst window was 0.58 of the bound. VMs used equal shares with empty buckets. Accountants that have just started now grant a fifth of the rate by demand, and VMs start with a bounded number of requests. Tried and rejected: half of the rate and half a second's requests at once, 1.22 of the bound at 295 VMs in a rush.

--- a/internal/allowance/accountant.go
+++ b/internal/allowance/accountant.go
@@ -119,7 +119,8 @@
 
 // Report charges a VM's usage to the buckets and returns what the VM may admit. An organisation
 // without a grant in the answer was not charged, because another VM accounts for it. A grant
-// that is valid for 0 ms says that the usage was charged and that the VM goes on as before.
+// that is valid for 0 ms says that the usage was charged and that the VM goes on as before. Its
+// rate, if there is one, is for VMs that have just started.
 func (a *Accountant) Report(r *pb.ReportUsageRequest, lookup Lookup, now time.Time) (*pb.ReportUsageResponse, []Transition) {
 	a.expire(now)
 	response := &pb.ReportUsageResponse{Accepted: a.tenures.has(a.self)}
@@ -146,7 +147,7 @@
 		if transition, changed := account.decide(o, a.liveShare, now); changed {
 			transitions = append(transitions, transition)
 		}
-		response.Grants = append(response.Grants, account.grant(o, r.Vm, a.liveShare, now))
+		response.Grants = append(response.Grants, a.grant(account, o, r.Vm, now))
 	}
 	response.Grants = append(response.Grants, a.unaskedGrants(r.Vm, reported, lookup, now)...)
 	return response, transitions
@@ -193,7 +194,7 @@
 			continue
 		}
 		account.refill(o, a.liveShare, now)
-		grants = append(grants, account.grant(o, vm, a.liveShare, now))
+		grants = append(grants, a.grant(account, o, vm, now))
 	}
 	slices.SortFunc(grants, func(a, b *pb.OrganisationGrant) int { return cmp.Compare(a.Organisation, b.Organisation) })
 	return grants
@@ -297,9 +298,13 @@
 
 // grant returns what the VM may admit: of the rate, and of what the bucket holds or lacks, a part
 // in proportion to its part of the demand.
-func (c *account) grant(o *organisation.Organisation, vm string, liveShare float64, now time.Time) *pb.OrganisationGrant {
+func (a *Accountant) grant(c *account, o *organisation.Organisation, vm string, now time.Time) *pb.OrganisationGrant {
 	grant := &pb.OrganisationGrant{Organisation: c.name}
+	rate := o.RequestsPerSecond * a.liveShare
 	if now.Sub(c.since) < adoptionTime {
+		if now.Sub(a.startedAt) < startTime {
+			grant.RequestsPerS = provisionalShare * rate * c.demandShare(vm, now)
+		}
 		return grant
 	}
 	grant.ValidMs = uint32(grantValidity.Milliseconds())
@@ -310,15 +315,22 @@
 		return grant
 	}
 	grant.Limited = true
-	total := c.total.perSecond(demandTime, now)
-	if r := c.reporters[vm]; r != nil && total > 0 {
-		left := math.Max(o.RequestsPerSecond*liveShare+c.level/levelTime.Seconds(), 0)
-		grant.RequestsPerS = left * math.Min(r.demand.perSecond(demandTime, now)/total, 1)
+	grant.RequestsPerS = math.Max(rate+c.level/levelTime.Seconds(), 0) * c.demandShare(vm, now)
+	if r := c.reporters[vm]; r != nil {
 		r.granted = grant.RequestsPerS
 	}
 	return grant
 }
 
+// demandShare returns the VM's part of the demand.
+func (c *account) demandShare(vm string, now time.Time) float64 {
+	r, total := c.reporters[vm], c.total.perSecond(demandTime, now)
+	if r == nil || total <= 0 {
+		return 0
+	}
+	return math.Min(r.demand.perSecond(demandTime, now)/total, 1)
+}
+
 // Accounts reports whether this VM accounts for the organisation.
 func (a *Accountant) Accounts(organisation string) bool {
 	vm, _ := a.tenures.of(organisation)
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -62,6 +62,17 @@
 	// requests. Without it, the usual variation of a small organisation's requests empties
 	// its bucket.
 	burstReserve = 0.25 * slack
+	// provisionalShare is the part of the rate that an accountant that has just started grants to
+	// VMs that have just started, too. Several accountants share the VMs of an organisation while
+	// the members become known: at 0.25 a restart of all VMs in a rush reached 1.03 of the bound,
+	// at 0.2 0.95.
+	provisionalShare = 0.2
+	// startShare is the part of a second's requests that all VMs together may admit at once when
+	// they start, beyond a quarter of the slack. None ran while the VMs were down.
+	startShare = 0.1
+	// minStartVMs is the minimum number of VMs that are assumed to share these requests: the
+	// first VMs to start know few others.
+	minStartVMs = 24
 	// floorPerSecond is the minimum rate of all VMs without a valid answer together, so that a
 	// small organisation is not shut out. It takes half of the slack in a window.
 	floorPerSecond = 0.5 * slack / 5
@@ -78,6 +89,12 @@
 	return overage*(o.RequestsPerSecond*window.Seconds()+o.Burst) + slack
 }
 
+// startTokens returns the number of requests that all VMs together may admit at once when they
+// start, in expectation.
+func startTokens(o *organisation.Organisation) float64 {
+	return startShare*o.RequestsPerSecond + slack/4
+}
+
 // decaying is a count that decays exponentially.
 type decaying struct {
 	value float64
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -52,6 +52,17 @@
 
 func usual() []*load { return powerLaw(76, 300) }
 
+// fewVMs has the callers of each organisation reach only a number of VMs.
+func fewVMs(loads func() []*load, number int) func() []*load {
+	return func() []*load {
+		changed := loads()
+		for _, l := range changed {
+			l.few = number
+		}
+		return changed
+	}
+}
+
 func calm(s *simulation) { s.run(30 * time.Second) }
 
 // scenarios are the loads and faults that the requirements name. The rushes send 7.5 times the
@@ -83,6 +94,10 @@
 	{name: "cut-in-calm", loads: usual, run: func(s *simulation) { cut(s, 10*time.Second, 20*time.Second) }, maxShortfall: 0.15},
 	{name: "cut-before-rush", loads: rushOf(0, -1), run: func(s *simulation) { cut(s, 9*time.Second, 22*time.Second) }, maxShortfall: 0.1},
 	{name: "cut-in-rush", loads: rushOf(0, -1), run: func(s *simulation) { cut(s, 12*time.Second, 25*time.Second) }, maxShortfall: 0.1},
+	{name: "restart-calm", loads: usual, run: restartAll, maxShortfall: 0.16},
+	{name: "restart-few", loads: fewVMs(usual, 3), run: restartAll, maxShortfall: 0.16},
+	{name: "restart-few-rush", loads: fewVMs(rushOf(0, -1), 10), run: restartAll, maxShortfall: 0.16},
+	{name: "calm-few", loads: fewVMs(usual, 3), run: calm, maxFaults: 0.01},
 	{name: "restart-all", loads: rushOf(0, -1), run: restartAll, maxShortfall: 0.12},
 }
 
--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -107,6 +107,8 @@
 	answeredAt time.Time
 	// adoptingUntil is set if the accountant has said since that it grants nothing yet.
 	adoptingUntil time.Time
+	// provisional is the rate that it named for VMs that have just started.
+	provisional float64
 
 	basis     Basis
 	heldRate  float64
@@ -220,6 +222,7 @@
 		if accountant != u.accountant || since.After(u.since) {
 			u.accountant, u.since = accountant, since
 			u.limited, u.adoptingUntil, u.answeredAt = false, time.Time{}, time.Time{}
+			u.provisional = 0
 		}
 	}
 }
@@ -250,6 +253,8 @@
 	case before == Unlimited && next == EqualShare && !l.starting(now):
 		// The first request of an organisation at a VM that has run for a while.
 		u.tokens = 1
+	case before == Unlimited && l.random() < startTokens(o)/float64(max(l.known, minStartVMs)):
+		u.tokens = 1
 	case before == Free, before == Unlimited:
 		// VMs that change together must not all admit a request at once.
 		u.tokens = l.random()
@@ -317,6 +322,9 @@
 		return rate, math.Max(rate*heldBucketTime.Seconds(), minFree)
 	default:
 		rate = l.equalShare(o, now)
+		if l.starting(now) {
+			rate = math.Max(rate, math.Min(u.provisional, o.RequestsPerSecond))
+		}
 		return rate, math.Max(o.Burst/float64(l.known), 1)
 	}
 }
--- a/internal/allowance/reports.go
+++ b/internal/allowance/reports.go
@@ -168,7 +168,7 @@
 	}
 	u.adoptingUntil = time.Time{}
 	if grant.ValidMs == 0 {
-		u.adoptingUntil = now.Add(adoptionTime)
+		u.adoptingUntil, u.provisional = now.Add(adoptionTime), grant.RequestsPerS
 		return
 	}
 	l.answered = true
--- a/internal/allowance/simulation_test.go
+++ b/internal/allowance/simulation_test.go
@@ -26,6 +26,8 @@
 	rushFrom, rushTo time.Duration
 	// only is the index of the only VM that gets requests from the rush on, or -1.
 	only int
+	// few, if not zero, is the number of VMs that the callers reach.
+	few int
 }
 
 // machine is a VM of the simulation.
@@ -196,6 +198,9 @@
 	if l.rush > 0 && l.only >= 0 && s.now >= l.rushFrom {
 		vm = s.vms[l.only]
 	}
+	if l.few > 0 {
+		vm = s.vms[(len(l.Name)+int(l.RequestsPerSecond)*7+s.random.IntN(l.few))%len(s.vms)]
+	}
 	if vm == nil || !vm.up {
 		return
 	}
