--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -36,8 +35,10 @@
 	route    *routing.Route
 	// organisation is the one that the caller's key belongs to; nil if there is none.
 	organisation *organisation.Organisation
-	request      *backend.Request
-	content      quarantine.Content
+	// charged is true while the request counts towards the organisation's allowance.
+	charged bool
+	request *backend.Request
+	content quarantine.Content
 }
 
 // startupRetryAfter is the retry delay told to callers of a VM that has no routes yet:
@@ -52,7 +53,7 @@
 	c.id = c.gateway.options.Dialect.RequestID(c.http.Header)
 	c.compiled = c.gateway.table(c.arrived)
 	c.organisation = c.identify()
-	if !c.mayTake() || !c.match() || !c.authenticate() {
+	if !c.mayTake() || !c.match() || !c.authenticate() || !c.withinAllowance() {
 		return
 	}
 	body, err := c.readBody(c.compiled.table.Limits.GetMaxBodyBytes())
@@ -173,6 +174,7 @@
 
 // refuse answers an invalid request with a 4xx status. The request is sent to no target.
 func (c *call) refuse(status int, cause string) {
+	c.refund()
 	c.gateway.log.refused(c, status, cause)
 	c.gateway.counters.refused.Inc()
 	c.countForOrganisation(resultRefused)
@@ -182,6 +184,7 @@
 // notRun answers a request that can't be sent to any target now, with 503 and a
 // retry delay.
 func (c *call) notRun(cause string, retryAfter time.Duration) {
+	c.refund()
 	c.gateway.log.refused(c, http.StatusServiceUnavailable, cause)
 	c.recordOutcome(fanout.NotRun)
 	c.writeNotRun(retryAfter)
@@ -197,8 +200,7 @@
 }
 
 func (c *call) writeNotRun(retryAfter time.Duration) {
-	seconds := strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)
-	c.writer.Header().Set("Retry-After", seconds)
+	c.writer.Header().Set("Retry-After", formatRetryAfter(retryAfter))
 	c.writer.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -95,6 +95,9 @@
 		return
 	}
 	r.recordAdmission(answer)
+	if answer.Outcome == fanout.NotRun {
+		c.refund()
+	}
 	c.write(answer)
 	c.recordOutcome(answer.Outcome)
 	c.gateway.log.finished(c, &r.trace, answer)
