--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -32,8 +32,9 @@
 		d.gateway = gateway.New(gateway.Options{
 			Views: d.control, Dialect: platform.Headers{}, Settings: d.settings, Logger: d.logger, Metrics: set,
 			Targets: d.targetHealth, Advice: d.advice, Rollouts: d.rollouts, Admission: d.admission, Guard: quarantine.NewGuard(d.quarantine),
-			Announcer: contentAnnouncer{views: d.control, peers: d.peers, list: d.quarantine, logger: d.logger},
-			Client:    backend.NewClient(platform.Headers{}, listen.SourceAddress, set, backend.MetricPrefix),
+			Allowances: d.allowances,
+			Announcer:  contentAnnouncer{views: d.control, peers: d.peers, list: d.quarantine, logger: d.logger},
+			Client:     backend.NewClient(platform.Headers{}, listen.SourceAddress, set, backend.MetricPrefix),
 			Gatherers: backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}},
 				listen.SourceAddress, set, delegation.MetricPrefix),
 		})
