allowance: VMs that know no others yet assume a number of them

Cause: before the first members are known, a VM took itself for the only one, and had no start time, so that it admitted the whole rate with a bucket of the whole burst. Traced by logging each decision with its basis (trial).

Change: until the members are known, the rate is divided among 24 VMs.

--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -299,7 +299,13 @@
 // of the floor. A VM that no accountant has granted anything since its start has less at first: when all
 // VMs start at once, each knows only some of the others.
 func (l *Limiter) equalShare(o *organisation.Organisation, now time.Time) float64 {
-	share := math.Max(o.RequestsPerSecond, floorPerSecond) / float64(l.known)
+	rate := math.Max(o.RequestsPerSecond, floorPerSecond)
+	if l.startedAt.IsZero() {
+		// No other VM is known yet. Without this, each VM admitted the whole rate and burst for
+		// half a second, and a restart of all VMs in a rush exceeded the bound by a tenth.
+		return rate / minStartVMs
+	}
+	share := rate / float64(l.known)
 	if l.starting(now) {
 		return share * min(max(now.Sub(l.startedAt).Seconds(), 0)/rampTime.Seconds(), 1)
 	}
@@ -308,7 +314,7 @@
 
 // starting reports whether this VM has just started and no accountant has granted anything.
 func (l *Limiter) starting(now time.Time) bool {
-	return !l.answered && now.Sub(l.startedAt) < holdTime
+	return !l.answered && (l.startedAt.IsZero() || now.Sub(l.startedAt) < holdTime)
 }
 
 // share returns the rate and the size of this VM's own bucket.
