gateway: the test fixture's log takes lines of several requests at once

The daemon's own writer takes lines from many goroutines.

Change: the fixture's logger has a lock (zerolog.SyncWriter). No check changes.

Result: go test -race -count=3 ./internal/gateway passes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -106,7 +106,7 @@
 	f.metrics = set
 	options := gateway.Options{
 		Views: f.views, Dialect: platform.Headers{}, Client: backend.NewClient(platform.Headers{}, "", set, backend.MetricPrefix),
-		Targets: health.NewTracker(), Metrics: set, Logger: zerolog.New(f.log),
+		Targets: health.NewTracker(), Metrics: set, Logger: zerolog.New(zerolog.SyncWriter(f.log)),
 		Settings: &pb.Settings{
 			Routes: &pb.RouteSettings{ExtraLoadShare: 0.2, ExtraLoadSlack: 50, ExtraLoadWindowMs: 10000, DrainMs: drainMs, MaxWaitingRequests: 100},
 			Log:    &pb.LogSettings{LinesPerS: 100},
