review: show that a configuration with many keys reaches some machines late

Cause: a configuration is sent between machines in one message, whose bound of 1 MiB a configuration of 740 KB in the store exceeds, as keys become digests. A machine that doesn't watch the store then waits for 10 s before it reads it.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/carawayreeld ] && [ -x target/review-standin2 ] || { echo "build the deploy file and review/build-2.sh first"; exit 2; }
 export ROOT="$PWD" RECORD="$PWD/review/8/record.txt" TROUBLE="${TROUBLE:-1}"
-exec target/review-standin2 path
+exec target/review-standin2 keys
--- a/review/standin2/config.go
+++ b/review/standin2/config.go
@@ -69,7 +69,7 @@
 }
 
 // send sends one request on a connection of its own.
-func send(source, address, method, path string, body []byte, limit time.Duration) answer {
+func send(source, address, method, path string, body []byte, limit time.Duration, key ...string) answer {
 	a := answer{id: newID()}
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}, Timeout: time.Second}
 	conn, err := dialer.Dial("tcp", address)
@@ -79,6 +79,9 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(limit + time.Second))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, host, wire["attempt"], a.id, wire["deadline"], limit.Milliseconds())
+	if len(key) > 0 {
+		head += fmt.Sprintf("%s: %s\r\n", wire["key"], key[0])
+	}
 	if len(body) > 0 {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
