--- a/review/standin2/case_bodies.go
+++ b/review/standin2/case_bodies.go
@@ -14,11 +14,11 @@
 func caseBodies(trouble bool) int {
 	const (
 		crowd  = 185
-		rounds = 6
+		rounds = 9
 		beset  = 2
 		enough = 3
 		// each caller of the crowd sends so many requests, one after the other.
-		each         = 5
+		each         = 4
 		restartDelay = time.Second
 		deadline     = 1200 * time.Millisecond
 	)
