Configurations between VMs have a bound of their own; late ones are read from the store

Cause: a key takes 22 bytes in the store and 34 as a digest in a message. The route table goes in one message, and both ways to such a VM, the offer and the fetch, were bounded by limits.max_request_bytes, 1 MiB. The offer's failure was logged at level debug, the fetch's not at all, and the VM read the store only after 10 s without a confirmation.

A transfer may take 5 s. A VM that knows of a newer revision which is too large, or has not arrived after 0.75 to 1.25 s, reads the store itself, at most once in 2 s. Failures are logged with their cause, and counted.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -22,8 +22,13 @@
 	"github.com/carawayreel/carawayreel/internal/view"
 )
 
-// ErrDenied is the cause of an error from Peers if the other VM rejected this VM's authentication.
-var ErrDenied = errors.New("authentication refused")
+// Causes of errors from Peers.
+var (
+	// ErrDenied means that the other VM rejected this VM's authentication.
+	ErrDenied = errors.New("authentication refused")
+	// ErrTooLarge means that a message exceeds the bound of messages between VMs.
+	ErrTooLarge = errors.New("message too large")
+)
 
 // Peers makes calls to other VMs. Implementations must be safe for concurrent use.
 type Peers interface {
@@ -104,10 +109,12 @@
 	queueCapacity = 1024
 	// ticksPerGap is the minimum number of ticks per clockGap, the shortest gap that must be detected.
 	ticksPerGap = 5
-	// offerTimeout is the timeout for sending a revision to one VM.
-	offerTimeout = time.Second
-	// fetchTimeout is the timeout for fetching a revision from another VM.
-	fetchTimeout = 2 * time.Second
+	// transferTimeout is the timeout for sending a revision to one VM, or for fetching one. A
+	// configuration of 6 MB, as large as keys in a store value of 1 MiB make it, takes 2.4 s
+	// over a link of 20 Mbit/s.
+	transferTimeout = 5 * time.Second
+	// pushTimeout is the timeout for sending a revision to one VM while an operator waits.
+	pushTimeout = time.Second
 )
 
 // queuedEvent is an event that waits for the control goroutine.
@@ -142,6 +149,8 @@
 	builtFrom  viewState
 	rebuildDue bool
 	viewsBuilt atomic.Uint64
+	// offerFailures and fetchFailures count the transfers of configurations that failed.
+	offerFailures, fetchFailures atomic.Uint64
 	// processedTick is the offset from startedAt of the last tick processed. It is copied to lastTick only
 	// after the view is published.
 	processedTick        time.Duration
--- a/internal/control/distribute.go
+++ b/internal/control/distribute.go
@@ -31,6 +31,13 @@
 	// staleAfter is the age of the configuration at which a VM that is not a watcher reads the store
 	// itself.
 	staleAfter = 10 * time.Second
+	// transferPatience is the time for which a VM waits for a newer revision to arrive from other VMs
+	// before it reads the store itself, and transferStagger the longest additional time. A transfer
+	// usually takes a few milliseconds.
+	transferPatience = 750 * time.Millisecond
+	transferStagger  = 500 * time.Millisecond
+	// overdueReadInterval is the minimum time between two such reads.
+	overdueReadInterval = 2 * time.Second
 	// nonWatcherListFactor multiplies the list interval for VMs that are not watchers.
 	nonWatcherListFactor = 12
 	// isolatedListInterval is the maximum time between two list reads by a VM that knows no live VM: others
@@ -54,7 +61,15 @@
 	}
 	m.checkOrder()
 	m.checkStandby()
-	if m.watch.running || m.now.Before(m.watch.nextAt) {
+	if m.watch.running {
+		return
+	}
+	if m.transferOverdue() {
+		m.stats.overdueReads++
+		m.watchStore(0)
+		return
+	}
+	if m.now.Before(m.watch.nextAt) {
 		return
 	}
 	if m.watches() {
@@ -66,6 +81,29 @@
 	}
 }
 
+// transferOverdue reports whether this VM, which is not a watcher, knows that there is a newer revision,
+// does not get it from other VMs, and must read the store itself.
+func (m *machine) transferOverdue() bool {
+	if m.behindSince.IsZero() || m.watches() || m.now.Sub(m.watch.sentAt) < overdueReadInterval {
+		return false
+	}
+	// VMs that miss the same revision read the store one after the other.
+	const steps = 1 << 10
+	step := xxhash.Sum64String(m.vm) % steps
+	return m.now.Sub(m.behindSince) >= transferPatience+transferStagger*time.Duration(step)/steps
+}
+
+// handleFetchFailed ends a fetch. What is too large for a message is not waited for.
+func (m *machine) handleFetchFailed(failed *pb.FetchFailed) {
+	if failed.Vm != m.fetchingFrom {
+		return
+	}
+	m.fetchingFrom = ""
+	if failed.TooLarge && !m.behindSince.IsZero() {
+		m.behindSince = earlier(m.behindSince, m.now.Add(-transferPatience))
+	}
+}
+
 // deferFirstList defers the first reading of the list if this VM reads it seldom and has seeds, and reports
 // whether it is not due yet. Once the seeds have named other VMs, it is not needed.
 func (m *machine) deferFirstList() bool {
@@ -223,6 +261,7 @@
 	base := m.revision()
 	m.recordReplaced(inForceAt)
 	m.configuration = next
+	m.behindSince = time.Time{}
 	m.stats.adopted++
 	self := m.table.Self()
 	fromOwnDomain := from != "" && m.table.FailureDomain(from) == self.FailureDomain
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -138,13 +138,17 @@
 }
 
 func (c *Control) fetch(ctx context.Context, from *pb.FetchFrom) {
-	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	sent := c.offset()
 	request := &pb.FetchConfigurationRequest{SinceRevision: from.SinceRevision}
 	response, err := c.options.Peers.FetchConfiguration(callCtx, from.Address, request)
+	if err != nil {
+		c.fetchFailures.Add(1)
+		c.options.Logger.Warn().Str("vm", from.Vm).Uint64("since_revision", from.SinceRevision).Err(err).Msg("configuration not fetched")
+	}
 	if err != nil || !c.wellFormed(from.Vm, response.GetDelta()) {
-		failed := &pb.FetchFailed{Vm: from.Vm}
+		failed := &pb.FetchFailed{Vm: from.Vm, TooLarge: errors.Is(err, ErrTooLarge)}
 		c.post(ctx, &pb.ControlEvent{Kind: &pb.ControlEvent_FetchFailed{FetchFailed: failed}})
 		return
 	}
@@ -167,7 +171,7 @@
 // offer sends a revision to another VM as a delta. A VM that lacks the delta's base fetches the
 // configuration itself.
 func (c *Control) offer(ctx context.Context, to *pb.OfferTo, offered *pb.Configuration, inForceAt time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	request := &pb.OfferConfigurationRequest{
 		Delta:    makeDelta(offered, to.BaseRevision, inForceAt),
@@ -177,7 +181,9 @@
 	response, err := c.options.Peers.OfferConfiguration(ctx, to.Address, request)
 	c.traffic.count(request, response)
 	if err != nil {
-		c.options.Logger.Debug().Str("vm", to.Vm).Uint64("revision", offered.Revision).Err(err).Msg("configuration not handed on")
+		c.offerFailures.Add(1)
+		c.options.Logger.Warn().Str("vm", to.Vm).Uint64("revision", offered.Revision).Int("bytes", proto.Size(request)).Err(err).
+			Msg("configuration not passed on")
 	}
 }
 
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -179,6 +179,9 @@
 		return
 	}
 	m.revisions[vm] = revision
+	if revision > m.revision() && m.behindSince.IsZero() {
+		m.behindSince = m.now
+	}
 	address := m.table.Address(vm)
 	fetching := m.fetchingFrom != "" && m.now.Sub(m.fetchingSince) < fetchPatience
 	if revision <= m.revision() || fetching || address == "" {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -139,6 +139,9 @@
 	// fetchFull is true after a fetched delta could not be applied: the next fetch requests the full
 	// configuration.
 	fetchFull bool
+	// behindSince is when this VM first heard of a revision that is newer than the one in force; zero
+	// if it knows of none.
+	behindSince time.Time
 	// listedSelf is true if the last VM list contains this VM.
 	listedSelf bool
 	storeError string
@@ -210,9 +213,7 @@
 	case *pb.ControlEvent_DeltaReceived:
 		m.handleDeltaReceived(kind.DeltaReceived)
 	case *pb.ControlEvent_FetchFailed:
-		if kind.FetchFailed.Vm == m.fetchingFrom {
-			m.fetchingFrom = ""
-		}
+		m.handleFetchFailed(kind.FetchFailed)
 	case *pb.ControlEvent_Accepted:
 		m.adopt(kind.Accepted.Configuration, "", 0, time.Time{})
 	case *pb.ControlEvent_Leave:
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -115,7 +115,7 @@
 // pushToPeer sends a revision to one VM: first as a delta to the previous revision, and in full if the VM
 // lacks that base.
 func (c *Control) pushToPeer(ctx context.Context, member *pb.Member, stored *pb.Configuration) bool {
-	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	for _, base := range []uint64{stored.Revision - 1, 0} {
 		response, err := c.options.Peers.OfferConfiguration(ctx, member.PeerAddress, &pb.OfferConfigurationRequest{
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -31,6 +31,7 @@
 	storeFailures      uint64
 	deltasRefused      uint64
 	adopted            uint64
+	overdueReads       uint64
 	clockGaps          uint64
 }
 
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -38,6 +38,8 @@
 	// adjust changes the settings of a VM before it starts; may be nil.
 	adjust  func(*simulatedVM)
 	latency time.Duration
+	// deltaBytes bounds the deltas that VMs send one another; zero for no bound.
+	deltaBytes int
 }
 
 type simulatedVM struct {
@@ -383,6 +385,10 @@
 			return
 		}
 		delta := s.makeDelta(other, from.SinceRevision)
+		if s.tooLarge(delta) {
+			s.deliver(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_FetchFailed{FetchFailed: &pb.FetchFailed{Vm: from.Vm, TooLarge: true}}}, nil)
+			return
+		}
 		s.countMessage(vm, other, delta)
 		s.deliver(vm, &pb.ControlEvent{Kind: &pb.ControlEvent_DeltaReceived{DeltaReceived: &pb.DeltaReceived{
 			From: from.Vm, Delta: delta, Fetched: true, HopsLeft: maxHops, ReplacedOffsetUs: replacedOffset(delta, sent),
@@ -396,6 +402,9 @@
 		return
 	}
 	delta := s.makeDelta(vm, to.BaseRevision)
+	if s.tooLarge(delta) {
+		return
+	}
 	s.countMessage(vm, other, delta)
 	s.schedule(s.latency, func() {
 		s.deliver(other, &pb.ControlEvent{Kind: &pb.ControlEvent_DeltaReceived{DeltaReceived: &pb.DeltaReceived{
@@ -404,6 +413,10 @@
 	})
 }
 
+func (s *simulation) tooLarge(delta *pb.ConfigurationDelta) bool {
+	return s.deltaBytes > 0 && proto.Size(delta) > s.deltaBytes
+}
+
 // makeDelta returns the delta that a VM sends to one with the given revision.
 func (s *simulation) makeDelta(vm *simulatedVM, revision uint64) *pb.ConfigurationDelta {
 	m := vm.machine
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -59,10 +59,31 @@
 // Heartbeat exchanges heartbeats with the VM at the address.
 func (p controlPeers) Heartbeat(ctx context.Context, address string, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
 	response, err := p.Client.Heartbeat(ctx, address, r)
-	if errors.Is(err, peer.ErrDenied) {
-		return nil, errors.Wrap(control.ErrDenied, err.Error())
+	return response, controlError(err)
+}
+
+// FetchConfiguration fetches the configuration changes since a revision from the VM at the address.
+func (p controlPeers) FetchConfiguration(ctx context.Context, address string, r *pb.FetchConfigurationRequest) (*pb.FetchConfigurationResponse, error) {
+	response, err := p.Client.FetchConfiguration(ctx, address, r)
+	return response, controlError(err)
+}
+
+// OfferConfiguration pushes a revision to the VM at the address.
+func (p controlPeers) OfferConfiguration(ctx context.Context, address string, r *pb.OfferConfigurationRequest) (*pb.OfferConfigurationResponse, error) {
+	response, err := p.Client.OfferConfiguration(ctx, address, r)
+	return response, controlError(err)
+}
+
+// controlError turns an error of the peer client into one of package control.
+func controlError(err error) error {
+	switch {
+	case errors.Is(err, peer.ErrDenied):
+		return errors.Wrap(control.ErrDenied, err.Error())
+	case errors.Is(err, peer.ErrTooLarge):
+		return errors.Wrap(control.ErrTooLarge, err.Error())
+	default:
+		return err
 	}
-	return response, err
 }
 
 // claimStore stores change claims, which bind callers' idempotency keys to change
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -139,7 +139,7 @@
 	d.rollouts = rollout.NewBoard(rollout.Origin{VM: self.ID, Incarnation: self.Incarnation}, d.logger, rolloutMetrics)
 	d.admission = admission.New()
 	d.quarantine = quarantine.New(quarantine.DefaultLimits())
-	d.peers = peer.New(self.ID, client, settings.Limits.MaxRequestBytes)
+	d.peers = peer.New(self.ID, client, peerLimits(settings))
 	var err error
 	d.control, err = control.New(control.Options{
 		Settings: settings, Self: self, Store: store, Source: source, VMList: list,
@@ -189,6 +189,13 @@
 	return store, store, nil
 }
 
+// peerLimits returns the bounds of messages from other VMs.
+func peerLimits(settings *pb.Settings) peer.Limits {
+	return peer.Limits{
+		ConfigurationBytes: settings.Peers.MaxConfigurationBytes, MessageBytes: settings.Limits.MaxRequestBytes,
+	}
+}
+
 // selfVM describes this VM as it is advertised to the others.
 func selfVM(settings *pb.Settings) view.VM {
 	address := settings.Listen.AdvertisedPeerAddress
@@ -245,7 +252,7 @@
 		return errors.Wrap(err, "caller address")
 	}
 	d.peerServer, err = transport.Listen(d.settings.Listen.PeerAddress,
-		server.PeerHandler(roles, middleware, limits.MaxRequestBytes, d.logger))
+		server.PeerHandler(roles, middleware, peerLimits(d.settings), d.logger))
 	return errors.Wrap(err, "peer address")
 }
 
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -46,7 +46,7 @@
 		b.Fatal(err)
 	}
 	go func() { _ = server.Serve(b.Context()) }()
-	client := peer.New("self", transport.NewClient(transport.ClientOptions{}), 1<<20)
+	client := peer.New("self", transport.NewClient(transport.ClientOptions{}), peer.Limits{MessageBytes: 1 << 20})
 	vm := view.VM{ID: "other", PeerAddress: server.Address()}
 	request := &pb.SubRequest{
 		RequestId: "0190-7c1e", Attempt: 1, Front: "front", Service: "service-03", Target: "service-03-2", Snapshot: 7,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 
 	"connectrpc.com/connect"
@@ -19,13 +20,43 @@
 
 // Causes of the errors that calls to other VMs return. ErrUnreachable: no connection
 // was established, so the call was definitely not delivered. ErrDenied: the VM rejected
-// the authentication. ErrLost: any other failure; the call may have been executed.
+// the authentication. ErrTooLarge: the request or the answer exceeds the bound of messages
+// of its receiver. ErrLost: any other failure; the call may have been executed.
 var (
 	ErrUnreachable = errors.New("VM unreachable")
 	ErrDenied      = errors.New("VM refused the authentication")
+	ErrTooLarge    = errors.New("message too large")
 	ErrLost        = errors.New("answer of VM lost")
 )
 
+// Limits bounds the messages that a VM accepts from other VMs, in bytes.
+type Limits struct {
+	// ConfigurationBytes bounds those that carry a configuration, which grows with the
+	// deployment and with what operators write to the store, and MessageBytes all others.
+	ConfigurationBytes, MessageBytes uint32
+}
+
+// configurationProcedures are the calls whose messages carry a configuration.
+var configurationProcedures = []string{
+	carawayreelv1connect.PeerServiceFetchConfigurationProcedure,
+	carawayreelv1connect.PeerServiceOfferConfigurationProcedure,
+}
+
+// readMaxBytes returns the bound of the messages of a call.
+func (l Limits) readMaxBytes(procedure string) int {
+	if slices.Contains(configurationProcedures, procedure) {
+		return int(l.ConfigurationBytes)
+	}
+	return int(l.MessageBytes)
+}
+
+// HandlerOption returns the option that applies the limits to the handlers of the peer service.
+func (l Limits) HandlerOption() connect.HandlerOption {
+	return connect.WithConditionalHandlerOptions(func(spec connect.Spec) []connect.HandlerOption {
+		return []connect.HandlerOption{connect.WithReadMaxBytes(l.readMaxBytes(spec.Procedure))}
+	})
+}
+
 // Owner handles dispatches to targets that this VM owns.
 type Owner interface {
 	Dispatch(ctx context.Context, r *pb.SubRequest) *pb.SubReply
@@ -37,26 +68,23 @@
 	self  string
 	owner Owner
 	http  *http.Client
-	// options limits the size of messages and disables compression, which costs
-	// more than it saves between VMs of one region.
-	options []connect.ClientOption
+	// limits bounds the answers.
+	limits Limits
 
 	mu      sync.RWMutex
-	clients map[string]carawayreelv1connect.PeerServiceClient
-}
-
-// New returns a Client for use on the VM with the ID self. Messages larger than
-// maxBytes are rejected.
-func New(self string, client *http.Client, maxBytes uint32) *Client {
-	return &Client{
-		self: self,
-		http: client,
-		options: []connect.ClientOption{
-			connect.WithReadMaxBytes(int(maxBytes)),
-			connect.WithAcceptCompression("gzip", nil, nil),
-		},
-		clients: map[string]carawayreelv1connect.PeerServiceClient{},
-	}
+	clients map[string]clients
+}
+
+// clients are the RPC clients of one address.
+type clients struct {
+	// configuration makes the calls whose answers carry a configuration, and calls all others.
+	configuration, calls carawayreelv1connect.PeerServiceClient
+}
+
+// New returns a Client for use on the VM with the ID self. Answers beyond the limits are
+// rejected.
+func New(self string, client *http.Client, limits Limits) *Client {
+	return &Client{self: self, http: client, limits: limits, clients: map[string]clients{}}
 }
 
 // SetOwner sets the owner that handles dispatches to this VM. It must be called before
@@ -67,20 +95,34 @@
 
 // clientFor returns the cached RPC client for the address, creating it if necessary.
 func (c *Client) clientFor(address string) carawayreelv1connect.PeerServiceClient {
+	return c.clientsFor(address).calls
+}
+
+func (c *Client) clientsFor(address string) clients {
 	c.mu.RLock()
-	client, ok := c.clients[address]
+	known, ok := c.clients[address]
 	c.mu.RUnlock()
 	if ok {
-		return client
+		return known
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if client, ok = c.clients[address]; ok {
-		return client
+	if known, ok = c.clients[address]; ok {
+		return known
+	}
+	known = clients{
+		configuration: c.newClient(address, c.limits.ConfigurationBytes),
+		calls:         c.newClient(address, c.limits.MessageBytes),
 	}
-	client = carawayreelv1connect.NewPeerServiceClient(c.http, "http://"+address, c.options...)
-	c.clients[address] = client
-	return client
+	c.clients[address] = known
+	return known
+}
+
+// newClient returns an RPC client whose answers have at most maxBytes. It disables compression,
+// which costs more than it saves between VMs of one region.
+func (c *Client) newClient(address string, maxBytes uint32) carawayreelv1connect.PeerServiceClient {
+	return carawayreelv1connect.NewPeerServiceClient(c.http, "http://"+address,
+		connect.WithReadMaxBytes(int(maxBytes)), connect.WithAcceptCompression("gzip", nil, nil))
 }
 
 // RetainClients removes the cached RPC clients of all addresses that are not in inUse.
@@ -142,7 +184,7 @@
 // FetchConfiguration fetches the configuration changes since a revision from the VM
 // at the address.
 func (c *Client) FetchConfiguration(ctx context.Context, address string, r *pb.FetchConfigurationRequest) (*pb.FetchConfigurationResponse, error) {
-	return unwrap(c.clientFor(address).FetchConfiguration(ctx, connect.NewRequest(r)))
+	return unwrap(c.clientsFor(address).configuration.FetchConfiguration(ctx, connect.NewRequest(r)))
 }
 
 // OfferConfiguration pushes a revision to the VM at the address.
@@ -175,10 +217,14 @@
 	if transport.NotSent(err) {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
-	if connect.CodeOf(err) == connect.CodeUnauthenticated {
+	switch connect.CodeOf(err) {
+	case connect.CodeUnauthenticated:
 		return nil, errors.Wrap(ErrDenied, err.Error())
+	case connect.CodeResourceExhausted:
+		return nil, errors.Wrap(ErrTooLarge, err.Error())
+	default:
+		return nil, errors.Wrap(ErrLost, err.Error())
 	}
-	return nil, errors.Wrap(ErrLost, err.Error())
 }
 
 var (
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/carawayreel/carawayreel/internal/auth"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1/carawayreelv1connect"
+	"github.com/carawayreel/carawayreel/internal/peer"
 )
 
 // Searcher runs searches.
@@ -77,7 +78,7 @@
 // the load balancer's health and readiness checks. Messages larger than maxBytes are
 // rejected.
 func CallerHandler(roles Roles, middleware *auth.Middleware, maxBytes uint32, logger zerolog.Logger) http.Handler {
-	options := handlerOptions(maxBytes, logger)
+	options := []connect.HandlerOption{connect.WithReadMaxBytes(int(maxBytes)), recovery(logger)}
 	mux := http.NewServeMux()
 	path, caller := carawayreelv1connect.NewCallerServiceHandler(NewCaller(roles), options...)
 	mux.Handle(path, middleware.Require(auth.RoleCaller, caller))
@@ -104,25 +105,21 @@
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
 
-// PeerHandler returns the handler for the other VMs. Messages larger than maxBytes
-// are rejected.
-func PeerHandler(roles Roles, middleware *auth.Middleware, maxBytes uint32, logger zerolog.Logger) http.Handler {
+// PeerHandler returns the handler for the other VMs. Messages beyond the limits are
+// rejected.
+func PeerHandler(roles Roles, middleware *auth.Middleware, limits peer.Limits, logger zerolog.Logger) http.Handler {
 	mux := http.NewServeMux()
-	path, handler := carawayreelv1connect.NewPeerServiceHandler(&peerService{roles}, handlerOptions(maxBytes, logger)...)
+	path, handler := carawayreelv1connect.NewPeerServiceHandler(&peerService{roles}, limits.HandlerOption(), recovery(logger))
 	mux.Handle(path, middleware.Require(auth.RolePeer, handler))
 	return mux
 }
 
-// handlerOptions limits the size of messages and turns a panic in a handler into a
-// log entry and an internal error.
-func handlerOptions(maxBytes uint32, logger zerolog.Logger) []connect.HandlerOption {
-	return []connect.HandlerOption{
-		connect.WithReadMaxBytes(int(maxBytes)),
-		connect.WithRecover(func(_ context.Context, spec connect.Spec, _ http.Header, cause any) error {
-			logger.Error().Str("procedure", spec.Procedure).Interface("panic", cause).Msg("call panicked")
-			return connect.NewError(connect.CodeInternal, errors.New("internal error"))
-		}),
-	}
+// recovery turns a panic in a handler into a log entry and an internal error.
+func recovery(logger zerolog.Logger) connect.HandlerOption {
+	return connect.WithRecover(func(_ context.Context, spec connect.Spec, _ http.Header, cause any) error {
+		logger.Error().Str("procedure", spec.Procedure).Interface("panic", cause).Msg("call panicked")
+		return connect.NewError(connect.CodeInternal, errors.New("internal error"))
+	})
 }
 
 // validate checks a message against the validation rules of its schema.
--- a/internal/testkit/users.go
+++ b/internal/testkit/users.go
@@ -43,7 +43,7 @@
 }
 
 // StartUsersDeployment starts a deployment with an empty store and one VM in each of the
-// failure domains.
+// failure domains. A failure domain that is named several times gets as many VMs.
 func StartUsersDeployment(dir string, domains ...string) (*UsersDeployment, error) {
 	return StartUsersDeploymentWithProcessors(dir, make([]float64, len(domains)), domains...)
 }
@@ -59,14 +59,20 @@
 		return nil, err
 	}
 	d.ports = ports
+	perDomain := map[string]int{}
 	for i, domain := range domains {
+		id := "vm-" + domain
+		if perDomain[domain]++; perDomain[domain] > 1 {
+			id = fmt.Sprintf("%s-%d", id, perDomain[domain])
+		}
 		var addresses [addressesPerVM]string
 		for j := range addresses {
 			addresses[j] = fmt.Sprintf("127.0.0.1:%d", ports.base+i*addressesPerVM+j)
 		}
 		d.VMs = append(d.VMs, &UsersVM{
-			ID: "vm-" + domain, Domain: domain, RouteAddress: addresses[0], ReadyAddress: addresses[1],
-			CallerAddress: addresses[2], PeerAddress: addresses[3], GatherAddress: addresses[4], ProcessorCores: cores[i], SettingsPath: filepath.Join(dir, "vm-"+domain+".ini"),
+			ID: id, Domain: domain, RouteAddress: addresses[0], ReadyAddress: addresses[1],
+			CallerAddress: addresses[2], PeerAddress: addresses[3], GatherAddress: addresses[4],
+			ProcessorCores: cores[i], SettingsPath: filepath.Join(dir, id+".ini"),
 		})
 	}
 	for _, vm := range d.VMs {
