quarantine: bound the entries in a heartbeat by their bytes

Not seen by callers.

Cause: a heartbeat carried all of up to 4,096 contents that coincided with crashes. Beyond 1 MiB other VMs refuse heartbeats and take the sender for dead.

Change: at most 128 KiB a heartbeat; half for the contents that changed last, the others in turn.

Evidence: TestFullListFitsIntoHeartbeats failed before (761,729 bytes with four targets a content, bound 262,144) and passes. The other lists are bounded: a heartbeat with all of them full takes 299, 302, 309 and 614 KB with 3, 30, 100 and 3,000 VMs (TestHeartbeatsFitIntoMessages).

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -2,13 +2,22 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
-// Updates returns the entries of all contents, to be merged by other VMs, in ascending order of digest.
+// maxMessageBytes bounds the encoded entries in one message: an eighth of the messages that VMs accept
+// from one another by default.
+const maxMessageBytes = 128 << 10
+
+// Updates returns entries to be merged by other VMs, in ascending order of digest: those of all contents if
+// they fit into a message. Otherwise half of the message is for the contents that changed last, and further
+// messages have the others in turn.
 func (l *List) Updates(now time.Time) []*pb.QuarantineEntry {
 	if l.size.Load() == 0 {
 		return nil
@@ -16,12 +25,50 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
-	entries := make([]*pb.QuarantineEntry, 0, len(l.contents))
-	for digest := range l.contents {
-		entries = append(entries, l.entry(digest, now))
+	digests := slices.Sorted(maps.Keys(l.contents))
+	message := updates{list: l, now: now}
+	if message.add(digests, maxMessageBytes) < len(digests) {
+		message = updates{list: l, now: now}
+		latest := slices.Clone(digests)
+		slices.SortFunc(latest, func(a, b uint64) int { return cmp.Compare(l.changed[b], l.changed[a]) })
+		message.add(latest, maxMessageBytes/2)
+		first, _ := slices.BinarySearch(digests, l.nextUpdate)
+		others := slices.Concat(digests[first:], digests[:first])
+		l.nextUpdate = others[message.add(others, maxMessageBytes)%len(others)]
+	}
+	slices.SortFunc(message.entries, func(a, b *pb.QuarantineEntry) int { return cmp.Compare(a.ContentDigest, b.ContentDigest) })
+	return message.entries
+}
+
+// updates is a message under construction.
+type updates struct {
+	list    *List
+	now     time.Time
+	entries []*pb.QuarantineEntry
+	bytes   int
+	added   map[uint64]bool
+}
+
+// add adds the entries of the contents that are not in the message yet, while it stays within limit bytes. It
+// returns the number of contents up to the first that does not fit.
+func (u *updates) add(digests []uint64, limit int) int {
+	if u.added == nil {
+		u.added = make(map[uint64]bool, len(digests))
+	}
+	for i, digest := range digests {
+		if u.added[digest] {
+			continue
+		}
+		entry := u.list.entry(digest, u.now)
+		size := proto.Size(entry)
+		if u.bytes+size > limit {
+			return i
+		}
+		u.bytes += size
+		u.added[digest] = true
+		u.entries = append(u.entries, entry)
 	}
-	slices.SortFunc(entries, func(a, b *pb.QuarantineEntry) int { return cmp.Compare(a.ContentDigest, b.ContentDigest) })
-	return entries
+	return len(digests)
 }
 
 // Entry returns the entry of one content, or nil if the list does not contain it.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -143,11 +143,17 @@
 	contents map[uint64]map[TargetRef]record
 	// families holds the family of each content that belongs to one.
 	families map[uint64]uint64
+	// changes counts the changes of the list, and changed holds the number of each content's last one.
+	changes uint64
+	changed map[uint64]uint64
+	// nextUpdate is the lowest digest that the next message with other contents than the last
+	// changed ones begins with.
+	nextUpdate uint64
 }
 
 // New returns an empty list.
 func New(limits Limits) *List {
-	return &List{limits: limits, contents: map[uint64]map[TargetRef]record{}, families: map[uint64]uint64{}}
+	return &List{limits: limits, contents: map[uint64]map[TargetRef]record{}, families: map[uint64]uint64{}, changed: map[uint64]uint64{}}
 }
 
 // RecordCrash records that the target crashed while it ran the content and possibly others.
@@ -235,6 +241,7 @@
 	for ref, r := range l.contents[digest] {
 		if matches(ref) && r.crashes > 0 {
 			l.contents[digest][ref] = record{epoch: r.epoch + 1, expires: r.expires}
+			l.noteChange(digest)
 			cleared = true
 		}
 	}
@@ -310,9 +317,22 @@
 		return
 	}
 	records[ref] = r
+	l.noteChange(digest)
 	l.size.Store(int64(len(l.contents)))
 }
 
+func (l *List) noteChange(digest uint64) {
+	l.changes++
+	l.changed[digest] = l.changes
+}
+
+// forget removes a content.
+func (l *List) forget(digest uint64) {
+	delete(l.contents, digest)
+	delete(l.families, digest)
+	delete(l.changed, digest)
+}
+
 // evictIfFull removes the content that expires first if the list is full.
 func (l *List) evictIfFull() {
 	if len(l.contents) < l.limits.Capacity {
@@ -326,8 +346,7 @@
 			victim, victimExpiry = digest, expiry
 		}
 	}
-	delete(l.contents, victim)
-	delete(l.families, victim)
+	l.forget(victim)
 }
 
 func lastExpiry(records map[TargetRef]record) time.Time {
@@ -354,8 +373,7 @@
 			}
 		}
 		if len(records) == 0 {
-			delete(l.contents, digest)
-			delete(l.families, digest)
+			l.forget(digest)
 		}
 	}
 	l.size.Store(int64(len(l.contents)))
