backend: attempts share large requests, and are counted for their caller

Cause: each attempt copied the body before it had a connection, the encoded head kept the buffer with another copy alive, and clones for relays and gatherers encoded both again; the budget for callers counted one copy.

Change: a request of more than 2 KiB is shared by its attempts and written in parts; the encoded head is cut from no larger buffer. 4 KiB an attempt are reserved for the first attempt of each shard and for what a relay sends (503 with Retry-After if there is too little), and counted for retries, hedges and clones. A relay holds the body until its last send has ended.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -146,7 +146,7 @@
 	return ended.reply, ended.err
 }
 
-func (c *Client) connectAndStart(ctx context.Context, p *pool, t *Target, a *attempt, message []byte) {
+func (c *Client) connectAndStart(ctx context.Context, p *pool, t *Target, a *attempt, message *message) {
 	for {
 		conn, err := c.connect(ctx, p, t, a.request.ID)
 		if err != nil {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -68,7 +68,7 @@
 
 // start begins an attempt. It returns false, without sending anything, if the
 // connection broke while it was idle.
-func (c *conn) start(ctx context.Context, a *attempt, message []byte) bool {
+func (c *conn) start(ctx context.Context, a *attempt, message *message) bool {
 	c.mu.Lock()
 	if c.broken {
 		c.mu.Unlock()
@@ -79,7 +79,7 @@
 	c.attempt = a
 	a.written = make(chan error, 1)
 	a.stop = context.AfterFunc(ctx, c.abort)
-	a.async = len(message) >= asyncWriteSize
+	a.async = message.size() >= asyncWriteSize
 	c.mu.Unlock()
 	if a.async {
 		go c.write(a, message)
@@ -90,8 +90,8 @@
 }
 
 // write writes the message and counts the bytes that may have reached the target.
-func (c *conn) write(a *attempt, message []byte) {
-	n, err := c.Write(message)
+func (c *conn) write(a *attempt, message *message) {
+	n, err := message.writeTo(c)
 	c.sent.Add(int64(n))
 	if err != nil {
 		// The target may have replied before it closed the connection: the reader
--- a/internal/backend/conn_test.go
+++ b/internal/backend/conn_test.go
@@ -39,6 +39,6 @@
 	ended := make(chan error, 1)
 	a := &attempt{request: &Request{}, end: func(_ *Reply, err error) { ended <- err }}
 	p := &pool{open: 1}
-	require.True(t, newConn(&earlyCloseConn{ended: make(chan struct{})}, c, p).start(context.Background(), a, []byte("GET")))
+	require.True(t, newConn(&earlyCloseConn{ended: make(chan struct{})}, c, p).start(context.Background(), a, &message{parts: [3][]byte{[]byte("GET")}}))
 	require.ErrorIs(t, <-ended, ErrLost)
 }
--- a/internal/backend/request.go
+++ b/internal/backend/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 )
 
@@ -60,27 +61,79 @@
 		request.Body = io.NopCloser(bytes.NewReader(r.Body))
 		request.ContentLength = int64(len(r.Body))
 	}
-	var text bytes.Buffer
-	if err := request.Write(&text); err != nil {
+	var head headWriter
+	if err := request.Write(&head); err != nil {
 		return nil, err
 	}
-	end := bytes.Index(text.Bytes(), endOfHead)
-	return text.Bytes()[:end+len("\r\n")], nil
+	return head.text[:head.end+len("\r\n")], nil
+}
+
+// headWriter keeps the head of a request that is written to it, and drops the body.
+type headWriter struct {
+	text []byte
+	// end is the position of the end of the head; zero until it has been written.
+	end int
+}
+
+// Write implements io.Writer.
+func (w *headWriter) Write(p []byte) (int, error) {
+	if w.end > 0 {
+		return len(p), nil
+	}
+	start := max(len(w.text)-len(endOfHead)+1, 0)
+	w.text = append(w.text, p...)
+	if i := bytes.Index(w.text[start:], endOfHead); i >= 0 {
+		w.end = start + i
+		w.text = slices.Clone(w.text[:w.end+len("\r\n")])
+	}
+	return len(p), nil
 }
 
 // attemptHeaderBytes is the typical size of the headers that are specific to an
 // attempt.
 const attemptHeaderBytes = 128
 
-// message returns the bytes of one attempt; appendHeaders appends the headers that
-// differ between attempts.
-func (r *Request) message(appendHeaders func([]byte) []byte) ([]byte, error) {
+// MaxCopiedBytes is the size of a request up to which an attempt has a copy of its own, so that it
+// is written at once. Larger requests are shared by all attempts and written in parts.
+const MaxCopiedBytes = 2 << 10
+
+// message is what one attempt writes: the parts in turn.
+type message struct {
+	parts [3][]byte
+}
+
+// size returns the number of bytes of the message.
+func (m *message) size() int { return len(m.parts[0]) + len(m.parts[1]) + len(m.parts[2]) }
+
+// writeTo writes the message and returns the number of bytes written.
+func (m *message) writeTo(w io.Writer) (int, error) {
+	written := 0
+	for _, part := range m.parts {
+		if len(part) == 0 {
+			continue
+		}
+		n, err := w.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// message returns the message of one attempt; appendHeaders appends the headers that differ between
+// attempts.
+func (r *Request) message(appendHeaders func([]byte) []byte) (*message, error) {
 	head, err := r.encoded()
 	if err != nil {
 		return nil, err
 	}
+	if len(head)+len(r.Body) > MaxCopiedBytes {
+		own := append(appendHeaders(make([]byte, 0, attemptHeaderBytes)), "\r\n"...)
+		return &message{parts: [3][]byte{head, own, r.Body}}, nil
+	}
 	text := make([]byte, 0, len(head)+len(r.Body)+attemptHeaderBytes)
 	text = appendHeaders(append(text, head...))
 	text = append(text, "\r\n"...)
-	return append(text, r.Body...), nil
+	return &message{parts: [3][]byte{append(text, r.Body...)}}, nil
 }
--- a/internal/e2e/hostile_callers_test.go
+++ b/internal/e2e/hostile_callers_test.go
@@ -106,12 +106,28 @@
 func withstandCrowdFrom(t *testing.T, request testkit.HostileRequest, ordinaryAddress string, crowdAddresses ...string) {
 	t.Helper()
 	d, vm := startSmallVM(t)
+	crowd{address: vm.RouteAddress, request: request, callers: hostileCallers, from: crowdAddresses}.withstand(t, d, vm, ordinaryAddress)
+}
+
+// crowd is a number of hostile callers of an address, from loopback addresses.
+type crowd struct {
+	address string
+	request testkit.HostileRequest
+	callers int
+	from    []string
+}
+
+// withstand starts the crowd and checks that the VM lives and stays within its memory and
+// descriptors, and that an ordinary caller of the given address is answered while the crowd is
+// still there.
+func (c crowd) withstand(t *testing.T, d *testkit.UsersDeployment, vm *testkit.UsersVM, ordinaryAddress string) {
+	t.Helper()
 	ordinary := newClientFrom(ordinaryAddress)
 	status, _, text := sendRequest(vm, ordinary, "POST", "/e/x")
 	require.Equal(t, 200, status, "before the crowd: %s", text)
 
 	descriptors := watchDescriptors(t, vm)
-	crowd := testkit.StartHostileCrowd(vm.RouteAddress, request, hostileCallers, crowdAddresses...)
+	crowd := testkit.StartHostileCrowd(c.address, c.request, c.callers, c.from...)
 	stopped := false
 	t.Cleanup(func() {
 		if !stopped {
@@ -119,7 +135,7 @@
 		}
 	})
 	require.NoError(t, testkit.Poll(t.Context(), 30*time.Second, func() bool {
-		return vm.Process().Ended() || crowd.Engaged() == hostileCallers
+		return vm.Process().Ended() || crowd.Engaged() == c.callers
 	}), "%d callers of the crowd came as far as they can", crowd.Engaged())
 	// The crowd stays for longer than a head, which the limits of the configuration allow
 	// 3 s, may take.
@@ -147,6 +163,13 @@
 
 // startSmallVM starts a deployment of one VM with the memory and descriptors of these tests.
 func startSmallVM(t *testing.T) (*testkit.UsersDeployment, *testkit.UsersVM) {
+	t.Helper()
+	return startSmallVMWith(t, "", "", 0, 3000)
+}
+
+// startSmallVMWith is startSmallVM with more lines of settings, more routes, services named s0, s1
+// and so on with a target each, and the time limit of heads.
+func startSmallVMWith(t *testing.T, settings, routes string, services, headerTimeoutMs int) (*testkit.UsersDeployment, *testkit.UsersVM) {
 	t.Helper()
 	d, err := testkit.StartUsersDeployment(testDir(t), "a")
 	require.NoError(t, err)
@@ -154,13 +177,20 @@
 	vm := d.VMs[0]
 	vm.Process().Kill()
 	limits := fmt.Sprintf("[vm]\nmemory_mb = %d\nmax_descriptors = %d\n", hostileMegabytes, hostileDescriptors)
-	require.NoError(t, d.WriteSettings(vm, limits))
+	require.NoError(t, d.WriteSettings(vm, limits+settings))
 	require.NoError(t, d.StartVM(vm))
 	d.AddTarget("olda", "old", "a", []byte("old"))
-	d.Store.Put("op/config", `{"version":1,"routes":[
+	declared := `{"name":"old","max_conns":16}`
+	for i := range services {
+		name := fmt.Sprintf("s%d", i)
+		d.AddTarget(name+"a", name, "a", []byte("0123456789abcdef"))
+		declared += fmt.Sprintf(`,{"name":"%s","max_conns":16}`, name)
+	}
+	d.Store.Put("op/config", fmt.Sprintf(`{"version":1,"routes":[%s
 	  {"name":"e","host":"h","prefix":"/e/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":500,"service":"old","max_attempts":2}],
-	  "services":[{"name":"old","max_conns":16}],
-	  "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`)
+	  "services":[%s],
+	  "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":%d,"idle_timeout_ms":15000}}`,
+		routes, declared, headerTimeoutMs))
 	require.NoError(t, d.AwaitReady(t.Context()))
 	return d, vm
 }
--- /dev/null
+++ b/internal/e2e/uncontrolled_callers_test.go
@@ -0,0 +1,46 @@
+package e2e_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/carawayreel/carawayreel/internal/standin/users"
+	"github.com/carawayreel/carawayreel/internal/testkit"
+)
+
+// gatheringShards is the number of shards of the gathering route in these tests.
+const gatheringShards = 15
+
+// gatheringRoute returns a gathering route under /g/, followed by a comma.
+func gatheringRoute() string {
+	shards := make([]string, gatheringShards)
+	for i := range shards {
+		shards[i] = fmt.Sprintf(`"s%d"`, i)
+	}
+	return fmt.Sprintf(`{"name":"g","host":"h","prefix":"/g/","route_type":"idempotent","timeout_ms":5000,"target_latency_ms":500,`+
+		`"gather":[%s],"max_attempts":2,"top_k":4,"min_coverage":0.5},`, strings.Join(shards, ","))
+}
+
+// slowDown makes all targets of shards reply late, and forget bodies.
+func slowDown(d *testkit.UsersDeployment) {
+	for _, target := range d.Targets {
+		if target.Service != "old" {
+			target.SetBehavior(users.Behavior{Delay: 300 * time.Millisecond, DiscardBody: true})
+		}
+	}
+}
+
+// Guards against a VM that runs out of memory through bodies of legal size which are sent to
+// many shards: each attempt held a copy of its own.
+func TestGatheredBodiesDoNotExhaustAVM(t *testing.T) {
+	const callers = 100
+	d, vm := startSmallVMWith(t, "", gatheringRoute(), gatheringShards, 3000)
+	slowDown(d)
+	crowd{
+		address: vm.RouteAddress, request: testkit.WholeBody(hostileIdentity, "/g/x"), callers: callers,
+		from: []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"},
+	}.withstand(t, d, vm, "127.0.0.2")
+}
+
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -121,6 +121,7 @@
 	if route == nil || c.delegated {
 		return false
 	}
+	c.memory().Take(c.cloneBytes() + attemptBytes)
 	request := c.request.Clone()
 	delegation.Request{
 		RouteVersion: c.compiled.table.Version, Elapsed: time.Since(c.received), Authenticated: c.requiresKeys(),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -11,6 +11,7 @@
 	"github.com/carawayreel/carawayreel/internal/delegation"
 	"github.com/carawayreel/carawayreel/internal/fanout"
 	"github.com/carawayreel/carawayreel/internal/health"
+	"github.com/carawayreel/carawayreel/internal/intake"
 	"github.com/carawayreel/carawayreel/internal/routing"
 )
 
@@ -18,6 +19,8 @@
 func (r *fanoutRun) attemptBatch(batch *fanout.Batch) {
 	c := r.call
 	c.gateway.counters.batches.Inc()
+	// The headers of the request are copied, and each target's ID is in them.
+	r.call.memory().Take(r.call.cloneBytes() + attemptBytes)
 	request := r.request.Clone()
 	stated := delegation.Request{
 		RouteVersion: c.compiled.table.Version, Elapsed: time.Since(c.received), StragglerDelay: batch.StragglerDelay,
@@ -79,6 +82,10 @@
 		return
 	}
 	c.gateway.counters.relayedBatches.Inc()
+	if !c.memory().Reserve(int64(len(c.relay.Targets)) * attemptBytes) {
+		c.notRun(intake.ErrNoMemory.Error(), intake.RetryAfter)
+		return
+	}
 	now := time.Now()
 	targets := make([]*routing.Target, len(c.relay.Targets))
 	for i, id := range c.relay.Targets {
@@ -103,7 +110,12 @@
 		return
 	}
 	r.answer()
-	go r.linger()
+	// The sends that go on still need the body.
+	release := c.memory().Hold()
+	go func() {
+		defer release()
+		r.linger()
+	}()
 }
 
 // relayTarget returns the target with the ID, or nil if this VM does not know it or must not
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -32,6 +32,8 @@
 	cancel   context.CancelFunc
 	results  chan result
 	inFlight int
+	// reserved is the number of attempts that memory is reserved for and that were not sent yet.
+	reserved int
 	trace    trace
 }
 
@@ -61,6 +63,10 @@
 		c.notRun("the route has no service", startupRetryAfter)
 		return
 	}
+	if !c.memory().Reserve(int64(len(legs)) * attemptBytes) {
+		c.notRun(intake.ErrNoMemory.Error(), intake.RetryAfter)
+		return
+	}
 	r := c.newRun(runOptions{
 		client: c.gateway.options.Client, state: c.gateway.fanoutState, request: c.request,
 		input: fanout.Input{
@@ -69,9 +75,29 @@
 			Organisation: c.organisationName(), Priority: c.priority(),
 		},
 	})
+	r.reserved = len(legs)
 	r.conclude(r.runMachine())
 }
 
+// attemptBytes is the memory of an attempt that is counted for its caller: its copy of a small request
+// and its goroutine. The connections that attempts use are bounded for each target.
+const attemptBytes = 2 * backend.MaxCopiedBytes
+
+// memory returns what the request holds of the memory for callers.
+func (c *call) memory() *intake.Request { return intake.FromContext(c.http.Context()) }
+
+// cloneBytes is the memory of a copy of the request for another VM. The body is shared.
+func (c *call) cloneBytes() int64 { return intake.HeadMemory(c.http) }
+
+// countAttempt counts the memory of an attempt that none is reserved for.
+func (r *fanoutRun) countAttempt() {
+	if r.reserved > 0 {
+		r.reserved--
+		return
+	}
+	r.call.memory().Take(attemptBytes)
+}
+
 func (c *call) newRun(options runOptions) *fanoutRun {
 	legs := len(options.input.Legs)
 	r := &fanoutRun{
@@ -175,6 +201,7 @@
 }
 
 func (r *fanoutRun) attempt(send fanout.Send) {
+	r.countAttempt()
 	r.client.Go(r.ctx, &send.Target.Target, r.request, send.TimeLeft, func(reply *backend.Reply, err error) {
 		r.results <- result{attempt: send.Attempt, reply: reply, err: err}
 	})
@@ -202,7 +229,7 @@
 		return
 	}
 	// The attempts still need the body.
-	release := intake.FromContext(r.call.http.Context()).Hold()
+	release := r.call.memory().Hold()
 	if answer.Outcome == fanout.TimedOut {
 		// The response is sent when the handler returns, so it must not wait for the
 		// cancelled attempts to end.
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -175,6 +175,16 @@
 	return b.grant(now, e, amounts{memory: bytes})
 }
 
+// Take counts bytes that a connection needs in any case, beyond the limits if there is too little.
+// Others then get less. It reports false if the connection is not known any more.
+func (b *Budget) Take(id uint64, bytes int64) bool {
+	e := b.entries[id]
+	if e != nil {
+		b.take(e, amounts{memory: bytes}, 1)
+	}
+	return e != nil
+}
+
 // Release returns bytes that were granted to a connection.
 func (b *Budget) Release(id uint64, bytes int64) {
 	if e := b.entries[id]; e != nil {
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -166,6 +166,22 @@
 	require.True(t, l.closed[slow])
 }
 
+// Load: a request takes more than there is, as for retries, while others ask for memory.
+func TestWhatIsTakenInAnyCaseIsCounted(t *testing.T) {
+	l := newLoad(Limits{Memory: 1 << 20, Connections: 10})
+	id, _ := l.open(caller(1))
+	require.True(t, l.Enter(l.now, id, Running))
+	require.True(t, l.Take(id, 2<<20))
+	_, ok := l.open(caller(2))
+	require.False(t, ok, "others get less")
+	l.Release(id, 2<<20)
+	_, ok = l.open(caller(2))
+	require.True(t, ok)
+	l.Close(id)
+	require.False(t, l.Take(id, 1), "the connection is gone")
+	require.EqualValues(t, ConnectionBytes, l.Held().Memory)
+}
+
 // Load: a crowd of one address asks for more and more beside one caller whose body has stalled.
 func TestCrowdBeyondItsShareTakesNothingFromOthers(t *testing.T) {
 	l := newLoad(smallVM)
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -147,6 +147,13 @@
 	return granted
 }
 
+// take counts bytes that a connection needs in any case.
+func (g *Gate) take(id uint64, bytes int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Take(id, bytes)
+}
+
 func (g *Gate) release(id uint64, bytes int64) {
 	if bytes == 0 {
 		return
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -47,6 +47,9 @@
 	return bytes, lines
 }
 
+// HeadMemory returns the memory that a copy of a request's head takes.
+func HeadMemory(r *http.Request) int64 { return headMemory(HeaderSize(r)) }
+
 // HeadBytes returns the number of bytes of the head as they arrived, or 0 if it is not known.
 func (r *Request) HeadBytes() int {
 	if r == nil {
@@ -83,6 +86,21 @@
 	r.conn.gate.release(r.conn.id, held)
 }
 
+// Reserve asks for bytes that serving the request takes, such as those of its attempts. They
+// belong to it until it ends. It reports whether they were granted.
+func (r *Request) Reserve(bytes int64) bool { return r.reserve(bytes) }
+
+// Take counts bytes that the request takes in any case, such as those of a retry. They belong to it
+// until it ends.
+func (r *Request) Take(bytes int64) {
+	if r == nil || !r.conn.gate.take(r.conn.id, bytes) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held += bytes
+}
+
 // reserve asks for bytes.
 func (r *Request) reserve(bytes int64) bool {
 	if r == nil {
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -38,6 +38,8 @@
 	// text; empty for none. It restarts after Down.
 	CrashOn string
 	Down    time.Duration
+	// DiscardBody records requests without their bodies.
+	DiscardBody bool
 	// EarlyHead sends the head of the reply before such a crash.
 	EarlyHead bool
 }
@@ -191,7 +193,9 @@
 	buffer := make([]byte, 1024)
 	for {
 		n, err := r.Body.Read(buffer)
-		body.Write(buffer[:n])
+		if !b.DiscardBody {
+			body.Write(buffer[:n])
+		}
 		if err != nil {
 			break
 		}
--- a/internal/testkit/hostile.go
+++ b/internal/testkit/hostile.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -17,6 +18,9 @@
 	Count          int
 	// Interval is the time between two fillers; zero sends them in blocks.
 	Interval time.Duration
+	// Unread leaves the answer unread, except for its status. After a status other than 200 the
+	// caller tries again.
+	Unread bool
 }
 
 // Sizes of the hostile requests, for the limits max_header_bytes 16384 and max_body_bytes
@@ -28,6 +32,11 @@
 	hostileLines      = 2600
 	hostileBodyBytes  = 262144
 	hostileChunkBytes = 8192
+	// successStatus begins an answer with status 200.
+	successStatus = "HTTP/1.1 200"
+	// slowInterval is the interval between fillers from which a caller counts as engaged before it
+	// has sent all of them.
+	slowInterval = 500 * time.Millisecond
 )
 
 // hostileHead returns the beginning of a head with the header line that identifies a request.
@@ -78,6 +87,43 @@
 	return HostileRequest{Prefix: head + strings.Repeat(line, (hostileHeadBytes-len(head))/len(line)) + "\r\n"}
 }
 
+// WholeBody returns a request for the path with a complete body of legal size.
+func WholeBody(identity, path string) HostileRequest {
+	head := strings.Replace(hostileHead(identity), "/e/x", path, 1)
+	return HostileRequest{
+		Prefix: fmt.Sprintf("%sConnection: close\r\nContent-Length: %d\r\n\r\n", head, hostileBodyBytes),
+		Filler: "a", Count: hostileBodyBytes,
+	}
+}
+
+// UnreadAnswer returns a request for the path whose answer the caller does not read.
+func UnreadAnswer(identity, path string) HostileRequest {
+	head := strings.Replace(strings.Replace(hostileHead(identity), "/e/x", path, 1), "POST", "GET", 1)
+	return HostileRequest{Prefix: head + "\r\n", Unread: true}
+}
+
+// SlowBody returns a request with a body of legal size of which a few bytes arrive each second.
+func SlowBody(identity string) HostileRequest { return slowBody(identity, 256, time.Second) }
+
+// TricklingBody returns a request with a body of legal size that arrives at 1.4 KB a second.
+func TricklingBody(identity string) HostileRequest {
+	return slowBody(identity, 1100, 800*time.Millisecond)
+}
+
+func slowBody(identity string, piece int, interval time.Duration) HostileRequest {
+	return HostileRequest{
+		Prefix: fmt.Sprintf("%sContent-Length: %d\r\n\r\n", hostileHead(identity), hostileBodyBytes),
+		Filler: strings.Repeat("a", piece), Count: hostileBodyBytes/piece - 1, Interval: interval,
+	}
+}
+
+// SlowHead returns a request whose head grows by 1.1 KB each 0.8 s, up to a legal size.
+func SlowHead(identity string) HostileRequest {
+	const lineBytes, interval = 1100, 800 * time.Millisecond
+	line := "X-Slow: " + strings.Repeat("a", lineBytes-len("X-Slow: \r\n")) + "\r\n"
+	return HostileRequest{Prefix: hostileHead(identity), Filler: line, Count: hostileHeadBytes/lineBytes - 1, Interval: interval}
+}
+
 // EndlessHead returns a request with header lines without end.
 func EndlessHead(identity string) HostileRequest {
 	return HostileRequest{Prefix: hostileHead(identity), Filler: "X-Many: a\r\n"}
@@ -161,13 +207,27 @@
 		_ = conn.Close()
 	}()
 	defer sent()
+	if tcp, ok := conn.(*net.TCPConn); ok && c.request.Unread {
+		// The system would otherwise take in several megabytes for the caller.
+		_ = tcp.SetReadBuffer(hostileChunkBytes)
+	}
 	if _, err := conn.Write([]byte(c.request.Prefix)); err != nil {
 		return
 	}
+	if c.request.Interval >= slowInterval {
+		sent()
+	}
 	if c.request.Filler != "" && c.sendFillers(conn) != nil {
 		return
 	}
 	sent()
+	if c.request.Unread {
+		status := make([]byte, len(successStatus))
+		if _, err := io.ReadFull(conn, status); err == nil && string(status) == successStatus {
+			<-c.stop
+		}
+		return
+	}
 	answer := make([]byte, hostileChunkBytes)
 	for {
 		if _, err := conn.Read(answer); err != nil {
