gateway: uploads and unread answers hold no place of a running request

Cause: a request counted as running from the arrival of its head, and uploads give way only when connections or memory are short.

Change: a request takes its place when its body is complete and gives it up before the answer is written. When all places are taken, requests are still refused at their head.

--- a/internal/e2e/uncontrolled_callers_test.go
+++ b/internal/e2e/uncontrolled_callers_test.go
@@ -44,3 +44,14 @@
 	}.withstand(t, d, vm, "127.0.0.2")
 }
 
+// Guards against uploads that stop short and take the places of running requests, so that all
+// other callers are refused.
+func TestUnfinishedUploadsTakeNoPlaceOfARunningRequest(t *testing.T) {
+	const callers, places = 60, 20
+	settings := fmt.Sprintf("[routes]\nmax_waiting_requests = %d\n", places)
+	d, vm := startSmallVMWith(t, settings, "", 0, 3000)
+	crowd{
+		address: vm.RouteAddress, request: testkit.SlowBody(hostileIdentity), callers: callers,
+		from: []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"},
+	}.withstand(t, d, vm, "127.0.0.2")
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -76,7 +76,9 @@
 	c.writeResponse(http.StatusOK, body)
 }
 
+// writeResponse writes the answer. The caller may take its time to read it.
 func (c *call) writeResponse(status int, body []byte) {
+	c.releasePlace()
 	c.writer.WriteHeader(status)
 	if _, err := c.writer.Write(body); err != nil && c.http.Method != http.MethodHead {
 		c.gateway.counters.unwritten.Inc()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,6 +35,8 @@
 	route    *routing.Route
 	// organisation is the one that the caller's key belongs to; nil if there is none.
 	organisation *organisation.Organisation
+	// holdsPlace is true while the call counts as running.
+	holdsPlace bool
 	// charged is true while the request counts towards the organisation's allowance.
 	charged bool
 	request *backend.Request
@@ -57,9 +59,10 @@
 		return
 	}
 	body, err := c.readBody(c.compiled.table.Limits.GetMaxBodyBytes())
-	if err != nil || !c.renewRoute() {
+	if err != nil || !c.renewRoute() || !c.takePlace() {
 		return
 	}
+	defer c.releasePlace()
 	c.setRequest(body)
 	if admission, until := c.gateway.options.Guard.Check(c.content, c.arrived); admission == quarantine.Refused {
 		c.recordContentRefused(until.Sub(c.arrived))
@@ -101,14 +104,41 @@
 		c.refuse(http.StatusBadRequest, "the request has no identity")
 	case !c.delegated && c.headBytes() > int(table.Limits.GetMaxHeaderBytes()) && table.Limits.GetMaxHeaderBytes() > 0:
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
-	case g.running.Load() > int64(g.settings.Load().GetMaxWaitingRequests()):
-		c.notRun("too many requests are running", overloadRetryAfter)
+	case g.running.Load() >= g.places():
+		c.notRun(tooManyRunning, overloadRetryAfter)
 	default:
 		return true
 	}
 	return false
 }
 
+// tooManyRunning is the cause of a refusal for lack of a place.
+const tooManyRunning = "too many requests are running"
+
+// places returns the number of requests that may run at once.
+func (g *Gateway) places() int64 { return int64(g.settings.Load().GetMaxWaitingRequests()) }
+
+// takePlace makes a request that has arrived whole count as running. If it reports false, there are
+// too many and the caller has been answered. What only waits for its caller, for the rest of a body
+// or to read the answer, holds no place: a caller could hold it for as long as it likes.
+func (c *call) takePlace() bool {
+	if c.gateway.running.Add(1) > c.gateway.places() {
+		c.gateway.running.Add(-1)
+		c.notRun(tooManyRunning, overloadRetryAfter)
+		return false
+	}
+	c.holdsPlace = true
+	return true
+}
+
+// releasePlace gives up the place if the call holds one.
+func (c *call) releasePlace() {
+	if c.holdsPlace {
+		c.holdsPlace = false
+		c.gateway.running.Add(-1)
+	}
+}
+
 // setRequest sets the request to targets and its content.
 func (c *call) setRequest(body []byte) {
 	c.request = &backend.Request{
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -151,8 +151,6 @@
 // batches.
 func (g *Gateway) GatherHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		g.running.Add(1)
-		defer g.running.Add(-1)
 		stated, ok := delegation.TakeRequest(r.Header)
 		if !ok {
 			http.Error(w, "the request is not a delegated one", http.StatusBadRequest)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,13 +223,12 @@
 	return route == ""
 }
 
-// Running returns the number of requests in progress.
+// Running returns the number of requests that hold a place: those that have arrived whole and are not
+// answered yet.
 func (g *Gateway) Running() int64 { return g.running.Load() }
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.running.Add(1)
-	defer g.running.Add(-1)
 	if g.stopBy.Load() != 0 || g.unreachable.Load() {
 		w.Header().Set("Connection", "close")
 	}
