intake: the gather address has the gate and the budget of callers, too

Cause: a gatherer reads the bodies of requests that other VMs let in, up to 16 at once from each VM, without counting them.

Change: the gate is applied to the gather address, within the same budget. A request that is refused there has not run, and the sending VM gathers itself.

--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -47,13 +47,14 @@
 			return errors.Wrap(err, "route address")
 		}
 		d.routeServer = server
-	}
-	if listen.GatherAddress != "" && d.gateway != nil {
-		server, err := transport.ListenHTTP1(listen.GatherAddress, d.gateway.GatherHandler())
-		if err != nil {
-			return errors.Wrap(err, "gather address")
+		if listen.GatherAddress != "" {
+			// Callers of other VMs are no less hostile.
+			server, err := transport.ListenHTTP1(listen.GatherAddress, d.gateway.GatherHandler(), gate.ApplyToVMs)
+			if err != nil {
+				return errors.Wrap(err, "gather address")
+			}
+			d.gatherServer = server
 		}
-		d.gatherServer = server
 	}
 	if listen.ReadyAddress == "" {
 		return nil
--- a/internal/e2e/uncontrolled_callers_test.go
+++ b/internal/e2e/uncontrolled_callers_test.go
@@ -75,3 +75,15 @@
 		address: vm.RouteAddress, request: testkit.TricklingBody(hostileIdentity), callers: callers, from: []string{"127.0.0.1"},
 	}.withstand(t, d, vm, "127.0.0.1")
 }
+
+// Guards against a VM that runs out of memory through the bodies that other VMs let in and
+// delegate to it.
+func TestDelegatedBodiesDoNotExhaustAGatherer(t *testing.T) {
+	d, vm := startSmallVMWith(t, "", gatheringRoute(), gatheringShards, 3000)
+	slowDown(d)
+	delegated := testkit.UnfinishedBody(hostileIdentity + "\r\nCarawayreel-Route-Version: 1\r\nCarawayreel-Elapsed-Us: 1000")
+	crowd{
+		address: vm.GatherAddress, request: delegated, callers: hostileCallers,
+		from: []string{"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4", "127.0.1.5", "127.0.1.6", "127.0.1.7"},
+	}.withstand(t, d, vm, "127.0.0.2")
+}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
 const (
@@ -34,7 +36,9 @@
 // reads from it.
 type Conn struct {
 	net.Conn
-	gate   *Gate
+	gate *Gate
+	// limits returns the limits of heads and idle connections.
+	limits func() *pb.CallerLimits
 	id     uint64
 	remote netip.Addr
 
@@ -89,7 +93,7 @@
 // checkHead returns an error if the head is too long, has too many lines or gets no memory. For
 // the first two the caller gets status 431.
 func (c *Conn) checkHead() error {
-	limit := int(c.gate.options.CallerLimits().GetMaxHeaderBytes())
+	limit := int(c.limits().GetMaxHeaderBytes())
 	if limit == 0 {
 		limit = defaultHeadBytes
 	}
@@ -185,7 +189,7 @@
 // c.mu must be held. The server sets the deadline of an idle connection first, and that of the
 // next head when its first bytes have arrived.
 func (c *Conn) timeLimit() time.Duration {
-	limits := c.gate.options.CallerLimits()
+	limits := c.limits()
 	milliseconds := uint32(0)
 	switch {
 	case c.nextIsIdle:
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -70,9 +70,20 @@
 	return g
 }
 
-// Apply bounds the server: it returns the listener to accept connections from, and sets the
-// server's hooks and handler.
+// Apply bounds the server for callers: it returns the listener to accept connections from, and sets
+// the server's hooks and handler.
 func (g *Gate) Apply(server *http.Server, listener net.Listener) net.Listener {
+	return g.apply(server, listener, g.options.CallerLimits)
+}
+
+// ApplyToVMs bounds a server for the requests of callers that other VMs pass on, within the same
+// budget. The time limits are those of the server.
+func (g *Gate) ApplyToVMs(server *http.Server, listener net.Listener) net.Listener {
+	limits := &pb.CallerLimits{MaxHeaderBytes: defaultHeadBytes}
+	return g.apply(server, listener, func() *pb.CallerLimits { return limits })
+}
+
+func (g *Gate) apply(server *http.Server, listener net.Listener, limits func() *pb.CallerLimits) net.Listener {
 	server.Handler = g.handler(server.Handler)
 	server.MaxHeaderBytes = maxHeadBytes
 	server.ConnState = func(c net.Conn, state http.ConnState) {
@@ -83,7 +94,7 @@
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
-	return &gatedListener{Listener: listener, gate: g}
+	return &gatedListener{Listener: listener, gate: g, limits: limits}
 }
 
 // connKey is the key of a request's context under which its connection is found.
@@ -92,7 +103,8 @@
 // gatedListener accepts only the connections that the budget grants.
 type gatedListener struct {
 	net.Listener
-	gate *Gate
+	gate   *Gate
+	limits func() *pb.CallerLimits
 }
 
 // Accept implements net.Listener. It closes connections that are refused.
@@ -102,7 +114,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if conn := l.gate.open(inner); conn != nil {
+		if conn := l.gate.open(inner, l.limits); conn != nil {
 			return conn, nil
 		}
 		_ = inner.Close()
@@ -110,9 +122,9 @@
 }
 
 // open asks for a connection and returns it, or nil if it is refused.
-func (g *Gate) open(inner net.Conn) *Conn {
+func (g *Gate) open(inner net.Conn, limits func() *pb.CallerLimits) *Conn {
 	remote := remoteAddress(inner)
-	conn := &Conn{Conn: inner, gate: g, id: g.nextID.Add(1), remote: remote}
+	conn := &Conn{Conn: inner, gate: g, limits: limits, id: g.nextID.Add(1), remote: remote}
 	g.mu.Lock()
 	granted, evictions := g.budget.Open(time.Now(), conn.id, AddressKey(remote))
 	if granted {
