intake: large answers are counted while their callers read them

Not seen by callers of the users: found in the matter of callers that aren't controlled. 100 callers that don't read answers of 6 MB took a VM to 517 MB of 96.

Cause: replies count only while they are read from targets; a complete answer waits for its caller without a bound.

Change: an answer of more than 16 KiB is reserved in the budget for callers; a caller that takes nothing of it for 1 s gives way when others need the memory; without memory the answer is 502. Replies that are being read have at most a quarter of the VM's memory (40 MB as before from 160 MB on).

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -66,6 +66,7 @@
 		pools:        map[string]*pool{},
 		dials:        set.NewCounter(prefix + "_connections_total"),
 		strayReplies: set.NewCounter(prefix + "_stray_replies_total"),
+		replyMemory:  replyMemory{limit: maxReplyMemory},
 	}
 	if sourceAddress != "" {
 		c.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(sourceAddress)}
@@ -73,6 +74,12 @@
 	return c
 }
 
+// FitReplies bounds the memory of replies that are being read to a part of the VM's memory, in bytes.
+// It must be called before the first request.
+func (c *Client) FitReplies(vmMemory int64) {
+	c.replyMemory.limit = min(maxReplyMemory, int(replyMemoryShare*float64(vmMemory)))
+}
+
 // Retain closes the idle connections to all targets for which keep returns false.
 func (c *Client) Retain(keep func(id string, started int64) bool) {
 	c.mu.Lock()
--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -24,12 +24,14 @@
 	maxFramingBytes = 512 << 10
 	maxFramingShare = 0.25
 	// maxReplyMemory bounds the memory that all replies together take while they are read,
-	// beyond freeReplyBytes of each. VMs have as little as 184 MB. Replies that take more
-	// than largeReplyBytes leave a part of it to the others.
-	maxReplyMemory      = 40 << 20
-	maxLargeReplyMemory = 32 << 20
-	freeReplyBytes      = bufferSize
-	largeReplyBytes     = 64 << 10
+	// beyond freeReplyBytes of each, and replyMemoryShare is the part of the VM's memory that they
+	// take at most. VMs have as little as 184 MB. Replies that take more than largeReplyBytes leave
+	// a part of it to the others.
+	maxReplyMemory   = 40 << 20
+	replyMemoryShare = 0.25
+	largeReplyShare  = 0.8
+	freeReplyBytes   = bufferSize
+	largeReplyBytes  = 64 << 10
 	// headMemoryFactor is the memory that a byte of a head, which is split into its fields,
 	// takes at most.
 	headMemoryFactor = 4
@@ -104,9 +106,9 @@
 	if missing <= 0 {
 		return true
 	}
-	limit := maxReplyMemory
+	limit := r.memory.limit
 	if r.used > largeReplyBytes {
-		limit = maxLargeReplyMemory
+		limit = int(largeReplyShare * float64(limit))
 	}
 	rounded := (missing + blockBytes - 1) / blockBytes * blockBytes
 	if !r.memory.reserve(rounded, limit) {
@@ -145,7 +147,10 @@
 }
 
 // replyMemory counts the memory of the replies that are being read.
-type replyMemory struct{ used atomic.Int64 }
+type replyMemory struct {
+	limit int
+	used  atomic.Int64
+}
 
 // reserve takes n bytes and reports whether they were available below the limit.
 func (m *replyMemory) reserve(n, limit int) bool {
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -29,16 +29,23 @@
 	if listen.RouteAddress != "" {
 		set := metrics.NewSet()
 		metrics.RegisterSet(set)
+		memory, err := memoryBytes(d.settings.Vm)
+		if err != nil {
+			return err
+		}
+		targets := backend.NewClient(platform.Headers{}, listen.SourceAddress, set, backend.MetricPrefix)
+		gatherers := backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}}, listen.SourceAddress, set, delegation.MetricPrefix)
+		for _, client := range []*backend.Client{targets, gatherers} {
+			client.FitReplies(memory)
+		}
 		d.gateway = gateway.New(gateway.Options{
 			Views: d.control, Dialect: platform.Headers{}, Settings: d.settings, Logger: d.logger, Metrics: set,
 			Targets: d.targetHealth, Advice: d.advice, Rollouts: d.rollouts, Admission: d.admission, Guard: quarantine.NewGuard(d.quarantine),
 			Allowances: d.allowances,
 			Announcer:  contentAnnouncer{views: d.control, peers: d.peers, list: d.quarantine, logger: d.logger},
-			Client:     backend.NewClient(platform.Headers{}, listen.SourceAddress, set, backend.MetricPrefix),
-			Gatherers: backend.NewClient(delegation.Dialect{Dialect: platform.Headers{}},
-				listen.SourceAddress, set, delegation.MetricPrefix),
+			Client:     targets, Gatherers: gatherers,
 		})
-		gate, err := d.newGate(set)
+		gate, err := d.newGate(memory, set)
 		if err != nil {
 			return errors.Wrap(err, "bounds of callers")
 		}
@@ -74,12 +81,9 @@
 	return errors.Wrap(err, "ready address")
 }
 
-// newGate returns the gate that bounds what callers of routes take of this VM.
-func (d *Daemon) newGate(set *metrics.Set) (*intake.Gate, error) {
-	memory, err := memoryBytes(d.settings.Vm)
-	if err != nil {
-		return nil, err
-	}
+// newGate returns the gate that bounds what callers of routes take of this VM, which has the given
+// memory in bytes.
+func (d *Daemon) newGate(memory int64, set *metrics.Set) (*intake.Gate, error) {
 	descriptors, err := maxDescriptors(d.settings.Vm)
 	if err != nil {
 		return nil, err
--- a/internal/e2e/uncontrolled_callers_test.go
+++ b/internal/e2e/uncontrolled_callers_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/carawayreel/carawayreel/internal/standin/users"
 	"github.com/carawayreel/carawayreel/internal/testkit"
 )
@@ -87,3 +89,24 @@
 		from: []string{"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4", "127.0.1.5", "127.0.1.6", "127.0.1.7"},
 	}.withstand(t, d, vm, "127.0.0.2")
 }
+
+// Guards against a VM that runs out of memory through answers that their callers do not read.
+func TestUnreadAnswersDoNotExhaustAVM(t *testing.T) {
+	const callers, answerBytes = 100, 6 << 20
+	d, vm := startSmallVM(t)
+	large := d.AddTarget("large", "large", "a", []byte(strings.Repeat("a", answerBytes)))
+	large.SetBehavior(users.Behavior{DiscardBody: true})
+	d.Store.Put("op/config", `{"version":2,"routes":[
+	  {"name":"l","host":"h","prefix":"/l/","route_type":"idempotent","timeout_ms":5000,"target_latency_ms":500,"service":"large","max_attempts":2},
+	  {"name":"e","host":"h","prefix":"/e/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":500,"service":"old","max_attempts":2}],
+	  "services":[{"name":"old","max_conns":16},{"name":"large","max_conns":400}],
+	  "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`)
+	require.NoError(t, testkit.Poll(t.Context(), 10*time.Second, func() bool {
+		status, _, body := sendRequest(vm, newClient(), "GET", "/l/x")
+		return status == 200 && len(body) == answerBytes
+	}), "the route is in force")
+	crowd{
+		address: vm.RouteAddress, request: testkit.UnreadAnswer(hostileIdentity, "/l/x"), callers: callers,
+		from: []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"},
+	}.withstand(t, d, vm, "127.0.0.2")
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -43,6 +43,9 @@
 
 // writeReply forwards a target's reply unchanged.
 func (c *call) writeReply(reply *backend.Reply) {
+	if !c.holdAnswer(reply.Body) {
+		return
+	}
 	header := c.writer.Header()
 	for name, values := range endToEndHeaders(reply.Header) {
 		header[name] = values
@@ -69,6 +72,9 @@
 		receipts = append(receipts, reply.Receipt)
 	}
 	body := mergeGreatest(answer.Replies, int(c.route.RowLimit))
+	if !c.holdAnswer(body) {
+		return
+	}
 	header := c.writer.Header()
 	c.gateway.options.Dialect.SetGatherHeaders(header, receipts, answer.Missing)
 	header.Set("Content-Type", "application/octet-stream")
@@ -85,6 +91,18 @@
 	}
 }
 
+// holdAnswer reserves the memory of an answer while the caller reads it. If it reports false, there is
+// too little and the caller has been answered. The request has run, so that the status promises nothing.
+func (c *call) holdAnswer(body []byte) bool {
+	if c.memory().Answer(len(body)) {
+		return true
+	}
+	c.gateway.counters.unheld.Inc()
+	c.gateway.log.answerNotHeld(c, len(body))
+	c.writeResponse(http.StatusBadGateway, nil)
+	return false
+}
+
 // record holds the two halves of a record, read as big-endian numbers, so that comparing
 // the numbers orders records by their bytes.
 type record struct{ high, low uint64 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,8 @@
 	seconds   [fanout.CallerGone + 1]*metrics.Histogram
 	refused   *metrics.Counter
 	unwritten *metrics.Counter
+	// unheld counts the answers that were replaced by 502 for lack of memory to hold them.
+	unheld *metrics.Counter
 	// delegated counts the requests that a gatherer answered, undelegated those that none
 	// would run, and otherVersion those that this VM did not gather because the delegating
 	// VM has another version of the routes.
@@ -48,6 +50,7 @@
 	c := counters{
 		refused:   set.NewCounter("carawayreel_route_requests_refused_total"),
 		unwritten: set.NewCounter("carawayreel_route_answers_unwritten_total"),
+		unheld:    set.NewCounter("carawayreel_route_answers_unheld_total"),
 
 		delegated:    set.NewCounter("carawayreel_delegation_requests_total"),
 		undelegated:  set.NewCounter("carawayreel_delegation_requests_not_run_total"),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -174,6 +174,9 @@
 		c.writer.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if !c.holdAnswer(body) {
+		return
+	}
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.writeResponse(http.StatusOK, body)
 }
--- a/internal/gateway/request_logger.go
+++ b/internal/gateway/request_logger.go
@@ -189,6 +189,13 @@
 		Str("host", c.http.Host).Str("uri", c.http.RequestURI).Msg("request refused")
 }
 
+// answerNotHeld logs an answer that was replaced by 502 for lack of memory.
+func (l *requestLogger) answerNotHeld(c *call, bytes int) {
+	if l.allow(false) {
+		l.logger.Warn().Str("request", c.id).Int("bytes", bytes).Msg("no memory for the answer")
+	}
+}
+
 // contentFound logs a change in what is known of a content that may crash targets.
 func (l *requestLogger) contentFound(f quarantine.Finding) {
 	if !l.allow(f.Admission == quarantine.Admitted) {
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -24,6 +24,9 @@
 	// Running lasts from the end of the body to the end of the answer. The request may have
 	// been sent to targets, so that the connection is not closed for the sake of others.
 	Running
+	// Answering lasts from the first byte of a large answer to its end. Only a caller that does
+	// not read it gives way.
+	Answering
 	// Idle is a connection between two requests.
 	Idle
 	phases
@@ -31,7 +34,7 @@
 
 // String returns the name of the phase as it is logged.
 func (p Phase) String() string {
-	return [phases]string{"head", "body", "running", "idle"}[p]
+	return [phases]string{"head", "body", "running", "answer", "idle"}[p]
 }
 
 const (
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -242,6 +242,29 @@
 	require.EqualValues(t, ConnectionBytes, l.Held().Memory)
 }
 
+// Load: three callers of one address are sent large answers: one reads all the time, one has stopped, and
+// one request still runs. Others of the address ask for as much.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	const answer = 1 << 20
+	l := newLoad(Limits{Memory: 5 << 20, Connections: 10})
+	var ids [3]uint64
+	for i := range ids {
+		ids[i], _ = l.open(caller(1))
+		require.True(t, l.Enter(l.now, ids[i], Running))
+		require.True(t, l.reserve(ids[i], answer))
+	}
+	read, stopped, running := ids[0], ids[1], ids[2]
+	require.True(t, l.Enter(l.now, read, Answering))
+	require.True(t, l.Enter(l.now, stopped, Answering))
+	l.now = l.now.Add(2 * stallTime)
+	l.Progress(l.now, read, 2*progressRate)
+	other, _ := l.open(caller(1))
+	require.True(t, l.reserve(other, answer))
+	require.True(t, l.closed[stopped])
+	require.False(t, l.reserve(other, 2*answer))
+	require.False(t, l.closed[read] || l.closed[running])
+}
+
 // Load: a crowd of one address asks for more and more beside one caller whose body has stalled.
 func TestCrowdBeyondItsShareTakesNothingFromOthers(t *testing.T) {
 	l := newLoad(smallVM)
@@ -291,7 +314,7 @@
 					held[id] += bytes
 				}
 			case action == 2 && open:
-				entered := rapid.SampledFrom([]Phase{ReadingHead, ReadingBody, Running, Idle}).Draw(t, "phase")
+				entered := rapid.SampledFrom([]Phase{ReadingHead, ReadingBody, Running, Answering, Idle}).Draw(t, "phase")
 				if b.Enter(now, id, entered) {
 					phase[id] = entered
 				}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -215,6 +215,7 @@
 		if err != nil || written == len(p) {
 			return written, err
 		}
+		c.gate.progress(c.id, n)
 	}
 }
 
--- a/internal/intake/evict.go
+++ b/internal/intake/evict.go
@@ -54,7 +54,7 @@
 	var victims []victim
 	available := int64(0)
 	for _, other := range b.entries {
-		if other == e || other.closed || other.evicted || other.phase == Running || !b.yields(now, other, e, r, want) {
+		if other == e || other.closed || other.evicted || !other.mayClose(now) || !b.yields(now, other, e, r, want) {
 			continue
 		}
 		idle := now.Sub(other.progressAt).Seconds()
@@ -68,12 +68,26 @@
 	return victims, available
 }
 
+// mayClose reports whether the phase of the connection allows to close it.
+func (e *entry) mayClose(now time.Time) bool {
+	switch e.phase {
+	case Running:
+		return false
+	case Answering:
+		return e.stalled(now)
+	default:
+		return true
+	}
+}
+
+func (e *entry) stalled(now time.Time) bool { return now.Sub(e.progressAt) >= stallTime }
+
 // yields reports whether a connection gives way to the entry. An address beyond its fair share
 // gives way to those that hold less; a connection without progress gives way to those of its own
 // address, and to addresses within their fair share.
 func (b *Budget) yields(now time.Time, other, e *entry, r resource, want int64) bool {
 	fair := b.fairShare(r)
-	stalled := now.Sub(other.progressAt) >= stallTime
+	stalled := other.stalled(now)
 	after := e.share.held[r] + want
 	switch {
 	case other.share == e.share:
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -90,6 +90,20 @@
 // belong to it until it ends. It reports whether they were granted.
 func (r *Request) Reserve(bytes int64) bool { return r.reserve(bytes) }
 
+// smallAnswerBytes is the size up to which the buffers of the system take an answer whole, so that it
+// is not counted.
+const smallAnswerBytes = 16 << 10
+
+// Answer reserves the bytes of an answer until the request ends. It reports false if there are not
+// enough, so that the answer must not be written. A caller that does not read its answer gives way
+// to others.
+func (r *Request) Answer(bytes int) bool {
+	if r == nil || bytes <= smallAnswerBytes {
+		return true
+	}
+	return r.reserve(int64(bytes)) && r.conn.setPhase(Answering)
+}
+
 // Take counts bytes that the request takes in any case, such as those of a retry. They belong to it
 // until it ends.
 func (r *Request) Take(bytes int64) {
