backend: a reply with a status that HTTP does not know is a lost one

What callers saw: an answer with status 000 to 099 closed the connection without an answer, 600 and 999 were passed on. A statement beside such a status that the request had not run was believed, so that an edit went to another target.

Cause: any three digits counted as the status of a reply.

Change: a final status outside 200 to 599 makes the reply a lost one: the request may have run. It is sent again where that is allowed, and otherwise answered 502.

Evidence: TestUnknownStatusIsABadGateway and its delegated form failed before with 000, 001, 099, +20, 600 and 999 and pass; relayed requests and retries passed before, too.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -200,6 +200,10 @@
 	if err != nil {
 		return nil, 0, cn.readError(err)
 	}
+	if !isKnownStatus(response.StatusCode) {
+		c.strayReplies.Inc()
+		return nil, 0, errors.Wrapf(ErrLost, "unknown status %03d", response.StatusCode)
+	}
 	cn.bound.beginBody()
 	body, err := readBody(cn, response)
 	if err != nil {
@@ -230,6 +234,10 @@
 	}, idleFor, nil
 }
 
+// isKnownStatus reports whether HTTP defines the class of a final status. What comes with any other is
+// no answer, whatever else its head states.
+func isKnownStatus(status int) bool { return status >= 200 && status < 600 }
+
 // readHead reads the head of a reply and skips interim replies, those with a 1xx status.
 func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
 	for {
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -24,6 +24,9 @@
 	Delay time.Duration
 	// Status replaces status 200 unless it is zero.
 	Status int
+	// RawStatus, unless empty, is the status of the reply, three characters that net/http need not
+	// accept.
+	RawStatus string
 	// FailPart and SlowPart are the parts of requests, 0 to 1, that are answered with status
 	// 500, or with SlowDelay in place of Delay.
 	FailPart, SlowPart float64
@@ -224,6 +227,10 @@
 		return
 	}
 	w.Header().Set("X-Server-Seal", fmt.Sprintf("%s.%d", t.ID, n))
+	if b.RawStatus != "" {
+		writeRaw(w, b.RawStatus, t.Records)
+		return
+	}
 	if b.Status != 0 {
 		w.WriteHeader(b.Status)
 	}
@@ -253,6 +260,24 @@
 	time.Sleep(way)
 }
 
+// writeRaw writes a reply with any status, which net/http refuses to.
+func writeRaw(w http.ResponseWriter, status string, body []byte) {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	header := w.Header()
+	header.Set("Content-Length", fmt.Sprint(len(body)))
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Unknown\r\n", status)
+	_ = header.Write(conn)
+	_, _ = conn.Write(append([]byte("\r\n"), body...))
+}
+
 // resetConnection closes the connection of a request with a TCP reset.
 func resetConnection(w http.ResponseWriter) {
 	hijacker, ok := w.(http.Hijacker)
