backend: bound the connections to all targets by the VM's descriptors

Cause: connections were bounded for each target only.

Change: targets of routes have at most 0.35 of the VM's descriptors; idle connections give way to new ones.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -48,6 +48,7 @@
 	pools map[string]*pool
 
 	replyMemory replyMemory
+	connections connectionTotal
 
 	dials        *metrics.Counter
 	strayReplies *metrics.Counter
@@ -80,6 +81,32 @@
 	c.replyMemory.limit = min(maxReplyMemory, int(replyMemoryShare*float64(vmMemory)))
 }
 
+// roomDivisor is the part (1/n) of the connections to all targets for which room is made at once.
+const roomDivisor = 32
+
+// LimitConnections bounds the connections to all targets together. It must be called before the first
+// request.
+func (c *Client) LimitConnections(n int64) { c.connections.limit = max(n, 1) }
+
+// makeRoom closes idle connections if there are as many connections as may be.
+func (c *Client) makeRoom() {
+	if !c.connections.full() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wanted := c.connections.limit/roomDivisor + 1
+	for closed := int64(1); wanted > 0 && closed > 0; {
+		closed = 0
+		for _, p := range c.pools {
+			if wanted > 0 && p.closeOldest() {
+				closed++
+				wanted--
+			}
+		}
+	}
+}
+
 // Retain closes the idle connections to all targets for which keep returns false.
 func (c *Client) Retain(keep func(id string, started int64) bool) {
 	c.mu.Lock()
@@ -109,7 +136,7 @@
 		if p != nil {
 			p.close()
 		}
-		p = &pool{started: t.Started, address: t.Address}
+		p = &pool{started: t.Started, address: t.Address, total: &c.connections}
 		c.pools[t.ID] = p
 	}
 	return p
@@ -167,6 +194,7 @@
 }
 
 func (c *Client) connect(ctx context.Context, p *pool, t *Target, requestID string) (*conn, error) {
+	c.makeRoom()
 	conn, err := p.acquire(ctx, t.Connections, requestID)
 	if err != nil {
 		return nil, errors.Wrap(err, t.ID)
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -231,6 +231,40 @@
 	require.NoError(t, <-done)
 }
 
+// Guards against connections to many targets that together take more descriptors than there are, and
+// against idle ones that keep others from being set up.
+func TestConnectionsToAllTargetsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	s := startServer(t, func(_ int, c net.Conn, r *http.Request) {
+		<-release
+		_, _ = io.WriteString(c, okReply(r.Header.Get("Id"), ""))
+	})
+	c := newClient()
+	c.LimitConnections(2)
+	target := func(id string) *backend.Target {
+		other := *s.target()
+		other.ID = id
+		return &other
+	}
+	done := make(chan error, 2)
+	for _, id := range []string{"1", "2"} {
+		go func() {
+			_, err := c.Send(context.Background(), target(id), newRequest(id), time.Second)
+			done <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return s.requests.Load() == 2 }, time.Second, time.Millisecond)
+	_, err := c.Send(context.Background(), target("3"), newRequest("3"), time.Second)
+	require.ErrorIs(t, err, backend.ErrBusy)
+	close(release)
+	require.NoError(t, <-done)
+	require.NoError(t, <-done)
+	for _, id := range []string{"4", "5", "6", "7"} {
+		_, err = c.Send(context.Background(), target(id), newRequest(id), time.Second)
+		require.NoError(t, err)
+	}
+}
+
 // The target closes the connection as soon as it has the request. The close may be
 // seen before the write has returned, although the target has the request.
 func TestReceivedRequestIsNeverReportedAsNotSent(t *testing.T) {
--- a/internal/backend/conn_test.go
+++ b/internal/backend/conn_test.go
@@ -38,7 +38,7 @@
 	c := NewClient(nil, "", metrics.NewSet(), MetricPrefix)
 	ended := make(chan error, 1)
 	a := &attempt{request: &Request{}, end: func(_ *Reply, err error) { ended <- err }}
-	p := &pool{open: 1}
+	p := &pool{open: 1, total: &connectionTotal{}}
 	require.True(t, newConn(&earlyCloseConn{ended: make(chan struct{})}, c, p).start(context.Background(), a, &message{parts: [3][]byte{[]byte("GET")}}))
 	require.ErrorIs(t, <-ended, ErrLost)
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -14,6 +15,8 @@
 type pool struct {
 	started int64
 	address string
+	// total counts the connections of all pools of the client.
+	total *connectionTotal
 
 	mu sync.Mutex
 	// idle holds the idle connections; the most recently used one is last.
@@ -25,6 +28,22 @@
 	closed bool
 }
 
+// connectionTotal counts the connections of a client to all targets, including those being set up.
+type connectionTotal struct {
+	open atomic.Int64
+	// limit is zero if there is none.
+	limit int64
+}
+
+// full reports whether no connection may be added.
+func (t *connectionTotal) full() bool { return t.limit > 0 && t.open.Load() >= t.limit }
+
+// addOpen adds to the number of connections. p.mu must be held.
+func (p *pool) addOpen(n int) {
+	p.open += n
+	p.total.open.Add(int64(n))
+}
+
 // waiter is a request that waits for a connection. It receives one, or nil when a slot has
 // been reserved for it.
 type waiter struct {
@@ -82,7 +101,7 @@
 // discard closes an idle connection. The caller removes it from the idle list.
 func (p *pool) discard(c *conn) {
 	c.removed = true
-	p.open--
+	p.addOpen(-1)
 	_ = c.Close()
 }
 
@@ -101,8 +120,8 @@
 		p.discard(p.idle[0])
 		p.idle = slices.Delete(p.idle, 0, 1)
 	}
-	if p.open < limit {
-		p.open++
+	if p.open < limit && !p.total.full() {
+		p.addOpen(1)
 		return nil, nil
 	}
 	ready := make(chan *conn, 1)
@@ -132,7 +151,7 @@
 
 func (p *pool) releaseSlotLocked() {
 	if !p.serveWaiter(nil) {
-		p.open--
+		p.addOpen(-1)
 	}
 }
 
@@ -194,6 +213,18 @@
 	})
 }
 
+// closeOldest closes the connection that has been idle for longest, and reports whether there was one.
+func (p *pool) closeOldest() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return false
+	}
+	p.discard(p.idle[0])
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return true
+}
+
 // close closes the idle connections; the others are closed when they are released.
 func (p *pool) close() {
 	p.mu.Lock()
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -20,6 +20,10 @@
 	// routeDrainDelay is how long the load balancer may keep sending new callers
 	// to a VM that is not ready: two checks one second apart, plus latency.
 	routeDrainDelay = 2500 * time.Millisecond
+	// targetDescriptorShare is the part of the VM's descriptors for connections to targets of routes.
+	// Callers have half of them by default, and an eighth of that while connections are closing; the
+	// rest is for VMs, the platform and operators.
+	targetDescriptorShare = 0.35
 )
 
 // listenRoutes binds the addresses for routes and for the load balancer's readiness
@@ -38,6 +42,11 @@
 		for _, client := range []*backend.Client{targets, gatherers} {
 			client.FitReplies(memory)
 		}
+		descriptors, err := maxDescriptors(d.settings.Vm)
+		if err != nil {
+			return errors.Wrap(err, "descriptors of the VM")
+		}
+		targets.LimitConnections(int64(targetDescriptorShare * float64(descriptors)))
 		d.gateway = gateway.New(gateway.Options{
 			Views: d.control, Dialect: platform.Headers{}, Settings: d.settings, Logger: d.logger, Metrics: set,
 			Targets: d.targetHealth, Advice: d.advice, Rollouts: d.rollouts, Admission: d.admission, Guard: quarantine.NewGuard(d.quarantine),
@@ -45,10 +54,7 @@
 			Announcer:  contentAnnouncer{views: d.control, peers: d.peers, list: d.quarantine, logger: d.logger},
 			Client:     targets, Gatherers: gatherers,
 		})
-		gate, err := d.newGate(memory, set)
-		if err != nil {
-			return errors.Wrap(err, "bounds of callers")
-		}
+		gate := d.newGate(memory, descriptors, set)
 		server, err := transport.ListenHTTP1(listen.RouteAddress, d.gateway, gate.Apply)
 		if err != nil {
 			return errors.Wrap(err, "route address")
@@ -82,17 +88,13 @@
 }
 
 // newGate returns the gate that bounds what callers of routes take of this VM, which has the given
-// memory in bytes.
-func (d *Daemon) newGate(memory int64, set *metrics.Set) (*intake.Gate, error) {
-	descriptors, err := maxDescriptors(d.settings.Vm)
-	if err != nil {
-		return nil, err
-	}
+// memory in bytes and descriptors.
+func (d *Daemon) newGate(memory, descriptors int64, set *metrics.Set) *intake.Gate {
 	d.logger.Info().Int64("memory_bytes", memory).Int64("descriptors", descriptors).Msg("bounds of callers by the VM's size")
 	return intake.NewGate(intake.Options{
 		Memory: memory, Descriptors: descriptors, Settings: d.settings.Intake,
 		CallerLimits: d.gateway.CallerLimits, Logger: d.logger, Metrics: set,
-	}), nil
+	})
 }
 
 // notifyGateway tells the gateway that a new configuration was published.
--- a/internal/e2e/hostile_callers_test.go
+++ b/internal/e2e/hostile_callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -164,12 +165,23 @@
 // startSmallVM starts a deployment of one VM with the memory and descriptors of these tests.
 func startSmallVM(t *testing.T) (*testkit.UsersDeployment, *testkit.UsersVM) {
 	t.Helper()
-	return startSmallVMWith(t, "", "", 0, 3000)
+	return startSmallVMWith(t, smallVMOptions{})
 }
 
-// startSmallVMWith is startSmallVM with more lines of settings, more routes, services named s0, s1
-// and so on with a target each, and the time limit of heads.
-func startSmallVMWith(t *testing.T, settings, routes string, services, headerTimeoutMs int) (*testkit.UsersDeployment, *testkit.UsersVM) {
+// smallVMOptions adds to the deployment of startSmallVM.
+type smallVMOptions struct {
+	// settings are further lines of the settings file, and routes further routes, each followed by a
+	// comma.
+	settings, routes string
+	// services is the number of services named s0, s1 and so on, with a target each that accepts
+	// maxConnections connections, by default 16.
+	services, maxConnections int
+	// headerTimeoutMs is the time limit of heads, by default 3,000.
+	headerTimeoutMs int
+}
+
+// startSmallVMWith is startSmallVM with options.
+func startSmallVMWith(t *testing.T, options smallVMOptions) (*testkit.UsersDeployment, *testkit.UsersVM) {
 	t.Helper()
 	d, err := testkit.StartUsersDeployment(testDir(t), "a")
 	require.NoError(t, err)
@@ -177,20 +189,20 @@
 	vm := d.VMs[0]
 	vm.Process().Kill()
 	limits := fmt.Sprintf("[vm]\nmemory_mb = %d\nmax_descriptors = %d\n", hostileMegabytes, hostileDescriptors)
-	require.NoError(t, d.WriteSettings(vm, limits+settings))
+	require.NoError(t, d.WriteSettings(vm, limits+options.settings))
 	require.NoError(t, d.StartVM(vm))
 	d.AddTarget("olda", "old", "a", []byte("old"))
 	declared := `{"name":"old","max_conns":16}`
-	for i := range services {
+	for i := range options.services {
 		name := fmt.Sprintf("s%d", i)
 		d.AddTarget(name+"a", name, "a", []byte("0123456789abcdef"))
-		declared += fmt.Sprintf(`,{"name":"%s","max_conns":16}`, name)
+		declared += fmt.Sprintf(`,{"name":"%s","max_conns":%d}`, name, cmp.Or(options.maxConnections, 16))
 	}
 	d.Store.Put("op/config", fmt.Sprintf(`{"version":1,"routes":[%s
 	  {"name":"e","host":"h","prefix":"/e/","route_type":"non_idempotent","timeout_ms":5000,"target_latency_ms":500,"service":"old","max_attempts":2}],
 	  "services":[%s],
 	  "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":%d,"idle_timeout_ms":15000}}`,
-		routes, declared, headerTimeoutMs))
+		options.routes, declared, cmp.Or(options.headerTimeoutMs, 3000)))
 	require.NoError(t, d.AwaitReady(t.Context()))
 	return d, vm
 }
--- a/internal/e2e/uncontrolled_callers_test.go
+++ b/internal/e2e/uncontrolled_callers_test.go
@@ -38,7 +38,19 @@
 // many shards: each attempt held a copy of its own.
 func TestGatheredBodiesDoNotExhaustAVM(t *testing.T) {
 	const callers = 100
-	d, vm := startSmallVMWith(t, "", gatheringRoute(), gatheringShards, 3000)
+	d, vm := startSmallVMWith(t, smallVMOptions{routes: gatheringRoute(), services: gatheringShards})
+	slowDown(d)
+	crowd{
+		address: vm.RouteAddress, request: testkit.WholeBody(hostileIdentity, "/g/x"), callers: callers,
+		from: []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"},
+	}.withstand(t, d, vm, "127.0.0.2")
+}
+
+// Guards against a VM that runs out of descriptors through the connections to the targets of many
+// shards, whose services accept more of them than it has.
+func TestAttemptsDoNotExhaustTheDescriptors(t *testing.T) {
+	const callers, connectionsPerTarget = 60, 400
+	d, vm := startSmallVMWith(t, smallVMOptions{routes: gatheringRoute(), services: gatheringShards, maxConnections: connectionsPerTarget})
 	slowDown(d)
 	crowd{
 		address: vm.RouteAddress, request: testkit.WholeBody(hostileIdentity, "/g/x"), callers: callers,
@@ -51,7 +63,7 @@
 func TestUnfinishedUploadsTakeNoPlaceOfARunningRequest(t *testing.T) {
 	const callers, places = 60, 20
 	settings := fmt.Sprintf("[routes]\nmax_waiting_requests = %d\n", places)
-	d, vm := startSmallVMWith(t, settings, "", 0, 3000)
+	d, vm := startSmallVMWith(t, smallVMOptions{settings: settings})
 	crowd{
 		address: vm.RouteAddress, request: testkit.SlowBody(hostileIdentity), callers: callers,
 		from: []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"},
@@ -62,7 +74,7 @@
 // ordinary caller of the same address, as behind a balancer.
 func TestSlowHeadsDoNotShutOutOrdinaryCallers(t *testing.T) {
 	const callers, headerTimeoutMs = 400, 60000
-	d, vm := startSmallVMWith(t, "", "", 0, headerTimeoutMs)
+	d, vm := startSmallVMWith(t, smallVMOptions{headerTimeoutMs: headerTimeoutMs})
 	crowd{
 		address: vm.RouteAddress, request: testkit.SlowHead(hostileIdentity), callers: callers, from: []string{"127.0.0.1"},
 	}.withstand(t, d, vm, "127.0.0.1")
@@ -81,7 +93,7 @@
 // Guards against a VM that runs out of memory through the bodies that other VMs let in and
 // delegate to it.
 func TestDelegatedBodiesDoNotExhaustAGatherer(t *testing.T) {
-	d, vm := startSmallVMWith(t, "", gatheringRoute(), gatheringShards, 3000)
+	d, vm := startSmallVMWith(t, smallVMOptions{routes: gatheringRoute(), services: gatheringShards})
 	slowDown(d)
 	delegated := testkit.UnfinishedBody(hostileIdentity + "\r\nCarawayreel-Route-Version: 1\r\nCarawayreel-Elapsed-Us: 1000")
 	crowd{
--- a/internal/standin/users/target.go
+++ b/internal/standin/users/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -192,19 +193,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body := new(strings.Builder)
-	buffer := make([]byte, 1024)
-	for {
-		n, err := r.Body.Read(buffer)
-		if !b.DiscardBody {
-			body.Write(buffer[:n])
-		}
-		if err != nil {
-			break
-		}
-	}
+	body := readBody(r, b.DiscardBody)
 	t.mu.Lock()
-	t.runs = append(t.runs, Run{ID: id, Method: r.Method, URI: r.RequestURI, Body: body.String(), At: time.Now(), Header: received})
+	t.runs = append(t.runs, Run{ID: id, Method: r.Method, URI: r.RequestURI, Body: body, At: time.Now(), Header: received})
 	n := len(t.runs)
 	t.mu.Unlock()
 	if b.CrashOn != "" && strings.Contains(r.RequestURI, b.CrashOn) {
@@ -237,6 +228,18 @@
 	_, _ = w.Write(t.Records)
 }
 
+// readBody reads the body up to its end, or to the end of the connection, and returns it unless it is to
+// be discarded.
+func readBody(r *http.Request, discard bool) string {
+	var body strings.Builder
+	var writer io.Writer = &body
+	if discard {
+		writer = io.Discard
+	}
+	_, _ = io.Copy(writer, r.Body)
+	return body.String()
+}
+
 // drawBehavior returns the behavior for one request.
 func (t *Target) drawBehavior() Behavior {
 	t.mu.Lock()
@@ -262,11 +265,7 @@
 
 // writeRaw writes a reply with any status, which net/http refuses to.
 func writeRaw(w http.ResponseWriter, status string, body []byte) {
-	hijacker, ok := w.(http.Hijacker)
-	if !ok {
-		return
-	}
-	conn, _, err := hijacker.Hijack()
+	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
@@ -280,11 +279,7 @@
 
 // resetConnection closes the connection of a request with a TCP reset.
 func resetConnection(w http.ResponseWriter) {
-	hijacker, ok := w.(http.Hijacker)
-	if !ok {
-		return
-	}
-	conn, _, err := hijacker.Hijack()
+	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
