gateway: count the attempt of a delegated request once

The clone's head and its attempt were counted before it was sent, and the attempt again when it was. Found when reading the diff; the package's tests pass, none checks the sum.

--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -121,7 +121,7 @@
 	if route == nil || c.delegated {
 		return false
 	}
-	c.memory().Take(c.cloneBytes() + attemptBytes)
+	c.memory().Take(c.cloneBytes())
 	request := c.request.Clone()
 	delegation.Request{
 		RouteVersion: c.compiled.table.Version, Elapsed: time.Since(c.received), Authenticated: c.requiresKeys(),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -19,7 +19,7 @@
 func (r *fanoutRun) attemptBatch(batch *fanout.Batch) {
 	c := r.call
 	c.gateway.counters.batches.Inc()
-	// The headers of the request are copied, and each target's ID is in them.
+	// The headers of the request are copied, with the targets' IDs, and the batch is an attempt.
 	r.call.memory().Take(r.call.cloneBytes() + attemptBytes)
 	request := r.request.Clone()
 	stated := delegation.Request{
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -80,7 +80,7 @@
 }
 
 // attemptBytes is the memory of an attempt that is counted for its caller: its copy of a small request
-// and its goroutine. The connections that attempts use are bounded for each target.
+// and its goroutine. The connections that attempts use have bounds of their own.
 const attemptBytes = 2 * backend.MaxCopiedBytes
 
 // memory returns what the request holds of the memory for callers.
