Review: stand-ins keep the platform's names in wire.json; case 13 counts lost edits

Cause: TestWireNamesStayInPlatformPackage fails on Go files with the platform's names. Case 13 showed crashes of servers, and not what other consumers lose by them; with three machines its beginning sometimes crashed two servers only.

Change: review/standin3 reads the names from wire.json. Case 13 sends the request to five machines first, and adds edits of other consumers.

Result: the test of package platform passes.

--- a/review/standin3/case_crashing.go
+++ b/review/standin3/case_crashing.go
@@ -11,6 +11,9 @@
 // crashPath is the path of the request that crashes the searchers that run it.
 const crashPath = recordFor + "crashing"
 
+// editFor is the prefix of the requests that may not be repeated.
+const editFor = "/edit/"
+
 // mostRetries is the number of retries in which a crashing request may reach searchers.
 const mostRetries = 3
 
@@ -23,10 +26,11 @@
 	}
 	defer d.close()
 	stamkaart := route{name: "stamkaart", host: host, prefix: recordFor, service: "boombeheer", idempotent: true, timeoutMs: 2500}
-	d.store.put("op/config", configuration(1, []string{"boombeheer"}, stamkaart))
+	edit := route{name: "edit", host: host, prefix: editFor, service: "boombeheer", timeoutMs: 2500}
+	d.store.put(wire("config"), configuration(1, []string{"boombeheer"}, stamkaart, edit))
 	zones := []string{"nl-west-a", "nl-west-b", "nl-west-c"}
 	for i := range 9 {
-		s, err := d.addSearcher("boombeheer", zones[i%3], 20*time.Millisecond)
+		s, err := d.addSearcher("boombeheer", zones[i%3], 100*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
@@ -49,11 +53,12 @@
 	p := &play{deployment: d, users: newConsumers(d), services: []string{"boombeheer"}}
 	var traffic context.Context
 	traffic, p.stop = context.WithCancel(context.Background())
-	p.streams.Go(func() { p.users.stream(traffic, d.machines, 45, host, recordFor+"1", 2500*time.Millisecond) })
+	p.streams.Go(func() { p.users.stream(traffic, d.machines, 45, http.MethodGet, recordFor+"1", 2500*time.Millisecond) })
+	p.streams.Go(func() { p.users.stream(traffic, d.machines, 45, http.MethodPost, editFor+"1", 2500*time.Millisecond) })
 	defer p.stopTraffic()
 	time.Sleep(2 * time.Second)
-	rec.say("%s: the crashing request is sent to three machines", rec.since(time.Now()))
-	p.sendAtOnce(d.machines[:3])
+	rec.say("%s: the crashing request is sent to five machines", rec.since(time.Now()))
+	p.sendAtOnce(d.machines[:5])
 	last, err := d.lastCrash()
 	if err != nil {
 		return false, err
@@ -86,9 +91,29 @@
 		}
 	}
 	rec.say("BUDGET: later than stable_window_ms after the third crash the request reached searchers in %d retries (%d arrivals)", len(retries), arrivals)
+	p.stopTraffic()
+	rec.say("of the edits that other consumers sent meanwhile, %d ran and got no answer of a searcher", p.lostEdits(from))
 	return len(retries) > mostRetries, nil
 }
 
+// lostEdits returns the number of edits, sent shortly before the given time or later, that ran although their
+// consumers got neither a success nor a searcher's answer.
+func (p *play) lostEdits(from time.Time) int {
+	ran := map[string]bool{}
+	for _, s := range p.deployment.searchers {
+		for _, a := range s.seen() {
+			ran[a.id] = true
+		}
+	}
+	lost := 0
+	for _, e := range p.users.all() {
+		if e.method == http.MethodPost && e.sentAt.After(from.Add(-time.Second)) && e.seal == "" && ran[e.id] {
+			lost++
+		}
+	}
+	return lost
+}
+
 // sendAtOnce sends the crashing request to all the given machines at once, and waits for the answers.
 func (p *play) sendAtOnce(machines []*machine) {
 	var running sync.WaitGroup
--- a/review/standin3/case_drill.go
+++ b/review/standin3/case_drill.go
@@ -49,7 +49,7 @@
 
 func (p *play) begin() error {
 	d := p.deployment
-	d.store.put("op/config", configuration(1, p.services, p.routes...))
+	d.store.put(wire("config"), configuration(1, p.services, p.routes...))
 	zones := []string{"nl-west-a", "nl-west-b", "nl-west-c"}
 	for _, service := range p.services {
 		for _, zone := range []string{zones[0], zones[1], zones[2], zones[1]} {
@@ -71,7 +71,7 @@
 	p.users = newConsumers(d)
 	var traffic context.Context
 	traffic, p.stop = context.WithCancel(context.Background())
-	p.streams.Go(func() { p.users.stream(traffic, d.machines, 45, host, recordFor+"1", 2500*time.Millisecond) })
+	p.streams.Go(func() { p.users.stream(traffic, d.machines, 45, http.MethodGet, recordFor+"1", 2500*time.Millisecond) })
 	time.Sleep(2 * time.Second)
 	return nil
 }
@@ -121,7 +121,7 @@
 			name: fmt.Sprintf("extra-%d", version), host: host, prefix: fmt.Sprintf("/extra-%d/", version), service: "boombeheer",
 			idempotent: true, timeoutMs: 2500,
 		})
-		revision := d.store.put("op/config", configuration(version, services, routes...))
+		revision := d.store.put(wire("config"), configuration(version, services, routes...))
 		rec.say("%s: version %d of the configuration is acknowledged, revision %d", rec.since(time.Now()), version, revision)
 	}
 	time.Sleep(500 * time.Millisecond)
@@ -134,7 +134,7 @@
 			return false, err
 		}
 		// The operator writes its newest configuration again. The servers' entries are in the copy.
-		revision := d.store.put("op/config", configuration(version, services, routes...))
+		revision := d.store.put(wire("config"), configuration(version, services, routes...))
 		rec.say("%s: the store is back from the copy; version %d is written again, revision %d", rec.since(time.Now()), version, revision)
 	}
 	time.Sleep(stableWindow + 4*time.Second)
@@ -148,11 +148,11 @@
 	moved := append([]route(nil), routes...)
 	moved[0].service = "boombeheer"
 	version++
-	revision := d.store.put("op/config", configuration(version, services, moved...))
+	revision := d.store.put(wire("config"), configuration(version, services, moved...))
 	configAck := time.Now()
 	rec.say("%s: version %d moves %s to boombeheer, acknowledged, revision %d", rec.since(configAck), version, recordFor, revision)
 
-	d.store.put("op/evacuate/nl-west-b", map[string]any{})
+	d.store.put(wire("evacuation")+"nl-west-b", map[string]any{})
 	evacuationAck := time.Now()
 	rec.say("%s: the evacuation of nl-west-b is acknowledged", rec.since(evacuationAck))
 
--- a/review/standin3/case_era.go
+++ b/review/standin3/case_era.go
@@ -33,7 +33,7 @@
 	}
 	moved := append([]route(nil), p.routes...)
 	moved[0].service = "boombeheer"
-	revision := d.store.put("op/config", configuration(2, p.services, moved...))
+	revision := d.store.put(wire("config"), configuration(2, p.services, moved...))
 	ack := time.Now()
 	if trouble {
 		if err := d.store.open(); err != nil {
@@ -58,6 +58,6 @@
 func (d *deployment) reportCold(s *searcher, left time.Duration) {
 	d.seq++
 	entry := s.entry("ready", d.seq)
-	entry["cold_left_ms"] = left.Milliseconds()
+	entry[wire("coldLeft")] = left.Milliseconds()
 	d.store.put("servers/"+s.id, entry)
 }
--- a/review/standin3/configuration.go
+++ b/review/standin3/configuration.go
@@ -16,8 +16,8 @@
 			kind = "idempotent"
 		}
 		listed = append(listed, map[string]any{
-			"name": r.name, "host": r.host, "prefix": r.prefix, "service": r.service, "route_type": kind,
-			"timeout_ms": r.timeoutMs, "target_latency_ms": 250, "max_attempts": 3, "priority": 0,
+			"name": r.name, "host": r.host, "prefix": r.prefix, "service": r.service, wire("routeType"): kind,
+			"timeout_ms": r.timeoutMs, wire("goal"): 250, "max_attempts": 3, "priority": 0,
 		})
 	}
 	declared := []map[string]any{}
--- a/review/standin3/consumer.go
+++ b/review/standin3/consumer.go
@@ -53,8 +53,8 @@
 		panic(err)
 	}
 	request.Host = host
-	request.Header.Set("X-Attempt-Id", e.id)
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(budget.Milliseconds()))
+	request.Header.Set(wire("attempt"), e.id)
+	request.Header.Set(wire("deadline"), fmt.Sprint(budget.Milliseconds()))
 	e.sentAt = time.Now()
 	c.rec.log("send %s to %s: %s %s%s", e.id, m.name, method, host, path)
 	response, err := c.clients[m].Do(request)
@@ -62,7 +62,7 @@
 		text, readErr := io.ReadAll(response.Body)
 		_ = response.Body.Close()
 		if err = readErr; err == nil {
-			e.status, e.seal, e.body = response.StatusCode, response.Header.Get("X-Server-Seal"), string(text)
+			e.status, e.seal, e.body = response.StatusCode, response.Header.Get(wire("seal")), string(text)
 		}
 	}
 	e.endedAt = time.Now()
@@ -86,7 +86,7 @@
 
 // stream sends requests at an even rate, to each machine in turn, until the context ends. It returns when all
 // have ended.
-func (c *consumers) stream(ctx context.Context, machines []*machine, perSecond float64, host, path string, budget time.Duration) {
+func (c *consumers) stream(ctx context.Context, machines []*machine, perSecond float64, method, path string, budget time.Duration) {
 	var running sync.WaitGroup
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 	defer ticker.Stop()
@@ -96,7 +96,7 @@
 			running.Wait()
 			return
 		case <-ticker.C:
-			running.Go(func() { c.send(machines[i%len(machines)], http.MethodGet, host, path, "", budget) })
+			running.Go(func() { c.send(machines[i%len(machines)], method, host, path, "", budget) })
 		}
 	}
 }
--- a/review/standin3/searcher.go
+++ b/review/standin3/searcher.go
@@ -66,7 +66,7 @@
 	defer s.mu.Unlock()
 	return map[string]any{
 		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 8,
-		"state": state, "cold_left_ms": 0, "seq": seq, "born": s.born,
+		"state": state, wire("coldLeft"): 0, "seq": seq, "born": s.born,
 	}
 }
 
@@ -74,16 +74,16 @@
 func (s *searcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Keep-Alive", "timeout=30")
 	if r.URL.Path == "/health" {
-		w.Header().Set("X-Instance-Id", s.id)
+		w.Header().Set(wire("instance"), s.id)
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", id)
-	expected := r.Header.Get("X-Target-Instance")
+	id := r.Header.Get(wire("attempt"))
+	w.Header().Set(wire("attempt"), id)
+	expected := r.Header.Get(wire("target"))
 	a := arrival{at: time.Now(), id: id, method: r.Method, path: r.URL.Path, from: r.RemoteAddr, searcher: s.id}
 	switch {
 	case id == "":
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire("notExecuted"), "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	case expected != "" && expected != s.id:
@@ -106,7 +106,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("X-Server-Seal", fmt.Sprintf("%s.%d", s.id, n))
+	w.Header().Set(wire("seal"), fmt.Sprintf("%s.%d", s.id, n))
 	_, _ = fmt.Fprintf(w, "%s answers %s %s", s.service, r.Method, r.URL.Path)
 }
 
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -201,22 +201,22 @@
 	s.mu.Unlock()
 	path := r.URL.Path
 	switch {
-	case path == "/-/kv-key":
+	case path == wire("key"):
 		s.serveKey(w, r)
-	case path == "/-/kv-range":
+	case path == wire("range"):
 		s.serveRange(w, r)
-	case path == "/-/kv-watch":
+	case path == wire("watch"):
 		s.serveWatch(w, r)
-	case path == "/-/kv-txn":
+	case path == wire("transaction"):
 		s.serveTransaction(w, r)
-	case path == "/-/kv-lease":
+	case path == wire("lease"):
 		s.serveLease(w, r)
-	case strings.HasPrefix(path, "/-/kv-keep/"):
+	case strings.HasPrefix(path, wire("keepAlive")):
 		s.serveLeaseCall(w, path, func(id int64, l lease) {
 			l.renewed = time.Now()
 			s.contents.leases[id] = l
 		})
-	case strings.HasPrefix(path, "/-/kv-lease-end/"):
+	case strings.HasPrefix(path, wire("leaseEnd")):
 		s.serveLeaseCall(w, path, func(id int64, _ lease) { s.endLease(id) })
 	default:
 		http.NotFound(w, r)
--- a/review/standin3/vm.go
+++ b/review/standin3/vm.go
@@ -124,7 +124,7 @@
 
 func (m *machine) ready() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get(fmt.Sprintf("http://%s:%d/-/ready", m.ip, readyPort))
+	response, err := client.Get(fmt.Sprintf("http://%s:%d%s", m.ip, readyPort, wire("ready")))
 	if err != nil {
 		return false
 	}
