--- a/review/standin3/case_crashing.go
+++ b/review/standin3/case_crashing.go
@@ -58,7 +58,7 @@
 	defer p.stopTraffic()
 	time.Sleep(2 * time.Second)
 	rec.say("%s: the crashing request is sent to five machines", rec.since(time.Now()))
-	p.sendAtOnce(d.machines[:5])
+	p.sendAtOnce(d.machines[:5]...)
 	last, err := d.lastCrash()
 	if err != nil {
 		return false, err
@@ -78,9 +78,9 @@
 		}
 	}
 	time.Sleep(stableWindow + 6*time.Second)
-	rec.say("%s: the consumer repeats the request at all machines", rec.since(time.Now()))
+	rec.say("%s: the consumer repeats the request at all machines, twice at each", rec.since(time.Now()))
 	from := time.Now()
-	p.sendAtOnce(d.machines)
+	p.sendAtOnce(append(d.machines, d.machines...)...)
 	retries, arrivals := map[string]bool{}, 0
 	for _, s := range d.searchers {
 		for _, a := range s.seen() {
@@ -114,8 +114,8 @@
 	return lost
 }
 
-// sendAtOnce sends the crashing request to all the given machines at once, and waits for the answers.
-func (p *play) sendAtOnce(machines []*machine) {
+// sendAtOnce sends the crashing request to the given machines at once, and waits for the answers.
+func (p *play) sendAtOnce(machines ...*machine) {
 	var running sync.WaitGroup
 	for _, m := range machines {
 		running.Go(func() { p.users.send(m, http.MethodGet, host, crashPath, "", 2500*time.Millisecond) })
