Review: the stand-ins move to other ports if one is taken

Cause: a process that has one of the fixed ports on all addresses would keep the scripts from running.

Change: review/standin3 tries other ports.

--- a/review/standin3/vm.go
+++ b/review/standin3/vm.go
@@ -21,14 +21,26 @@
 	templatePath = "deploy/vm.ini.tmpl"
 )
 
-// Ports of a machine, as in the pages' example of a settings file.
-const (
-	controlPort = 8224
-	frontPort   = 8226
-	readyPort   = 8227
-	innerPort   = 7740
+// Ports of a machine, as in the pages' example of a settings file, and of the store and the searchers. All are moved
+// if another process has one of them on all addresses.
+var (
+	controlPort  = 8224
+	frontPort    = 8226
+	readyPort    = 8227
+	innerPort    = 7740
+	storePort    = 8229
+	searcherPort = 8624
 )
 
+// portStep is by how much the ports are moved.
+const portStep = 40
+
+func movePorts() {
+	for _, port := range []*int{&controlPort, &frontPort, &readyPort, &innerPort, &storePort, &searcherPort} {
+		*port += portStep
+	}
+}
+
 // machine is a front machine, on a loopback address of its own.
 type machine struct {
 	name, zone, ip string
@@ -151,6 +163,9 @@
 	}
 	d := &deployment{rec: rec, dir: dir}
 	for i := range 200 {
+		if i > 0 && i%20 == 0 {
+			movePorts()
+		}
 		network := fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+i)%200, 1+(os.Getpid()/200+i)%250)
 		if free(network) {
 			d.network = network
@@ -160,17 +175,21 @@
 	if d.network == "" {
 		return nil, fmt.Errorf("no free loopback addresses")
 	}
-	d.store = newStore(d.network + ".250:8229")
+	d.store = newStore(fmt.Sprintf("%s.250:%d", d.network, storePort))
 	return d, d.store.open()
 }
 
 func free(network string) bool {
-	for _, address := range []string{".250:8229", ".1:8226", ".1:8224", ".101:8624"} {
-		listener, err := net.Listen("tcp", network+address)
-		if err != nil {
-			return false
+	for host, ports := range map[int][]int{
+		250: {storePort}, 101: {searcherPort}, 1: {controlPort, frontPort, readyPort, innerPort, innerPort + 1},
+	} {
+		for _, port := range ports {
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, host, port))
+			if err != nil {
+				return false
+			}
+			_ = listener.Close()
 		}
-		_ = listener.Close()
 	}
 	return true
 }
@@ -231,7 +250,7 @@
 	n := len(d.searchers) + 1
 	s := &searcher{
 		id: fmt.Sprintf("i-%s-%d", service, n), service: service, zone: zone, work: work,
-		address: fmt.Sprintf("%s.%d:8624", d.network, 100+n), rec: d.rec,
+		address: fmt.Sprintf("%s.%d:%d", d.network, 100+n, searcherPort), rec: d.rec,
 	}
 	if err := s.open(); err != nil {
 		return nil, err
