Revisions of the store are ordered over its eras; a watch ends with its era

Cause, one for both: no code read the era, so that a revision named two different writes. Read in the logs of the stand-in: version 28 was acknowledged at revision 23 while all VMs held version 25 at 29.

Change: platform/ joins era and revision to one number (internal/era), as docs/design/store-eras.md weighs, so that each comparison inside stays one. The store is asked with the bare revision, and an answer in another era fails with ErrEraEnded, which leads to a full listing; so does a 410. What this order alone would break is in the same commit: the copy's older configuration comes after the newer one in force. Route tables of two eras are ordered by the operator's version, in the source and where a VM takes over a configuration. The log has a line for the first listing of an era, and names the version of the routes in force.

--- a/internal/configuration/routes.go
+++ b/internal/configuration/routes.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawayreel/carawayreel/internal/era"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
@@ -49,6 +50,38 @@
 	next.Removals = mergeRemovals(current.GetRemovals(), delta)
 }
 
+// NewerRouteTable reports whether next replaces known, which may be nil. Within an era of the
+// store, its revisions order route tables. A later era may begin with an older table, from the
+// store's copy, so that tables of two eras are ordered by the operator's version; the later
+// era's comes first if that is equal or missing.
+func NewerRouteTable(known, next *pb.RouteTable) bool {
+	switch {
+	case known == nil || next == nil:
+		return next != nil
+	case era.Of(known.Revision) != era.Of(next.Revision) && known.Version != next.Version && known.Version > 0 && next.Version > 0:
+		return next.Version > known.Version
+	default:
+		return next.Revision > known.Revision
+	}
+}
+
+// KeepNewerRouteTable returns next, or a copy of it with the route table of current if both
+// have one and that of current is newer, as NewerRouteTable has it. Both may be nil.
+func KeepNewerRouteTable(current, next *pb.Configuration) *pb.Configuration {
+	if next.GetRouteTable() == nil || !NewerRouteTable(next.RouteTable, current.GetRouteTable()) {
+		return next
+	}
+	return WithRouteTable(next, current.RouteTable)
+}
+
+// WithRouteTable returns a copy of c with another route table.
+func WithRouteTable(c *pb.Configuration, table *pb.RouteTable) *pb.Configuration {
+	copied := Assemble(Root(c, Keys{}), c.Fronts)
+	copied.Removals = c.Removals
+	copied.RouteTable = table
+	return copied
+}
+
 // MergeRegistrations applies changed registrations and removals to before and
 // returns the result in ascending order of ID. Of several entries for a target,
 // the one with the highest revision wins.
--- a/internal/configuration/routes_test.go
+++ b/internal/configuration/routes_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/carawayreel/carawayreel/internal/configuration"
+	"github.com/carawayreel/carawayreel/internal/era"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
@@ -69,3 +70,43 @@
 	require.Zero(t, full.BaseRevision, "removals before revision 2 are not known")
 	require.Len(t, full.Registrations, 2)
 }
+
+// Guards against an older configuration in a copy of the store that replaces a newer one, and
+// against a newer one that is ignored.
+func TestRouteTablesOfTwoErasAreOrderedByVersion(t *testing.T) {
+	table := func(e, revision, version uint64) *pb.RouteTable {
+		position, err := era.Join(e, revision)
+		require.NoError(t, err)
+		return &pb.RouteTable{Revision: position, Version: version}
+	}
+	known := table(1, 30, 9)
+	for name, c := range map[string]struct {
+		next  *pb.RouteTable
+		newer bool
+	}{
+		"the same":                                   {table(1, 30, 9), false},
+		"earlier in the era":                         {table(1, 29, 8), false},
+		"later in the era":                           {table(1, 31, 10), true},
+		"later in the era with a lower version":      {table(1, 31, 8), true},
+		"the copy's":                                 {table(2, 22, 2), false},
+		"written again":                              {table(2, 23, 9), true},
+		"next version at a lost revision":            {table(2, 30, 10), true},
+		"kept from an earlier era with a higher one": {table(0, 5, 10), true},
+		"of an earlier era with the same version":    {table(0, 99, 9), false},
+		"of a later era without a version":           {table(2, 22, 0), true},
+		"of an earlier era without a version":        {table(0, 22, 0), false},
+		"none":                                       {nil, false},
+	} {
+		require.Equal(t, c.newer, configuration.NewerRouteTable(known, c.next), name)
+	}
+	require.True(t, configuration.NewerRouteTable(nil, known))
+
+	copied := &pb.Configuration{Revision: table(2, 23, 0).Revision, RouteTable: table(2, 22, 2), Removals: []*pb.Removal{{Id: "x"}}}
+	current := &pb.Configuration{Revision: known.Revision, RouteTable: known}
+	kept := configuration.KeepNewerRouteTable(current, copied)
+	require.Equal(t, known, kept.RouteTable)
+	require.Equal(t, copied.Revision, kept.Revision)
+	require.Equal(t, copied.Removals, kept.Removals)
+	require.EqualValues(t, 2, copied.RouteTable.Version, "the argument is not changed")
+	require.Same(t, copied, configuration.KeepNewerRouteTable(nil, copied))
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -301,8 +301,10 @@
 }
 
 func (c *Control) logChange(before, next *view.View) {
-	if before == nil || before.Revision() != next.Revision() {
-		c.options.Logger.Info().Uint64("revision", next.Revision()).Str("author", next.Configuration.GetAuthor()).Msg("configuration in force")
+	routes := next.Configuration.GetRouteTable()
+	if before == nil || before.Revision() != next.Revision() || before.Configuration.GetRouteTable().GetRevision() != routes.GetRevision() {
+		c.options.Logger.Info().Uint64("revision", next.Revision()).Uint64("routes_version", routes.GetVersion()).
+			Uint64("routes_revision", routes.GetRevision()).Str("author", next.Configuration.GetAuthor()).Msg("configuration in force")
 	}
 	if before != nil && before.Paused != next.Paused {
 		c.options.Logger.Info().Bool("paused", next.Paused).Msg("pause")
--- a/internal/control/distribute.go
+++ b/internal/control/distribute.go
@@ -253,14 +253,19 @@
 
 // adopt puts a newer revision in force and forwards it. from is the sending VM, or empty if the revision
 // does not come from a peer. inForceAt is when the sender last knew the replaced revision to be in force; it may
-// be zero. A revision that is not newer is ignored.
+// be zero. A revision that is not newer is ignored. A route table that the next revision took from an older copy
+// of the store does not replace the one in force.
 func (m *machine) adopt(next *pb.Configuration, from string, hopsLeft uint32, inForceAt time.Time) {
 	if next.GetRevision() <= m.revision() {
 		return
 	}
 	base := m.revision()
 	m.recordReplaced(inForceAt)
-	m.configuration = next
+	kept := configuration.KeepNewerRouteTable(m.configuration, next)
+	if kept != next {
+		m.stats.routesKept++
+	}
+	m.configuration = kept
 	m.behindSince = time.Time{}
 	m.stats.adopted++
 	self := m.table.Self()
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -33,6 +33,8 @@
 	adopted            uint64
 	overdueReads       uint64
 	clockGaps          uint64
+	// routesKept counts the configurations whose older route table, from the store's copy, was not put in force.
+	routesKept uint64
 }
 
 // publish emits a decision to publish a view if the state that the view is built from changed.
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -360,14 +360,19 @@
 
 // write stores the next revision and completes the pending watches.
 func (s *simulation) write(c *pb.Configuration) *pb.Configuration {
-	s.store = withNextRevision(s.store, c)
+	s.put(withNextRevision(s.store, c))
+	return s.store
+}
+
+// put makes the store hold a configuration and completes the pending watches.
+func (s *simulation) put(c *pb.Configuration) {
+	s.store = c
 	s.version++
 	for id := 0; id <= s.sequence && len(s.pendingWatches) > 0; id++ {
 		if end, ok := s.pendingWatches[id]; ok {
 			end()
 		}
 	}
-	return s.store
 }
 
 func withNextRevision(previous, c *pb.Configuration) *pb.Configuration {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawayreel/carawayreel/internal/configstore"
+	"github.com/carawayreel/carawayreel/internal/era"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
@@ -25,6 +26,9 @@
 	// ErrCompacted means that the store has compacted the changes after the
 	// requested revision.
 	ErrCompacted = errors.New("the store dropped the history after this revision")
+	// ErrEraEnded means that the store has come back in another era than that of the
+	// requested revision.
+	ErrEraEnded = errors.New("the store has come back in another era")
 	// ErrTooLong means that the answer of the store is longer than this VM reads.
 	ErrTooLong = errors.New("the answer of the store is too long")
 	// ErrLeaseExpired means that a lease has expired and its keys were deleted.
@@ -89,13 +93,15 @@
 }
 
 // Store is the store that a Source watches. Implementations must be safe for
-// concurrent use and return ErrCompacted or errors that wrap ErrUnavailable.
+// concurrent use and return ErrCompacted, ErrTooLong or errors that wrap ErrEraEnded or
+// ErrUnavailable. Their revisions are positions in the order of all eras, see package era.
 type Store interface {
 	// List returns a page of the entries whose keys sort after the given one; an
 	// empty key starts the listing. If allowStale is set, the read is cheaper but may
 	// be stale by several seconds; the page has the revision it was read at.
 	List(ctx context.Context, after string, allowStale bool) (Page, error)
-	// Changes waits for changes after the revision, for at most wait.
+	// Changes waits for changes after the revision, for at most wait. It returns ErrEraEnded
+	// if the store is not in the era of the revision any more.
 	Changes(ctx context.Context, revision uint64, wait time.Duration) (Changes, error)
 }
 
@@ -127,15 +133,17 @@
 		return s.listInitial(ctx)
 	}
 	changes, err := s.store.Changes(ctx, s.state.revision, wait)
-	if errors.Is(err, ErrTooLong) {
+	switch {
+	case errors.Is(err, ErrTooLong):
 		s.logger.Warn().Err(err).Uint64("after_revision", s.state.revision).Msg("changes not read; listing all entries")
 		return s.listAll(ctx, false)
-	}
-	if errors.Is(err, ErrCompacted) {
+	case errors.Is(err, ErrCompacted):
 		s.logger.Info().Uint64("after_revision", s.state.revision).Msg("store history dropped; listing all entries")
 		return s.listAll(ctx, false)
-	}
-	if err != nil {
+	case errors.Is(err, ErrEraEnded):
+		s.logger.Info().Err(err).Uint64("after_revision", s.state.revision).Msg("store has come back in another era; listing all entries")
+		return s.listAll(ctx, false)
+	case err != nil:
 		return configstore.WatchResult{}, err
 	}
 	if missed := changes.missed(s.state.revision); missed > 0 {
@@ -162,7 +170,7 @@
 // since the stale listing can't be had: the stale one may hold targets that have left.
 func (s *Source) listInitial(ctx context.Context) (configstore.WatchResult, error) {
 	result, err := s.listAll(ctx, true)
-	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLong) || errors.Is(err, errChangesOmitted) {
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrEraEnded) || errors.Is(err, ErrTooLong) || errors.Is(err, errChangesOmitted) {
 		s.logger.Info().Err(err).Msg("changes since the first listing are not known; listing all entries anew")
 		return s.listAll(ctx, false)
 	}
@@ -178,8 +186,8 @@
 	if err != nil {
 		return configstore.WatchResult{}, err
 	}
-	next := newStoreState(s.state, s.logger)
-	next.applyListing(entries, oldest)
+	next := newStoreState(s.state, oldest, s.logger)
+	next.applyListing(entries)
 	changes, err := s.store.Changes(ctx, oldest, 0)
 	if err != nil {
 		return configstore.WatchResult{}, err
@@ -195,6 +203,7 @@
 	next.applyChanges(changes)
 	next.finishListing()
 	s.logProblems(entries)
+	s.logReturn(next)
 	s.state = next
 	return s.currentResult(), nil
 }
@@ -219,6 +228,18 @@
 	}
 }
 
+// logReturn logs that a listing is the first one of another era.
+func (s *Source) logReturn(next *storeState) {
+	if s.state == nil || era.Of(s.state.revision) == era.Of(next.revision) {
+		return
+	}
+	s.logger.Info().Uint64("era_before", era.Of(s.state.revision)).Uint64("era", era.Of(next.revision)).
+		Uint64("revision_before", s.state.revision).Uint64("revision", next.revision).
+		Uint64("version_before", s.state.table.GetVersion()).Uint64("version", next.table.GetVersion()).
+		Int("targets_before", len(s.state.registrations)).Int("targets", len(next.registrations)).
+		Msg("first listing of another era of the store")
+}
+
 func (s *Source) logProblems(entries []Entry) {
 	for _, entry := range entries {
 		if entry.Problem != "" {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawayreel/carawayreel/internal/era"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 	"github.com/carawayreel/carawayreel/internal/registry"
 )
@@ -29,9 +31,30 @@
 	staleBy int
 	// currentPages counts the pages read without allowStale.
 	currentPages int
+	// era is zero for a store that names none.
+	era uint64
 }
 
-func (f *fakeStore) revision() uint64 { return uint64(len(f.log)) + 1 }
+func (f *fakeStore) revision() uint64 { return f.position(len(f.log)) }
+
+// position returns the revision of a log of n entries, in the order of all eras.
+func (f *fakeStore) position(n int) uint64 {
+	position, err := era.Join(f.era, uint64(n)+1)
+	if err != nil {
+		panic(err)
+	}
+	return position
+}
+
+// goBack makes the store come back, in the next era, from a copy that holds the first n
+// entries of the log.
+func (f *fakeStore) goBack(n int) {
+	f.era++
+	f.log = slices.Clone(f.log[:n])
+	for i := range f.log {
+		f.log[i].Revision = f.position(i + 1)
+	}
+}
 
 func (f *fakeStore) put(e registry.Entry) {
 	e.Revision = f.revision() + 1
@@ -71,7 +94,7 @@
 	for _, e := range log {
 		present[e.Key] = e
 	}
-	page := registry.Page{Revision: uint64(len(log)) + 1}
+	page := registry.Page{Revision: f.position(len(log))}
 	for _, key := range sortedKeys(present) {
 		if e := present[key]; key > after && !e.Deleted {
 			if len(page.Entries) == f.pageSize {
@@ -100,6 +123,8 @@
 	switch {
 	case f.down:
 		return registry.Changes{}, errors.Wrap(registry.ErrUnavailable, "down")
+	case era.Of(revision) != f.era:
+		return registry.Changes{}, registry.ErrEraEnded
 	case revision < f.compactedRevision:
 		return registry.Changes{}, registry.ErrCompacted
 	}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -7,6 +7,8 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawayreel/carawayreel/internal/configuration"
+	"github.com/carawayreel/carawayreel/internal/era"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
 )
 
@@ -43,23 +45,25 @@
 	sequence uint64
 }
 
-// newStoreState returns an empty state. It keeps the route table of the previous
-// state, which remains active until a readable one is found.
-func newStoreState(previous *storeState, logger zerolog.Logger) *storeState {
-	s := &storeState{logger: logger, registrations: map[string]sequencedRegistration{}, takenOut: map[string]string{}, rollouts: newRollouts()}
+// newStoreState returns an empty state for a listing whose oldest page has the given
+// revision. It keeps the route table of the previous state, which remains active until a newer
+// readable one is found.
+func newStoreState(previous *storeState, revision uint64, logger zerolog.Logger) *storeState {
+	s := &storeState{
+		logger: logger, revision: revision, registrations: map[string]sequencedRegistration{}, takenOut: map[string]string{},
+		rollouts: newRollouts(),
+	}
 	if previous != nil {
 		s.table = previous.table
 	}
 	return s
 }
 
-// applyListing applies the entries of a listing whose oldest page has the given
-// revision.
-func (s *storeState) applyListing(entries []Entry, revision uint64) {
+// applyListing applies the entries of a listing.
+func (s *storeState) applyListing(entries []Entry) {
 	for _, entry := range entries {
 		s.applyEntry(entry)
 	}
-	s.revision = revision
 }
 
 // finishListing marks the end of a listing. Removals before it are unknown, so
@@ -102,11 +106,16 @@
 }
 
 func (s *storeState) applyRouteTable(entry Entry) bool {
-	if s.table != nil && s.table.Revision >= entry.Revision {
-		return false
-	}
 	table, _ := proto.Clone(entry.RouteTable).(*pb.RouteTable)
 	table.Revision = entry.Revision
+	if !configuration.NewerRouteTable(s.table, table) {
+		if era.Of(s.table.Revision) != era.Of(table.Revision) {
+			s.logger.Warn().Uint64("copy_version", table.Version).Uint64("copy_revision", table.Revision).
+				Uint64("known_version", s.table.Version).Uint64("known_revision", s.table.Revision).
+				Msg("older routes in the store's copy ignored")
+		}
+		return false
+	}
 	s.table = table
 	return true
 }
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -45,9 +46,11 @@
 	mu                sync.Mutex
 	history           []item
 	compactedRevision uint64
-	fault             Fault
-	changed           chan struct{}
-	calls             int
+	// era is zero if the store names none.
+	era     uint64
+	fault   Fault
+	changed chan struct{}
+	calls   int
 }
 
 // NewStore returns an empty store.
@@ -56,15 +59,18 @@
 // Put writes a value to a key. A string is stored as it is, any other value as
 // JSON.
 func (s *Store) Put(key string, value any) {
-	text, ok := value.(string)
-	if !ok {
-		encoded, err := json.Marshal(value)
-		if err != nil {
-			panic(err)
-		}
-		text = string(encoded)
+	s.appendItem(item{Key: key, Value: encode(value)})
+}
+
+func encode(value any) []byte {
+	if text, ok := value.(string); ok {
+		return []byte(text)
+	}
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
 	}
-	s.appendItem(item{Key: key, Value: []byte(text)})
+	return encoded
 }
 
 // Delete removes a key by writing a tombstone.
@@ -92,6 +98,46 @@
 	s.compactedRevision = s.revision()
 }
 
+// SetEra makes the store name its era in all its answers.
+func (s *Store) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Copy is what the store held at one time.
+type Copy struct{ history []item }
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{history: slices.Clone(s.history)}
+}
+
+// Written is a key with the value that is written to it, as Put takes them.
+type Written struct {
+	Key   string
+	Value any
+}
+
+// Return makes the store come back from a copy: later writes are lost, and their revisions are
+// given out again, first to the given writes. If the store names its era, a new one begins.
+func (s *Store) Return(c Copy, first ...Written) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = slices.Clone(c.history)
+	for _, w := range first {
+		s.append(item{Key: w.Key, Value: encode(w.Value)})
+	}
+	s.compactedRevision = min(s.compactedRevision, s.revision())
+	if s.era > 0 {
+		s.era++
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // SetFault sets the fault of subsequent calls; None clears it.
 func (s *Store) SetFault(f Fault) {
 	s.mu.Lock()
@@ -115,6 +161,7 @@
 	s.mu.Lock()
 	s.calls++
 	fault := s.fault
+	s.nameEra(w)
 	s.mu.Unlock()
 	switch fault {
 	case Unavailable:
@@ -142,6 +189,13 @@
 	}
 }
 
+// nameEra sets the header with the era. s.mu must be held.
+func (s *Store) nameEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
+}
+
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -220,7 +274,8 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if after < s.compactedRevision {
+		s.nameEra(w)
+		if after < s.compactedRevision || after > s.revision() {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/internal/testkit/users.go
+++ b/internal/testkit/users.go
@@ -52,6 +52,7 @@
 // each VM advertises.
 func StartUsersDeploymentWithProcessors(dir string, cores []float64, domains ...string) (*UsersDeployment, error) {
 	d := &UsersDeployment{Store: users.NewStore(), Targets: map[string]*users.Target{}, dir: dir}
+	d.Store.SetEra(1)
 	d.server = httptest.NewServer(d.Store)
 	const addressesPerVM = 5
 	ports, err := reservePorts(portsPerDeployment)
