registry: reports of targets in the store's copy don't replace newer ones

What callers would see: after the store came back from a copy, a target that had drained or left since the copy was taken gets requests again by its old entry, until it reports or the store drops the entry (targets report each 1.2 s, and entries go after 3.6 s).

Cause: a listing begins from nothing, so that the order of a target's own reports, its start and sequence, was lost with each listing.

Change: the source keeps the last reports of the earlier era, those of 1,024 targets that left included, and compares them with the copy's. Reports that state no start are not compared: they may be those of a restart.

--- a/internal/e2e/store_return_test.go
+++ b/internal/e2e/store_return_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,6 +32,15 @@
 	d.Store.SetFault(users.None)
 }
 
+// routesDocumentWith returns routesDocument with more idempotent routes, to the service old.
+func routesDocumentWith(version int, editService string, added ...string) string {
+	routes := ""
+	for _, prefix := range added {
+		routes += fmt.Sprintf(`{"name":"%s","host":"h","prefix":"/%s/","route_type":"idempotent","timeout_ms":500,"target_latency_ms":120,"service":"old","max_attempts":2},`, prefix, prefix)
+	}
+	return strings.Replace(routesDocument(version, editService), `"routes":[`, `"routes":[`+routes, 1)
+}
+
 // serves reports whether the VM serves a request with the given body.
 func serves(vm *testkit.UsersVM, method, uri, want string) bool {
 	status, _, body := sendRequest(vm, newClient(), method, uri)
@@ -89,3 +100,38 @@
 	d.Store.Register(d.Targets["newa"], users.Ready, 3)
 	awaitServed(t, d, time.Until(returned.Add(configApply)), "POST", "/e/x", "new")
 }
+
+// Guards against an older configuration in the store's copy that replaces the one in force until
+// the operator writes again, and against targets that left or drain and get requests by their
+// old entries.
+func TestCopyOfTheStoreReplacesNothingNewer(t *testing.T) {
+	d := startUsers(t)
+	copied := d.Store.Copy()
+	d.Store.Put("op/config", routesDocumentWith(2, "new", "added"))
+	draining, left := d.Targets["newa"], d.Targets["newb"]
+	d.Store.Register(draining, users.Draining, 2)
+	d.Store.Delete("servers/newb")
+	awaitServed(t, d, configApply, "POST", "/e/x", "new")
+	time.Sleep(drainBound)
+	before := []int{len(draining.Runs()), len(left.Runs())}
+
+	returnStore(d, copied)
+	requireNewestServed(t, d.VMs, 2*time.Second)
+	d.Store.Put("op/config", routesDocumentWith(2, "new", "added"))
+	requireNewestServed(t, d.VMs, time.Second)
+	require.Equal(t, before, []int{len(draining.Runs()), len(left.Runs())}, "requests to targets that drain or left")
+	d.Store.Put("op/config", routesDocumentWith(3, "old", "added"))
+	awaitServed(t, d, configApply, "POST", "/e/x", "old")
+}
+
+// requireNewestServed requires for some time that the VMs serve as the second version of
+// routesDocumentWith has it.
+func requireNewestServed(t *testing.T, vms []*testkit.UsersVM, duration time.Duration) {
+	t.Helper()
+	for since := time.Now(); time.Since(since) < duration; time.Sleep(20 * time.Millisecond) {
+		for _, vm := range vms {
+			require.True(t, serves(vm, "POST", "/e/x", "new"), "%s, after %v", vm.ID, time.Since(since))
+			require.True(t, serves(vm, "GET", "/added/x", "old"), "%s, after %v", vm.ID, time.Since(since))
+		}
+	}
+}
--- a/internal/registry/return_test.go
+++ b/internal/registry/return_test.go
@@ -107,6 +107,47 @@
 	}
 }
 
+// Guards against a target that left or drains and is ready again by its entry in the copy, and
+// against one that stays away although it has started or reported again.
+func TestOlderReportsOfTheCopyAreIgnored(t *testing.T) {
+	store := newReturningStore()
+	store.register("b", nil)
+	store.register("c", nil)
+	copied := copyOf(store)
+	source := registry.NewSource(store, zerolog.Nop())
+	watch(t, source)
+	store.register("a", withReport(draining, 2))
+	store.remove("t/b")
+	watch(t, source)
+	for range 2 {
+		store.goBack(copied)
+		require.Equal(t, map[string]pb.RegistrationState{"a": draining, "c": ready}, states(watch(t, source)))
+	}
+	store.register("a", withReport(draining, 3))
+	store.register("b", func(r *pb.Registration, _ *registry.Entry) { r.StartedUnixMs = 2000 })
+	require.Equal(t, map[string]pb.RegistrationState{"a": draining, "b": ready, "c": ready}, states(watch(t, source)))
+	store.remove("t/a")
+	store.register("a", func(r *pb.Registration, _ *registry.Entry) { r.StartedUnixMs = 0 })
+	require.Equal(t, ready, states(watch(t, source))["a"], "what comes after a removal is no copy")
+}
+
+// Guards against targets without a start time that count as older after a restart.
+func TestReportsWithoutStartAreNotComparedAcrossEras(t *testing.T) {
+	store := newReturningStore()
+	copied := copyOf(store)
+	without := func(sequence uint64, address string) func(*pb.Registration, *registry.Entry) {
+		return func(r *pb.Registration, e *registry.Entry) {
+			r.StartedUnixMs, r.Address, e.Sequence = 0, address, sequence
+		}
+	}
+	store.register("b", without(50, "10.0.0.1:80"))
+	source := registry.NewSource(store, zerolog.Nop())
+	watch(t, source)
+	store.goBack(copied)
+	store.register("b", without(1, "10.0.0.2:80"))
+	require.Equal(t, "10.0.0.2:80", watch(t, source).Registrations[1].Address)
+}
+
 // Guards against a listing whose pages are of two eras.
 func TestReturnDuringAListing(t *testing.T) {
 	store := newReturningStore()
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -36,6 +36,11 @@
 	// removals holds all removals after the revision removalsSince.
 	removals      []*pb.Removal
 	removalsSince uint64
+	absent        absentTargets
+	// earlier holds the last reports of an earlier era of the store by the keys of their
+	// entries. Entries in the copy that the store came back from may be older. Only reports
+	// that state when the target started are compared: others may be those of a restart.
+	earlier map[string]sequencedRegistration
 }
 
 // sequencedRegistration is a target's registration with the sequence number of its
@@ -43,18 +48,24 @@
 type sequencedRegistration struct {
 	*pb.Registration
 	sequence uint64
+	// left is true if the target's entry was removed after that report.
+	left bool
 }
 
 // newStoreState returns an empty state for a listing whose oldest page has the given
 // revision. It keeps the route table of the previous state, which remains active until a newer
-// readable one is found.
+// readable one is found, and what that state knows of targets.
 func newStoreState(previous *storeState, revision uint64, logger zerolog.Logger) *storeState {
 	s := &storeState{
 		logger: logger, revision: revision, registrations: map[string]sequencedRegistration{}, takenOut: map[string]string{},
-		rollouts: newRollouts(),
+		rollouts: newRollouts(), absent: newAbsentTargets(),
 	}
-	if previous != nil {
-		s.table = previous.table
+	if previous == nil {
+		return s
+	}
+	s.table, s.absent, s.earlier = previous.table, previous.absent, previous.earlier
+	if era.Of(previous.revision) != era.Of(revision) {
+		s.earlier = previous.lastReports()
 	}
 	return s
 }
@@ -69,6 +80,11 @@
 // finishListing marks the end of a listing. Removals before it are unknown, so
 // deltas cannot start from an earlier revision.
 func (s *storeState) finishListing() {
+	for key, report := range s.earlier {
+		if _, ok := s.registrations[key]; !ok {
+			s.absent.add(key, report)
+		}
+	}
 	s.changedRevision = max(s.changedRevision, s.revision)
 	s.removalsSince = s.changedRevision
 	s.removals = nil
@@ -126,12 +142,13 @@
 func (s *storeState) applyRegistration(entry Entry) bool {
 	known, ok := s.registrations[entry.Key]
 	if ok && isOutdated(entry, known) {
-		s.logger.Info().Str("target", known.Id).Uint64("revision", entry.Revision).
-			Uint64("sequence", entry.Sequence).Uint64("known_sequence", known.sequence).
-			Int64("started", entry.Registration.StartedUnixMs).Int64("known_started", known.StartedUnixMs).
-			Str("state", entry.Registration.State.String()).Msg("late report of a target ignored")
+		s.logOutdated(entry, known)
 		return false
 	}
+	if earlier, found := s.earlier[entry.Key]; found && earlier.StartedUnixMs != 0 && isOutdated(entry, earlier) {
+		s.logOutdated(entry, earlier)
+		return s.keepEarlier(entry, earlier)
+	}
 	next, _ := proto.Clone(entry.Registration).(*pb.Registration)
 	if ok {
 		next.Revision = known.Revision
@@ -148,6 +165,26 @@
 	return true
 }
 
+// keepEarlier registers a target, whose entry the store's copy holds as it once was, as its
+// last report of an earlier era states, unless the target had left by then. It reports whether
+// that changes the configuration.
+func (s *storeState) keepEarlier(entry Entry, earlier sequencedRegistration) bool {
+	if earlier.left {
+		return false
+	}
+	kept, _ := proto.Clone(earlier.Registration).(*pb.Registration)
+	kept.Revision = entry.Revision
+	s.registrations[entry.Key] = sequencedRegistration{Registration: kept, sequence: earlier.sequence}
+	return true
+}
+
+func (s *storeState) logOutdated(entry Entry, known sequencedRegistration) {
+	s.logger.Info().Str("target", known.Id).Uint64("revision", entry.Revision).
+		Uint64("sequence", entry.Sequence).Uint64("known_sequence", known.sequence).
+		Int64("started", entry.Registration.StartedUnixMs).Int64("known_started", known.StartedUnixMs).
+		Str("state", entry.Registration.State.String()).Bool("left", known.left).Msg("late report of a target ignored")
+}
+
 // sameColdStart reports whether both registrations belong to the same cold start. Then
 // ColdForMs, the remaining time, only counts down, which is not treated as a change.
 func sameColdStart(next, known *pb.Registration) bool {
@@ -156,15 +193,21 @@
 
 func isOutdated(entry Entry, known sequencedRegistration) bool {
 	started := entry.Registration.StartedUnixMs
-	if started != known.StartedUnixMs {
+	switch {
+	case started != known.StartedUnixMs:
 		return started != 0 && started < known.StartedUnixMs
+	case known.left:
+		return entry.Sequence <= known.sequence
+	default:
+		return entry.Sequence < known.sequence
 	}
-	return entry.Sequence < known.sequence
 }
 
 // applyRemoval deletes the failure domain or target stored under the key. The route
 // table stays active, since operators replace it but never delete it.
 func (s *storeState) applyRemoval(entry Entry) bool {
+	// What comes after a removal in this era is no copy.
+	delete(s.earlier, entry.Key)
 	if s.rollouts.remove(entry) {
 		return true
 	}
@@ -177,6 +220,7 @@
 		return false
 	}
 	delete(s.registrations, entry.Key)
+	s.absent.add(entry.Key, sequencedRegistration{Registration: known.Registration, sequence: known.sequence, left: true})
 	s.removals = append(s.removals, &pb.Removal{Id: known.Id, Revision: entry.Revision})
 	if excess := len(s.removals) - maxRemovals; excess > 0 {
 		s.removalsSince = s.removals[excess-1].Revision
