control: a VM started after a return learns the routes that others kept

What callers would see: a VM that starts after the store came back from a copy and before the operator has written again serves the copy's older routes, and goes on while the others, at the same revision, serve the newer ones that they kept.

Cause: VMs tell each other the revision of the whole configuration only.

Change: heartbeats name a route table that was kept from an earlier era, and only such a one, so that other heartbeats have the size that they had. A VM that hears of a newer one than its own fetches the configuration in full and takes the table.

--- a/internal/control/distribute.go
+++ b/internal/control/distribute.go
@@ -248,7 +248,9 @@
 			inForceAt = m.timeAt(received.ReplacedOffsetUs)
 		}
 		m.adopt(next, received.From, received.HopsLeft, inForceAt)
+		return
 	}
+	m.takeRoutes(received.Delta)
 }
 
 // adopt puts a newer revision in force and forwards it. from is the sending VM, or empty if the revision
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -112,6 +112,7 @@
 		Members:               m.table.Updates(contact.VM),
 		MembersDigest:         m.table.Digest(),
 		Full:                  wanted != updatesOnly,
+		KeptRoutes:            m.keptRoutes(),
 	}
 	if wanted == fullTable {
 		request.MembersDigest = 0
@@ -127,6 +128,7 @@
 	sender := request.GetSender()
 	m.table.Receive(sender, request.Members, m.now)
 	m.recordRevision(sender.GetVm(), request.ConfigurationRevision)
+	m.fetchKeptRoutes(sender.GetVm(), request.KeptRoutes)
 	response := &pb.HeartbeatResponse{
 		Responder:             m.table.Self(),
 		ConfigurationRevision: m.revision(),
@@ -135,6 +137,7 @@
 		MembersDigest:         m.table.Digest(),
 		Paused:                m.pause.active,
 		StoreAnswerAgeMs:      m.storeAnswerAge(),
+		KeptRoutes:            m.keptRoutes(),
 	}
 	switch {
 	case request.Full && request.MembersDigest == 0:
@@ -160,6 +163,7 @@
 	sentAt := m.timeAt(answered.SentOffsetUs)
 	m.table.ReceiveResponse(answered.Vm, responder, response.Members, m.now)
 	m.recordRevision(responder.Vm, response.ConfigurationRevision)
+	m.fetchKeptRoutes(responder.Vm, response.KeptRoutes)
 	m.recordConfirmation(responder, response, sentAt)
 	if age := response.StoreAnswerAgeMs; age > 0 {
 		m.recordStoreAnswer(responder.Vm, sentAt.Add(-milliseconds(age)))
@@ -182,16 +186,25 @@
 	if revision > m.revision() && m.behindSince.IsZero() {
 		m.behindSince = m.now
 	}
-	address := m.table.Address(vm)
-	fetching := m.fetchingFrom != "" && m.now.Sub(m.fetchingSince) < fetchPatience
-	if revision <= m.revision() || fetching || address == "" {
+	if revision <= m.revision() {
 		return
 	}
-	m.fetchingFrom, m.fetchingSince = vm, m.now
 	since := m.revision()
 	if m.fetchFull {
 		since = 0
 	}
+	m.fetch(vm, since)
+}
+
+// fetch fetches from another VM what changed since a revision, zero for the whole configuration, unless a fetch is
+// under way.
+func (m *machine) fetch(vm string, since uint64) {
+	address := m.table.Address(vm)
+	fetching := m.fetchingFrom != "" && m.now.Sub(m.fetchingSince) < fetchPatience
+	if fetching || address == "" {
+		return
+	}
+	m.fetchingFrom, m.fetchingSince = vm, m.now
 	m.decide(&pb.ControlDecision{Kind: &pb.ControlDecision_Fetch{Fetch: &pb.FetchFrom{
 		Vm: vm, Address: address, SinceRevision: since,
 	}}})
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -62,6 +62,7 @@
 	count("deltas_refused_total", func(n counts) uint64 { return n.machine.deltasRefused })
 	count("configuration_overdue_reads_total", func(n counts) uint64 { return n.machine.overdueReads })
 	count("configuration_routes_kept_total", func(n counts) uint64 { return n.machine.routesKept })
+	count("configuration_routes_taken_total", func(n counts) uint64 { return n.machine.routesTaken })
 	gauge("configuration_offers_failed_total", func() float64 { return float64(c.offerFailures.Load()) })
 	gauge("configuration_fetches_failed_total", func() float64 { return float64(c.fetchFailures.Load()) })
 	count("clock_gaps_total", func(n counts) uint64 { return n.machine.clockGaps })
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -33,8 +33,10 @@
 	adopted            uint64
 	overdueReads       uint64
 	clockGaps          uint64
-	// routesKept counts the configurations whose older route table, from the store's copy, was not put in force.
-	routesKept uint64
+	// routesKept counts the configurations whose older route table, from the store's copy, was not put in force,
+	// and routesTaken the route tables taken over from VMs that kept them.
+	routesKept  uint64
+	routesTaken uint64
 }
 
 // publish emits a decision to publish a view if the state that the view is built from changed.
--- a/internal/control/return_test.go
+++ b/internal/control/return_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/carawayreel/carawayreel/internal/era"
 	pb "github.com/carawayreel/carawayreel/internal/gen/carawayreel/v1"
@@ -44,6 +45,12 @@
 	r.publish()
 }
 
+// touch changes an entry other than the routes.
+func (r *returningStore) touch() {
+	r.versions = append(r.versions, r.versions[len(r.versions)-1])
+	r.publish()
+}
+
 // goBack lets the store come back from a copy without the last writes.
 func (r *returningStore) goBack(lost int) {
 	r.era++
@@ -73,6 +80,15 @@
 	return s.vms[name].machine.configuration.GetRouteTable().GetVersion()
 }
 
+// newestInForce returns the highest version of the routes in force at a VM.
+func (s *simulation) newestInForce() uint64 {
+	newest := uint64(0)
+	for _, name := range s.names {
+		newest = max(newest, s.versionAt(name))
+	}
+	return newest
+}
+
 func (s *simulation) requireVersion(t require.TestingT, version uint64, message string) {
 	for _, name := range s.names {
 		require.Equal(t, version, s.versionAt(name), "%s, %s", name, message)
@@ -105,3 +121,77 @@
 		s.requireVersion(t, 10, "the revision was given out before")
 	}
 }
+
+// Guards against VMs that go back to an older version within one boot, disagree for good or miss
+// a version: VMs freeze, restart, and are cut off from the store or from the others, while the
+// store comes back from copies, also twice in a row, and the operator writes again late.
+func TestVersionsAcrossReturnsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newUsersDeployment(3, rapid.IntRange(1, 3).Draw(t, "vms"))
+		r := newReturningStore(s)
+		highest := map[*simulatedVM]uint64{}
+		s.run(10 * time.Second)
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			injectReturn(t, s, r)
+			for end := s.now + time.Duration(rapid.SampledFrom([]int{20, 300, 1500, 4000}).Draw(t, "ms"))*time.Millisecond; s.now < end; {
+				s.run(20 * time.Millisecond)
+				for _, name := range s.names {
+					vm := s.vms[name]
+					require.GreaterOrEqual(t, s.versionAt(name), highest[vm], "%s goes back", name)
+					highest[vm] = s.versionAt(name)
+				}
+			}
+		}
+		s.partitioned = func(_, _ string) bool { return false }
+		s.storeDown = false
+		for _, name := range s.names {
+			s.cutOff[name] = false
+			if s.vms[name].frozen {
+				s.thaw(name)
+			}
+		}
+		newest := s.newestInForce()
+		s.run(20 * time.Second)
+		require.GreaterOrEqual(t, s.newestInForce(), newest)
+		s.requireVersion(t, s.newestInForce(), "all agree, also before the operator writes again")
+		r.writeAgain()
+		s.run(10 * time.Second)
+		s.requireVersion(t, r.acknowledged, "all follow in the end")
+		r.writeVersion()
+		s.run(applyWithin)
+		s.requireVersion(t, r.acknowledged, "in time")
+	})
+}
+
+// injectReturn lets the store come back, or injects or repairs another fault.
+func injectReturn(t *rapid.T, s *simulation, r *returningStore) {
+	name := rapid.SampledFrom(s.names).Draw(t, "vm")
+	vm := s.vms[name]
+	switch rapid.SampledFrom([]string{"return", "return", "version", "again", "touch", "freeze", "wake", "restart", "cut off", "cut", "heal", "store"}).Draw(t, "event") {
+	case "return":
+		r.goBack(rapid.IntRange(0, 4).Draw(t, "lost"))
+	case "version":
+		r.writeVersion()
+	case "again":
+		r.writeAgain()
+	case "touch":
+		r.touch()
+	case "freeze":
+		s.freeze(name)
+	case "wake":
+		if vm.frozen {
+			s.thaw(name)
+		}
+	case "restart":
+		s.kill(name)
+		s.startVM(name, vm.domain, uint64(s.sequence))
+	case "cut off":
+		s.cutOff[name] = !s.cutOff[name]
+	case "cut":
+		s.partitioned = isolate(vm.domain)
+	case "heal":
+		s.partitioned = func(_, _ string) bool { return false }
+	case "store":
+		s.storeDown = !s.storeDown
+	}
+}
--- a/internal/e2e/store_return_test.go
+++ b/internal/e2e/store_return_test.go
@@ -124,6 +124,22 @@
 	awaitServed(t, d, configApply, "POST", "/e/x", "old")
 }
 
+// Guards against a VM that starts after a return, knows the copy's older configuration only, and
+// spreads it or keeps it although the others know a newer one.
+func TestVMStartedAfterAReturnLearnsTheNewestRoutes(t *testing.T) {
+	d := startUsers(t)
+	copied := d.Store.Copy()
+	d.Store.Put("op/config", routesDocumentWith(2, "new", "added"))
+	awaitServed(t, d, configApply, "POST", "/e/x", "new")
+	restarted := d.VMs[2]
+	restarted.Process().Kill()
+	returnStore(d, copied)
+	require.NoError(t, d.StartVM(restarted))
+	requireNewestServed(t, d.VMs[:2], 2*time.Second)
+	awaitServed(t, d, configApply, "POST", "/e/x", "new")
+	requireNewestServed(t, d.VMs, time.Second)
+}
+
 // requireNewestServed requires for some time that the VMs serve as the second version of
 // routesDocumentWith has it.
 func requireNewestServed(t *testing.T, vms []*testkit.UsersVM, duration time.Duration) {
