platform: a lease ends with the era of the store

What could happen: after the store came back from a copy, a VM whose lease is gone renews that of another VM which got its number, and is not announced any more.

Cause: a lease was its number only. Change: it holds its era, too.

--- a/internal/registry/members.go
+++ b/internal/registry/members.go
@@ -25,8 +25,13 @@
 	announceInterval = 2 * time.Second
 )
 
-// Lease identifies a lease in the store.
-type Lease int64
+// Lease identifies a lease in the store. The zero Lease is none.
+type Lease struct {
+	ID int64
+	// Era is the era of the store in which the lease was granted. In a later era the lease has
+	// ended, and its ID may be that of another one.
+	Era uint64
+}
 
 // LeaseStore reads and writes carawayreel's own keys in the store and manages leases on
 // them. Errors wrap ErrLeaseExpired or ErrUnavailable. A write that failed with
@@ -34,7 +39,7 @@
 type LeaseStore interface {
 	Values(ctx context.Context, prefix string) (map[string][]byte, error)
 	GrantLease(ctx context.Context, ttl time.Duration) (Lease, error)
-	// KeepAlive renews a lease.
+	// KeepAlive renews a lease. A lease of an earlier era of the store has expired.
 	KeepAlive(ctx context.Context, lease Lease) error
 	Write(ctx context.Context, key string, value []byte, lease Lease) error
 }
@@ -101,9 +106,9 @@
 }
 
 // announce renews the lease, or writes the VM's entry under a new lease if there
-// is none. It returns the lease to renew next, or zero if the entry may be missing.
+// is none. It returns the lease to renew next, or none if the entry may be missing.
 func (m *Members) announce(ctx context.Context, lease Lease) (Lease, error) {
-	if lease != 0 {
+	if lease != (Lease{}) {
 		err := m.store.KeepAlive(ctx, lease)
 		if !errors.Is(err, ErrLeaseExpired) {
 			return lease, err
@@ -111,14 +116,14 @@
 	}
 	value, err := proto.Marshal(m.self)
 	if err != nil {
-		return 0, errors.Wrap(err, "entry of this VM")
+		return Lease{}, errors.Wrap(err, "entry of this VM")
 	}
 	lease, err = m.store.GrantLease(ctx, memberLeaseTTL)
 	if err != nil {
-		return 0, err
+		return Lease{}, err
 	}
 	if err := m.store.Write(ctx, membersPrefix+m.self.Vm, value, lease); err != nil {
-		return 0, err
+		return Lease{}, err
 	}
 	return lease, nil
 }
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -175,6 +175,10 @@
 		return
 	case None:
 	}
+	if strings.HasPrefix(r.URL.Path, "/-/kv-keep/") {
+		writeJSON(w, map[string]int{"ttl_ms": 1000})
+		return
+	}
 	switch r.URL.Path {
 	case "/-/kv-range":
 		s.serveRange(w, r)
