--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -56,7 +56,7 @@
 	// Omitted names the invalid parts of the value that were left out.
 	Omitted []string
 	// Rollout is an operator's order, of which service, version and ramp are set, and
-	// RolloutStatus the status of one, without its revision.
+	// RolloutStatus the status of one.
 	Rollout       *pb.Rollout
 	RolloutStatus *pb.Rollout
 	// Problem describes why the value could not be decoded.
@@ -110,6 +110,9 @@
 const listTimeout = 4 * time.Second
 
 // Source reads configurations from a Store. It is safe for concurrent use.
+//
+// In a new era of the store it lists all entries. It keeps the routes and the reports of
+// targets that are newer than those in the copy which the store came back from.
 type Source struct {
 	store  Store
 	logger zerolog.Logger
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -165,9 +165,9 @@
 	return true
 }
 
-// keepEarlier registers a target, whose entry the store's copy holds as it once was, as its
-// last report of an earlier era states, unless the target had left by then. It reports whether
-// that changes the configuration.
+// keepEarlier registers a target by its last report of an earlier era, as the entry in the
+// store's copy is older. A target that had left by then is not registered. It reports whether
+// the configuration changes.
 func (s *storeState) keepEarlier(entry Entry, earlier sequencedRegistration) bool {
 	if earlier.left {
 		return false
